--- /dev/null
+++ b/components/journal/src/fold.rs
@@ -0,0 +1,102 @@
+//! Snapshots: the state of a journal in chunks, in force from a fold segment on.
+
+use std::sync::atomic::Ordering;
+
+use crate::error::JournalError;
+use crate::ledger::ProgramLedger;
+use crate::retry::{CreateResult, PatientStore, RetryPatience};
+use crate::segment::{
+    FoldManifest, JournalObject, MAX_PAYLOAD_BYTES, SegmentNumber, chunk_key, decode_records, encode, frame,
+    journal_prefix, parse_key, segment_key,
+};
+use crate::writer::{JournalWriter, WriterState};
+
+/// Marks a snapshot as under way until it is dropped.
+#[derive(Debug)]
+struct FoldGuard<'a>(&'a WriterState);
+
+impl<'a> FoldGuard<'a> {
+    fn begin(state: &'a WriterState) -> Option<Self> {
+        let was_folding = state.is_folding.swap(true, Ordering::AcqRel);
+        if was_folding { None } else { Some(Self(state)) }
+    }
+}
+
+impl Drop for FoldGuard<'_> {
+    fn drop(&mut self) {
+        self.0.is_folding.store(false, Ordering::Release);
+    }
+}
+
+pub(crate) async fn fold_journal(
+    writer: &JournalWriter,
+    state: &WriterState,
+    ledger: ProgramLedger,
+) -> Result<(), JournalError> {
+    let Some(guard) = FoldGuard::begin(state) else {
+        return Ok(());
+    };
+    let (covers, ledger) = catch_up(state, ledger)?;
+    let fold = state.last_fold.fetch_add(1, Ordering::AcqRel) + 1;
+    let chunks = write_chunks(state, fold, &ledger).await?;
+    let manifest = FoldManifest { fold, covers, chunks };
+    writer.append_fold(manifest).await?;
+    trim(state, fold, covers).await?;
+    drop(guard);
+    Ok(())
+}
+
+/// Applies the records since the last snapshot, and returns the last segment that the ledger holds then.
+fn catch_up(
+    state: &WriterState,
+    mut ledger: ProgramLedger,
+) -> Result<(SegmentNumber, ProgramLedger), JournalError> {
+    let (covers, groups) = {
+        let recent = state.recent();
+        (recent.last_segment, recent.groups.clone())
+    };
+    for (segment, payload) in groups {
+        let key = segment_key(state.incarnation, segment);
+        for record in decode_records(&key, &payload)? {
+            ledger.apply(&record);
+        }
+    }
+    Ok((covers, ledger))
+}
+
+/// Writes the chunks of a snapshot and returns their checksums.
+async fn write_chunks(
+    state: &WriterState,
+    fold: u64,
+    ledger: &ProgramLedger,
+) -> Result<Vec<u32>, JournalError> {
+    let store = PatientStore::new(state.store.as_ref(), RetryPatience::Few);
+    let encoded = encode("snapshot", ledger)?;
+    let mut checksums = Vec::new();
+    for (index, chunk) in encoded.chunks(MAX_PAYLOAD_BYTES).enumerate() {
+        let key = chunk_key(state.incarnation, fold, index);
+        let created = store.create(&key, &frame(chunk)).await?;
+        if created != CreateResult::Created {
+            return Err(JournalError::corrupt(key, "another writer's chunk stands in it"));
+        }
+        checksums.push(crc32fast::hash(chunk));
+    }
+    Ok(checksums)
+}
+
+/// Deletes the segments that a snapshot covers, and older snapshots.
+async fn trim(state: &WriterState, fold: u64, covers: SegmentNumber) -> Result<(), JournalError> {
+    let store = PatientStore::new(state.store.as_ref(), RetryPatience::Few);
+    for (key, version) in store.list(&journal_prefix(state.incarnation)).await? {
+        let is_replaced = match parse_key(state.incarnation, &key) {
+            Some(JournalObject::Segment(number)) => number <= covers,
+            Some(JournalObject::Chunk { fold: older }) => older < fold,
+            None => false,
+        };
+        if is_replaced {
+            store.delete(&key, version).await?;
+            tokio::time::sleep(state.spacing).await;
+        }
+    }
+    Ok(())
+}
