--- /dev/null
+++ b/components/daemon/src/log.rs
@@ -0,0 +1,27 @@
+//! The log: one line of key=value pairs an event, on standard error.
+
+use config::{DaemonSettings, LogLevel};
+use slog::{Drain as _, Level, Logger, o};
+use slog_async::AsyncGuard;
+use slog_logfmt::Logfmt;
+
+/// Lines that may wait for a slow reader of standard error.
+const LINES_BUFFERED: usize = 4096;
+
+/// Opens the log of a process; the guard writes the last lines when it is dropped.
+pub(crate) fn open_log(settings: &DaemonSettings) -> (Logger, AsyncGuard) {
+    let drain = Logfmt::new(std::io::stderr()).build().fuse();
+    let (drain, guard) = slog_async::Async::new(drain).chan_size(LINES_BUFFERED).build_with_guard();
+    let drain = drain.filter_level(level_of(settings.log.level)).fuse();
+    let log = Logger::root(drain, o!("host" => settings.host.name.to_string()));
+    (log, guard)
+}
+
+const fn level_of(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    }
+}
--- a/components/domain/src/host.rs
+++ b/components/domain/src/host.rs
@@ -152,6 +152,12 @@
         live.map(|member| member.incarnation).collect()
     }
 
+    /// Tells whether the incarnation is sealed.
+    pub fn is_sealed(&self, incarnation: IncarnationId) -> bool {
+        let member = self.member(incarnation);
+        member.is_some_and(|member| matches!(member.state, MemberState::Sealed { .. }))
+    }
+
     /// Returns the incarnation that owns the program now, following seals to the heirs.
     ///
     /// Returns `None` when the birth incarnation is unknown or a seal names no heir.
@@ -163,6 +169,19 @@
         }
         Some(member.incarnation)
     }
+
+    /// Returns the sealed incarnation from which `owner` inherited the program, if it did.
+    pub fn last_seal_before(&self, program: ProgramKey, owner: IncarnationId) -> Option<IncarnationId> {
+        let mut member = self.member(program.incarnation)?;
+        while let MemberState::Sealed { heirs } = &member.state {
+            let heir = heir_of(program, heirs)?;
+            if heir == owner {
+                return Some(member.incarnation);
+            }
+            member = self.member(heir)?;
+        }
+        None
+    }
 }
 
 /// Returns the heir of a program by rendezvous hashing, or `None` when there is no heir.
--- /dev/null
+++ b/components/entry/src/adoption.rs
@@ -0,0 +1,117 @@
+//! Take-over of programs from sealed incarnations.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use budget::BudgetKeeper;
+use domain::{IncarnationId, MemberState, MemberTable, ProgramState, heir_of};
+use journal::{ProgramLedger, replay_journal};
+use platform::ObjectStore;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::context::EntryContext;
+use crate::owner::{OwnerCore, resume_intents};
+
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Adopts programs whenever the member table names this incarnation as an heir.
+pub(crate) async fn follow_seals(context: Arc<EntryContext>) {
+    let mut changed = context.board.watch_members();
+    loop {
+        let owner = context.owner();
+        let table = context.board.members().table.clone();
+        for from in pending_seals(&table, &owner) {
+            match adopt_from(&context, &owner, &table, from).await {
+                Ok(count) => info!(context.options.log, "adopted"; "from" => from.0, "programs" => count),
+                Err(error) => {
+                    warn!(context.options.log, "adoption failed"; "from" => from.0, "error" => format!("{error:#}"));
+                    sleep(RETRY_PAUSE).await;
+                    changed.mark_changed();
+                }
+            }
+        }
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns the sealed incarnations that this one inherits from and has not adopted yet.
+fn pending_seals(table: &MemberTable, owner: &OwnerCore) -> Vec<IncarnationId> {
+    if owner.is_fenced() {
+        return Vec::new();
+    }
+    let own = owner.incarnation();
+    let sealed = table.members.iter().filter(|member| match &member.state {
+        MemberState::Sealed { heirs } => heirs.contains(&own),
+        MemberState::Live => false,
+    });
+    let pending = sealed.map(|member| member.incarnation).filter(|from| !owner.has_adopted(*from));
+    pending.collect()
+}
+
+async fn adopt_from(
+    context: &Arc<EntryContext>,
+    owner: &Arc<OwnerCore>,
+    table: &MemberTable,
+    from: IncarnationId,
+) -> Result<usize> {
+    let store = context.options.store.as_ref();
+    let ledger = replay_journal(store, from).await?.ledger;
+    let estate = estate_of(store, table, from, &ledger).await?;
+    let mine = estate.into_iter().filter(|program| table.owner_of(program.key) == Some(owner.incarnation()));
+    let programs: Vec<_> = mine.map(|program| inherit(program, from)).collect();
+    let count = programs.len();
+    let cells = owner.adopt(from, programs).await?;
+    resume_intents(context, owner, &cells);
+    tokio::spawn(adopt_budget(owner.budget().clone(), from));
+    Ok(count)
+}
+
+/// Closes the budget slices of a sealed incarnation; what its journal does not prove unspent counts as spent.
+async fn adopt_budget(budget: BudgetKeeper, from: IncarnationId) {
+    while budget.adopt_slice(from, &[]).await.is_err() {
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Returns the programs that an incarnation owned when it was sealed, those included that it had not adopted yet.
+async fn estate_of(
+    store: &dyn ObjectStore,
+    table: &MemberTable,
+    from: IncarnationId,
+    ledger: &ProgramLedger,
+) -> Result<Vec<ProgramState>> {
+    let mut estate: Vec<ProgramState> = ledger.programs().to_vec();
+    for member in &table.members {
+        let MemberState::Sealed { heirs } = &member.state else {
+            continue;
+        };
+        if !heirs.contains(&from) || ledger.has_adopted(member.incarnation) {
+            continue;
+        }
+        let earlier = replay_journal(store, member.incarnation).await?.ledger;
+        let unadopted = Box::pin(estate_of(store, table, member.incarnation, &earlier)).await?;
+        let fallen = unadopted.into_iter().filter(|program| heir_of(program.key, heirs) == Some(from));
+        for program in fallen {
+            insert_latest(&mut estate, program);
+        }
+    }
+    Ok(estate)
+}
+
+fn insert_latest(estate: &mut Vec<ProgramState>, program: ProgramState) {
+    match estate.binary_search_by_key(&program.key, |present| present.key) {
+        Ok(index) if estate[index].tenure < program.tenure => estate[index] = program,
+        Ok(_) => {}
+        Err(index) => estate.insert(index, program),
+    }
+}
+
+fn inherit(mut program: ProgramState, from: IncarnationId) -> ProgramState {
+    program.tenure = program.tenure.next();
+    program.past_owners.push(from);
+    program
+}
--- /dev/null
+++ b/components/entry/src/blackboard.rs
@@ -0,0 +1,117 @@
+//! The sections that controllers write and the request path reads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use domain::{AppliedConfiguration, Generation, ListedHost, MemberTable};
+use tokio::sync::watch;
+
+use crate::fleet::FleetView;
+
+/// The member table with its version in the object API.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct MemberView {
+    /// Version of the object; zero before the first read.
+    pub(crate) version: Generation,
+    /// Table.
+    pub(crate) table: MemberTable,
+}
+
+/// Shared state of the entry, one section a concern.
+#[derive(Debug)]
+pub(crate) struct Blackboard {
+    configuration: ArcSwapOption<AppliedConfiguration>,
+    fleet: ArcSwap<FleetView>,
+    listed: ArcSwap<Vec<ListedHost>>,
+    members: ArcSwap<MemberView>,
+    members_changed: watch::Sender<Generation>,
+    leaving: AtomicBool,
+}
+
+impl Blackboard {
+    /// Creates empty sections.
+    pub(crate) fn new() -> Self {
+        Self {
+            configuration: ArcSwapOption::empty(),
+            fleet: ArcSwap::default(),
+            listed: ArcSwap::default(),
+            members: ArcSwap::default(),
+            members_changed: watch::channel(Generation(0)).0,
+            leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn configuration(&self) -> Option<Arc<AppliedConfiguration>> {
+        self.configuration.load_full()
+    }
+
+    /// Returns the generation in force; zero before the first.
+    pub(crate) fn generation(&self) -> Generation {
+        self.configuration.load().as_ref().map_or(Generation(0), |applied| applied.generation)
+    }
+
+    /// Puts a configuration in force unless one of the same or a later generation is.
+    pub(crate) fn raise_configuration(&self, applied: &Arc<AppliedConfiguration>) -> bool {
+        let mut raised = false;
+        self.configuration.rcu(|present| {
+            let newer = present.as_ref().is_none_or(|present| applied.generation > present.generation);
+            raised = newer;
+            if newer { Some(Arc::clone(applied)) } else { present.clone() }
+        });
+        raised
+    }
+
+    /// Returns what heartbeats have told of the fleet.
+    pub(crate) fn fleet(&self) -> Arc<FleetView> {
+        self.fleet.load_full()
+    }
+
+    /// Replaces the view of the fleet.
+    pub(crate) fn set_fleet(&self, fleet: FleetView) {
+        self.fleet.store(Arc::new(fleet));
+    }
+
+    /// Returns the host list as last read.
+    pub(crate) fn listed(&self) -> Arc<Vec<ListedHost>> {
+        self.listed.load_full()
+    }
+
+    /// Replaces the host list.
+    pub(crate) fn set_listed(&self, listed: Vec<ListedHost>) {
+        self.listed.store(Arc::new(listed));
+    }
+
+    /// Returns the member table as last read.
+    pub(crate) fn members(&self) -> Arc<MemberView> {
+        self.members.load_full()
+    }
+
+    /// Replaces the member table unless a later version is known.
+    pub(crate) fn raise_members(&self, view: MemberView) {
+        let version = view.version;
+        let view = Arc::new(view);
+        self.members.rcu(|present| if view.version > present.version { Arc::clone(&view) } else { Arc::clone(present) });
+        self.members_changed.send_if_modified(|known| {
+            let newer = version > *known;
+            *known = (*known).max(version);
+            newer
+        });
+    }
+
+    /// Returns a receiver that wakes at each change of the member table.
+    pub(crate) fn watch_members(&self) -> watch::Receiver<Generation> {
+        self.members_changed.subscribe()
+    }
+
+    /// Tells whether the entry is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Marks the entry as leaving.
+    pub(crate) fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/components/entry/src/configuration.rs
@@ -0,0 +1,155 @@
+//! The configuration in force: watched by three entries, fetched from peers by the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::parse_configuration;
+use domain::{AppliedConfiguration, Generation};
+use errors::{CallError, ResultCode};
+use platform::{ObjectStore, ObjectVersion, PlatformError, VersionedObject, WriteCondition};
+use slog::{error, info, warn};
+use tokio::time::{sleep, timeout};
+
+use crate::context::EntryContext;
+use crate::pool::{CALL_TIMEOUT, call_context};
+
+const CONFIGURATION_KEY: &str = "config/text";
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+const RANK_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Entries that watch the object; all others hear of a change from their heartbeats.
+const WATCHERS: usize = 3;
+
+/// Puts every later configuration in force that the object API shows.
+pub(crate) async fn watch_configuration(context: Arc<EntryContext>) {
+    read_once(&context).await;
+    loop {
+        if !is_watcher(&context) {
+            sleep(RANK_CHECK_INTERVAL).await;
+            continue;
+        }
+        let seen = Some(context.board.generation()).filter(|seen| *seen > Generation(0));
+        let seen = seen.map(|seen| ObjectVersion(seen.0));
+        match context.options.store.watch(CONFIGURATION_KEY, seen, WATCH_WAIT).await {
+            Ok(Some(object)) => raise(&context, &object),
+            Ok(None) => {}
+            Err(error) => {
+                warn!(context.options.log, "configuration not watched"; "error" => %error);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_once(context: &EntryContext) {
+    match context.options.store.read(CONFIGURATION_KEY).await {
+        Ok(Some(object)) => raise(context, &object),
+        Ok(None) => {}
+        Err(error) => warn!(context.options.log, "configuration not read"; "error" => %error),
+    }
+}
+
+fn is_watcher(context: &EntryContext) -> bool {
+    let members = context.board.members();
+    let own = context.incarnation();
+    members.table.live().iter().take(WATCHERS).any(|live| *live == own)
+}
+
+fn raise(context: &EntryContext, object: &VersionedObject) {
+    let generation = Generation(object.version.0);
+    let text = String::from_utf8_lossy(&object.value).into_owned();
+    match parse_configuration(&text) {
+        Ok(content) => raise_applied(context, AppliedConfiguration { generation, text, content }),
+        Err(faults) => error!(context.options.log, "configuration has faults"; "generation" => generation.0,
+            "faults" => faults.len()),
+    }
+}
+
+fn raise_applied(context: &EntryContext, applied: AppliedConfiguration) {
+    let applied = Arc::new(applied);
+    if context.board.raise_configuration(&applied) {
+        let owners = u32::try_from(context.board.members().table.live().len()).unwrap_or(u32::MAX);
+        context.budget().set_teams(&applied.content.teams, owners);
+        info!(context.options.log, "configuration in force"; "generation" => applied.generation.0);
+    }
+}
+
+/// Fetches a later configuration from the peer whose heartbeat announced it.
+pub(crate) async fn fetch_announced(context: Arc<EntryContext>) {
+    let mut announced = context.watch_configuration();
+    while announced.changed().await.is_ok() {
+        let Some((generation, address)) = *announced.borrow_and_update() else {
+            continue;
+        };
+        if generation <= context.board.generation() {
+            continue;
+        }
+        let Ok(client) = context.pool.owner(address).await else {
+            continue;
+        };
+        match client.fetch_configuration(call_context(CALL_TIMEOUT)).await {
+            Ok(Ok(Some(applied))) => raise_applied(&context, applied),
+            Ok(Ok(None) | Err(_)) => {}
+            Err(_) => context.pool.forget(address),
+        }
+    }
+}
+
+/// Writes a checked text over its base generation and puts it in force here.
+///
+/// # Errors
+///
+/// Returns 7006 when another generation is in force, and an error of the object API when it does not answer.
+pub(crate) async fn apply_configuration(
+    context: &EntryContext,
+    base: Generation,
+    text: &str,
+) -> Result<Generation, CallError> {
+    const SETTLE_TRIES: u32 = 5;
+    let store = context.options.store.as_ref();
+    let condition = match base {
+        Generation(0) => WriteCondition::Absent,
+        Generation(version) => WriteCondition::Version(ObjectVersion(version)),
+    };
+    let written = store.write(CONFIGURATION_KEY, Bytes::from(text.to_owned()), condition).await;
+    let error = match written {
+        Ok(version) => return take_effect(context, Generation(version.0), text),
+        Err(PlatformError::NoAnswer(reason)) => reason,
+        Err(PlatformError::Conflict) => return Err(conflict(context, base).await),
+        Err(error) => return Err(CallError::from(error).with_retry_after_ms(1000)),
+    };
+    for _ in 0..SETTLE_TRIES {
+        if let Ok(Ok(present)) = timeout(CALL_TIMEOUT, store.read(CONFIGURATION_KEY)).await {
+            let present = present.filter(|object| Generation(object.version.0) != base);
+            return match present {
+                Some(object) if object.value == text.as_bytes() => {
+                    take_effect(context, Generation(object.version.0), text)
+                }
+                Some(_) => Err(conflict(context, base).await),
+                None => Err(CallError::not_run(ResultCode::PlatformTimeout, error).with_retry_after_ms(1000)),
+            };
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+    Err(CallError::unknown(format!("the object API gave no answer: {error}")).with_retry_after_ms(1000))
+}
+
+fn take_effect(context: &EntryContext, generation: Generation, text: &str) -> Result<Generation, CallError> {
+    let content = parse_configuration(text).map_err(|faults| {
+        let first = faults.first().map(ToString::to_string).unwrap_or_default();
+        CallError::ran(ResultCode::Internal, format!("the applied text has faults: {first}"))
+    })?;
+    raise_applied(context, AppliedConfiguration { generation, text: text.to_owned(), content });
+    Ok(generation)
+}
+
+async fn conflict(context: &EntryContext, base: Generation) -> CallError {
+    let present = context.options.store.read(CONFIGURATION_KEY).await;
+    if let Ok(Some(object)) = &present {
+        raise(context, object);
+    }
+    let generation = present.ok().flatten().map_or(0, |object| object.version.0);
+    CallError::not_run(ResultCode::GenerationConflict, format!("generation {generation} is in force, not {base}"))
+}
--- /dev/null
+++ b/components/entry/src/context.rs
@@ -0,0 +1,99 @@
+//! Everything that the tasks of one entry share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use budget::BudgetKeeper;
+use domain::{Generation, Heartbeat, HostRole, IncarnationId};
+use tokio::sync::{Notify, watch};
+
+use crate::blackboard::Blackboard;
+use crate::options::EntryOptions;
+use crate::owner::OwnerCore;
+use crate::pool::PeerPool;
+
+/// Shared state of one entry.
+#[derive(Debug)]
+pub(crate) struct EntryContext {
+    /// Options.
+    pub(crate) options: EntryOptions,
+    /// Bound address of the process port.
+    pub(crate) process_address: SocketAddr,
+    /// Sections that controllers write.
+    pub(crate) board: Blackboard,
+    /// Connections to peers.
+    pub(crate) pool: PeerPool,
+    /// Wakes the planned stop.
+    pub(crate) drain: Notify,
+    newer_configuration: watch::Sender<Option<(Generation, SocketAddr)>>,
+    newer_members: watch::Sender<Generation>,
+    owner: ArcSwap<OwnerCore>,
+}
+
+impl EntryContext {
+    /// Creates the context of an entry whose first incarnation has joined.
+    pub(crate) fn new(
+        options: EntryOptions,
+        process_address: SocketAddr,
+        board: Blackboard,
+        owner: Arc<OwnerCore>,
+    ) -> Self {
+        let pool = PeerPool::new(options.secret.clone());
+        Self {
+            options,
+            process_address,
+            board,
+            pool,
+            drain: Notify::new(),
+            newer_configuration: watch::channel(None).0,
+            newer_members: watch::channel(Generation(0)).0,
+            owner: ArcSwap::new(owner),
+        }
+    }
+
+    /// Returns the present incarnation's owner of programs.
+    pub(crate) fn owner(&self) -> Arc<OwnerCore> {
+        self.owner.load_full()
+    }
+
+    /// Puts a new incarnation in the place of a sealed one.
+    pub(crate) fn replace_owner(&self, owner: Arc<OwnerCore>) {
+        self.owner.store(owner);
+    }
+
+    /// Returns the present incarnation.
+    pub(crate) fn incarnation(&self) -> IncarnationId {
+        self.owner.load().incarnation()
+    }
+
+    /// Returns the budget slices of the present incarnation.
+    pub(crate) fn budget(&self) -> BudgetKeeper {
+        self.owner.load().budget().clone()
+    }
+
+    /// Notes a later configuration or member table that a heartbeat announces.
+    pub(crate) fn note_generation(&self, heartbeat: &Heartbeat) {
+        if heartbeat.role != HostRole::Entry {
+            return;
+        }
+        if heartbeat.generation > self.board.generation() {
+            self.newer_configuration.send_replace(Some((heartbeat.generation, heartbeat.address)));
+        }
+        self.newer_members.send_if_modified(|known| {
+            let newer = heartbeat.members > *known;
+            *known = (*known).max(heartbeat.members);
+            newer
+        });
+    }
+
+    /// Returns a receiver of the peer that has announced a later configuration.
+    pub(crate) fn watch_configuration(&self) -> watch::Receiver<Option<(Generation, SocketAddr)>> {
+        self.newer_configuration.subscribe()
+    }
+
+    /// Returns a receiver of the latest member table that a peer has announced.
+    pub(crate) fn watch_announced_members(&self) -> watch::Receiver<Generation> {
+        self.newer_members.subscribe()
+    }
+}
--- /dev/null
+++ b/components/entry/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! The callers' and operators' port.
+
+mod admin;
+mod auth;
+mod chat;
+mod operators;
+mod programs;
+mod reply;
+mod request;
+mod route;
+mod server;
+mod service;
+
+pub(crate) use server::serve_http;
--- /dev/null
+++ b/components/entry/src/http/request.rs
@@ -0,0 +1,124 @@
+//! Requests of callers and operators, read whole within their limits.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::ProgramKey;
+use errors::{CallError, ResultCode};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request};
+use serde::de::DeserializeOwned;
+
+use crate::http::reply::malformed;
+use crate::relay::StreamPosition;
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_KEY_BYTES: usize = 200;
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub(crate) struct WholeRequest {
+    /// Method, path and headers.
+    pub(crate) parts: Parts,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+impl WholeRequest {
+    /// Reads the body within the limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns 1002 for a body over the limit, 1011 for a slow sender and 1001 for a broken body.
+    pub(crate) async fn read(request: Request<Incoming>, limit: usize) -> Result<Self, CallError> {
+        let (parts, body) = request.into_parts();
+        let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+        let collected = collected.map_err(|_| {
+            CallError::not_run(ResultCode::RequestTimeout, "the body did not arrive in time")
+        })?;
+        let body = collected.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                CallError::not_run(ResultCode::BodyTooLarge, format!("a body has at most {limit} bytes"))
+            } else {
+                malformed("the body is broken off")
+            }
+        })?;
+        Ok(Self { parts, body: body.to_bytes() })
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns 1001 when the body is not the JSON that is expected.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(|error| malformed(format!("the body is not as expected: {error}")))
+    }
+
+    /// Returns the program named in the headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns 1009 when the header is missing or malformed.
+    pub(crate) fn program(&self) -> Result<ProgramKey, CallError> {
+        let text = self.header("azuretide-program")?;
+        text.parse().map_err(|message: String| CallError::not_run(ResultCode::MalformedHeader, message))
+    }
+
+    /// Returns the idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns 1009 when the header is missing, empty or too long.
+    pub(crate) fn idempotency_key(&self) -> Result<String, CallError> {
+        let key = self.header("idempotency-key")?;
+        if key.is_empty() || key.len() > MAX_KEY_BYTES {
+            let message = format!("an idempotency key has 1 to {MAX_KEY_BYTES} bytes");
+            return Err(CallError::not_run(ResultCode::MalformedHeader, message));
+        }
+        Ok(key.to_owned())
+    }
+
+    /// Returns the place from which a stream is to go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns 1009 when the header is malformed.
+    pub(crate) fn stream_position(&self) -> Result<Option<StreamPosition>, CallError> {
+        if !self.parts.headers.contains_key("last-event-id") {
+            return Ok(None);
+        }
+        let text = self.header("last-event-id")?;
+        let position = text.split_once('-').and_then(|(offset, hash)| {
+            Some(StreamPosition { offset: offset.parse().ok()?, hash: u64::from_str_radix(hash, 16).ok()? })
+        });
+        let Some(position) = position else {
+            return Err(CallError::not_run(ResultCode::MalformedHeader, "Last-Event-ID is not one of this stream"));
+        };
+        Ok(Some(position))
+    }
+
+    /// Returns a header as text, empty when it is absent.
+    pub(crate) fn optional_header(&self, name: &str) -> &str {
+        header_text(&self.parts.headers, name).unwrap_or_default()
+    }
+
+    fn header(&self, name: &str) -> Result<&str, CallError> {
+        header_text(&self.parts.headers, name).ok_or_else(|| {
+            CallError::not_run(ResultCode::MalformedHeader, format!("the header {name} is missing or malformed"))
+        })
+    }
+
+    /// Returns a parameter of the query.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self.parts.uri.query()?.split('&');
+        pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+}
+
+/// Returns a header as text.
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/components/entry/src/http/route.rs
@@ -0,0 +1,50 @@
+//! From method and path to the handler.
+
+use std::sync::Arc;
+
+use errors::{CallError, ResultCode};
+use hyper::Method;
+
+use crate::context::EntryContext;
+use crate::http::auth::{authenticate_operator, authenticate_team};
+use crate::http::reply::{HttpReply, error_reply};
+use crate::http::request::WholeRequest;
+use crate::http::{admin, chat, programs, service};
+
+/// Answers one request.
+pub(crate) async fn answer_request(context: Arc<EntryContext>, request: WholeRequest) -> HttpReply {
+    let path = request.parts.uri.path().to_owned();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let answered = match segments.as_slice() {
+        ["v1", rest @ ..] => answer_caller(&context, &request, rest).await,
+        ["admin", rest @ ..] => match authenticate_operator(&context, &request.parts.headers) {
+            Ok(()) => admin::answer_operator(&context, &request, rest).await,
+            Err(error) => Err(error),
+        },
+        _ => Err(unknown_route()),
+    };
+    answered.unwrap_or_else(|error| error_reply(&error))
+}
+
+async fn answer_caller(
+    context: &Arc<EntryContext>,
+    request: &WholeRequest,
+    segments: &[&str],
+) -> Result<HttpReply, CallError> {
+    let team = authenticate_team(context, &request.parts.headers)?;
+    match (&request.parts.method, segments) {
+        (&Method::POST, ["programs"]) => programs::start(context, request, team).await,
+        (&Method::GET, ["programs", id]) => programs::read(context, &team, id).await,
+        (&Method::GET, ["programs", id, "history"]) => programs::history(context, Some(&team), id).await,
+        (&Method::DELETE, ["programs", id]) => programs::end(context, &team, id).await,
+        (&Method::GET, ["programs", id, "calls", key]) => programs::call(context, &team, id, key).await,
+        (&Method::POST, ["chat", "completions"]) => chat::complete(context, request, team).await,
+        (_, ["services", name, ..]) => service::pass_on(context, request, team, name).await,
+        _ => Err(unknown_route()),
+    }
+}
+
+/// Returns the refusal of a path or method that the interface does not have.
+pub(crate) fn unknown_route() -> CallError {
+    CallError::not_run(ResultCode::UnknownRoute, "the interface has no such path and method")
+}
--- /dev/null
+++ b/components/entry/src/http/server.rs
@@ -0,0 +1,65 @@
+//! Accepts connections of callers and operators.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use slog::{debug, warn};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::context::EntryContext;
+use crate::http::reply::{HttpReply, error_reply};
+use crate::http::request::WholeRequest;
+use crate::http::route::answer_request;
+
+/// Serves until the token is cancelled, then lets the requests under way end.
+pub(crate) async fn serve_http(context: Arc<EntryContext>, listener: TcpListener, stop: CancellationToken) {
+    let permits = Arc::new(Semaphore::new(context.options.connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(context.options.log, "accept failed"; "error" => %error);
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            debug!(context.options.log, "connection refused"; "reason" => "limit");
+            continue;
+        };
+        stream.set_nodelay(true).ok();
+        let serving = Arc::clone(&context);
+        let service = service_fn(move |request| answer(Arc::clone(&serving), request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(context.options.header_timeout)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            watched.await.ok();
+            drop(permit);
+        });
+    }
+    graceful.shutdown().await;
+}
+
+async fn answer(context: Arc<EntryContext>, request: Request<Incoming>) -> Result<HttpReply, Infallible> {
+    let reply = match WholeRequest::read(request, context.options.body_bytes).await {
+        Ok(request) => answer_request(context, request).await,
+        Err(error) => error_reply(&error),
+    };
+    Ok(reply)
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,19 @@
-//! The process that speaks to callers and owns programs.
+//! The process that speaks to callers and operators and owns programs.
+
+mod adoption;
+mod audit;
+mod blackboard;
+mod configuration;
+mod context;
+mod fleet;
+mod http;
+mod member;
+mod options;
+mod owner;
+mod pool;
+mod process;
+mod relay;
+mod upkeep;
+
+pub use options::EntryOptions;
+pub use process::EntryProcess;
--- /dev/null
+++ b/components/entry/src/member.rs
@@ -0,0 +1,252 @@
+//! The member table: joining, suspicion and sealing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result, bail};
+use bytes::Bytes;
+use domain::{Generation, HostRole, IncarnationId, MemberRecord, MemberState, MemberTable, TimeMillis};
+use journal::seal_journal;
+use platform::{ObjectStore, PlatformError, VersionedObject, WriteCondition};
+use slog::{info, warn};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+
+use crate::audit::AuditEvent;
+use crate::blackboard::{Blackboard, MemberView};
+use crate::context::EntryContext;
+use crate::options::EntryOptions;
+
+const MEMBERS_KEY: &str = "members";
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads the member table.
+///
+/// # Errors
+///
+/// Fails when the object API does not answer or the table cannot be decoded.
+pub(crate) async fn read_members(store: &dyn ObjectStore) -> Result<MemberView> {
+    match store.read(MEMBERS_KEY).await? {
+        Some(object) => decode_members(&object),
+        None => Ok(MemberView { version: Generation(0), table: MemberTable { next: IncarnationId(1), members: vec![] } }),
+    }
+}
+
+fn decode_members(object: &VersionedObject) -> Result<MemberView> {
+    let table = serde_json::from_slice(&object.value).context("the member table cannot be decoded")?;
+    Ok(MemberView { version: Generation(object.version.0), table })
+}
+
+/// Writes the table over the version it was read at; `false` when another entry was faster.
+async fn write_members(store: &dyn ObjectStore, read: &MemberView, table: &MemberTable) -> Result<bool> {
+    let value = Bytes::from(serde_json::to_vec(table)?);
+    let condition = match read.version {
+        Generation(0) => WriteCondition::Absent,
+        Generation(version) => WriteCondition::Version(platform::ObjectVersion(version)),
+    };
+    match store.write(MEMBERS_KEY, value, condition).await {
+        Ok(_) => Ok(true),
+        Err(PlatformError::Conflict) => Ok(false),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Joins as a new incarnation; waits while the object API does not answer.
+///
+/// A lost answer costs an unused incarnation at most: the attempt is recognised by its number when it is read back.
+pub(crate) async fn join_members(options: &EntryOptions, address: std::net::SocketAddr, board: &Blackboard) -> IncarnationId {
+    loop {
+        match try_join(options, address).await {
+            Ok(Some((incarnation, view))) => {
+                board.raise_members(view);
+                info!(options.log, "joined"; "incarnation" => incarnation.0);
+                return incarnation;
+            }
+            Ok(None) => {}
+            Err(error) => {
+                warn!(options.log, "join failed"; "error" => format!("{error:#}"));
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn try_join(options: &EntryOptions, address: std::net::SocketAddr) -> Result<Option<(IncarnationId, MemberView)>> {
+    let store = options.store.as_ref();
+    let read = read_members(store).await?;
+    let incarnation = read.table.next;
+    let record = MemberRecord {
+        incarnation,
+        host: options.host.clone(),
+        failure_domain: options.failure_domain.clone(),
+        address,
+        joined: TimeMillis::now(),
+        state: MemberState::Live,
+    };
+    let mut table = read.table.clone();
+    table.next = incarnation.next();
+    table.members.push(record.clone());
+    let written = write_members(store, &read, &table).await;
+    if !matches!(written, Ok(true)) {
+        let present = read_members(store).await?;
+        return Ok((present.table.member(incarnation) == Some(&record)).then_some((incarnation, present)));
+    }
+    let view = read_members(store).await?;
+    Ok(Some((incarnation, view)))
+}
+
+/// Seals a member's journal and writes the seal into the member table.
+///
+/// # Errors
+///
+/// Fails when the object API does not answer; the seal itself may be in force then and a later try completes it.
+pub(crate) async fn seal_member(context: &EntryContext, incarnation: IncarnationId) -> Result<()> {
+    let store = context.options.store.as_ref();
+    let own = context.incarnation();
+    let heirs = heirs_of(&context.board.members().table, incarnation);
+    if heirs.is_empty() {
+        bail!("no live member is left to inherit from {incarnation}");
+    }
+    let seal = seal_journal(store, incarnation, own, heirs).await?;
+    record_seal(context, incarnation, seal.heirs.clone()).await?;
+    info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{:?}", seal.heirs));
+    let event = AuditEvent::system(&context.options.host, "seal", incarnation.to_string(), format!("{:?}", seal.heirs));
+    event.write_logged(context).await;
+    Ok(())
+}
+
+/// Returns the live members that inherit from an incarnation.
+pub(crate) fn heirs_of(table: &MemberTable, incarnation: IncarnationId) -> Vec<IncarnationId> {
+    table.live().into_iter().filter(|live| *live != incarnation).collect()
+}
+
+/// Writes a seal that is in force into the member table.
+///
+/// # Errors
+///
+/// Fails when the object API does not answer.
+pub(crate) async fn record_seal(
+    context: &EntryContext,
+    incarnation: IncarnationId,
+    heirs: Vec<IncarnationId>,
+) -> Result<()> {
+    let store = context.options.store.as_ref();
+    loop {
+        let read = read_members(store).await?;
+        let mut table = read.table.clone();
+        let Ok(index) = table.members.binary_search_by_key(&incarnation, |member| member.incarnation) else {
+            bail!("the member table does not hold {incarnation}");
+        };
+        if table.members[index].state != MemberState::Live {
+            context.board.raise_members(read);
+            return Ok(());
+        }
+        table.members[index].state = MemberState::Sealed { heirs: heirs.clone() };
+        if write_members(store, &read, &table).await? {
+            context.board.raise_members(read_members(store).await?);
+            return Ok(());
+        }
+    }
+}
+
+/// Reads the member table whenever a peer announces a later version.
+pub(crate) async fn follow_members(context: Arc<EntryContext>) {
+    let mut announced = context.watch_announced_members();
+    while announced.changed().await.is_ok() {
+        let wanted = *announced.borrow_and_update();
+        while context.board.members().version < wanted {
+            match read_members(context.options.store.as_ref()).await {
+                Ok(view) => context.board.raise_members(view),
+                Err(error) => {
+                    warn!(context.options.log, "member table not read"; "error" => format!("{error:#}"));
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Seals members that have fallen silent, and earlier incarnations of this entry's own address.
+pub(crate) async fn suspect_members(context: Arc<EntryContext>) {
+    let started = Instant::now();
+    let mut ticks = interval(context.options.heartbeat_interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for incarnation in suspects(&context, started) {
+            if let Err(error) = seal_member(&context, incarnation).await {
+                warn!(context.options.log, "seal failed"; "incarnation" => incarnation.0, "error" => format!("{error:#}"));
+            }
+        }
+    }
+}
+
+/// Returns the live members that are to be sealed now.
+fn suspects(context: &EntryContext, started: Instant) -> Vec<IncarnationId> {
+    let members = context.board.members();
+    let own = context.incarnation();
+    let live: Vec<&MemberRecord> =
+        members.table.members.iter().filter(|member| member.state == MemberState::Live).collect();
+    let superseded = live.iter().filter(|member| member.incarnation < own && is_own_address(context, member));
+    let mut suspects: Vec<_> = superseded.map(|member| member.incarnation).collect();
+    if context.board.is_leaving() {
+        return suspects;
+    }
+    let others: Vec<_> = live.iter().filter(|member| member.incarnation != own).collect();
+    let is_silent = |member: &MemberRecord| silence_of(context, member.incarnation, started) > patience(context);
+    let silent: Vec<_> = others.iter().filter(|member| is_silent(member)).collect();
+    if hears_most(context, &others, &silent, started) {
+        suspects.extend(silent.iter().map(|member| member.incarnation));
+    }
+    suspects.sort_unstable();
+    suspects.dedup();
+    suspects
+}
+
+fn is_own_address(context: &EntryContext, member: &MemberRecord) -> bool {
+    member.address == context.process_address
+}
+
+fn silence_of(context: &EntryContext, incarnation: IncarnationId, started: Instant) -> Duration {
+    let fleet = context.board.fleet();
+    let heard = fleet.entry(incarnation.0).map_or(started, |peer| peer.heard.max(started));
+    Instant::now().duration_since(heard)
+}
+
+/// Returns the silence after which this entry seals: later ones in the order of incarnations wait longer, so
+/// that one of them does it.
+fn patience(context: &EntryContext) -> Duration {
+    let own = context.incarnation();
+    let members = context.board.members();
+    let fleet = context.board.fleet();
+    let now = Instant::now();
+    let live = members.table.live();
+    let earlier = live.iter().filter(|live| **live < own);
+    let heard = earlier.filter(|live| {
+        let peer = fleet.entry(live.0);
+        peer.is_some_and(|peer| now.duration_since(peer.heard) <= context.options.suspect_after)
+    });
+    let rank = u32::try_from(heard.count()).unwrap_or(u32::MAX);
+    context.options.suspect_after + context.options.heartbeat_interval * rank.saturating_mul(2)
+}
+
+/// Guards against an entry that is itself cut off: it must hear most of the others that the host list shows,
+/// or the silence must have lasted so long that waiting helps nobody.
+fn hears_most(
+    context: &EntryContext,
+    others: &[&&MemberRecord],
+    silent: &[&&&MemberRecord],
+    started: Instant,
+) -> bool {
+    const LAPSE_FACTOR: u32 = 6;
+    let listed = context.board.listed();
+    let is_listed = |member: &MemberRecord| {
+        listed.iter().any(|row| row.role == HostRole::Entry && row.name == member.host)
+    };
+    let listed_others = others.iter().filter(|member| is_listed(member)).count();
+    let listed_silent = silent.iter().filter(|member| is_listed(member)).count();
+    let single = listed_others <= 1;
+    let majority = listed_silent * 2 < listed_others;
+    let lapse = context.options.suspect_after * LAPSE_FACTOR;
+    let lapsed = !silent.is_empty() && silent.iter().all(|member| silence_of(context, member.incarnation, started) > lapse);
+    single || majority || lapsed
+}
--- /dev/null
+++ b/components/entry/src/owner/core.rs
@@ -0,0 +1,302 @@
+//! The owner of programs during one incarnation.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use budget::BudgetKeeper;
+use domain::{
+    CallKey, CallOutcome, CallReply, IncarnationId, ProgramKey, ProgramPhase, ProgramState, TeamName, TimeMillis,
+};
+use errors::{CallError, ResultCode};
+use journal::{JournalError, JournalRecord, JournalWriter};
+use tokio::sync::RwLock;
+use wire::{OutputChunk, OutputRequest, ProgramStart, ProgramSummary};
+
+use crate::owner::call::{OpenCall, cut_text, text_behind};
+use crate::owner::cell::ProgramCell;
+use crate::owner::flight::FlightTable;
+use crate::owner::table::ProgramTable;
+
+/// Longest wait of one request for output.
+const MAX_OUTPUT_WAIT_MS: u64 = 20_000;
+
+/// Owner of programs. A sealed one answers every request with 3011.
+#[derive(Debug)]
+pub(crate) struct OwnerCore {
+    incarnation: IncarnationId,
+    journal: JournalWriter,
+    budget: BudgetKeeper,
+    /// Programs.
+    pub(crate) table: ProgramTable,
+    /// Calls in flight.
+    pub(crate) flights: FlightTable,
+    fold_gate: RwLock<()>,
+    next_program: AtomicU64,
+    fenced: AtomicBool,
+    closing: AtomicBool,
+    adopted: std::sync::Mutex<Vec<IncarnationId>>,
+}
+
+impl OwnerCore {
+    /// Creates an owner without programs.
+    pub(crate) fn new(incarnation: IncarnationId, journal: JournalWriter, budget: BudgetKeeper) -> Self {
+        Self {
+            incarnation,
+            journal,
+            budget,
+            table: ProgramTable::default(),
+            flights: FlightTable::default(),
+            fold_gate: RwLock::new(()),
+            next_program: AtomicU64::new(1),
+            fenced: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            adopted: std::sync::Mutex::default(),
+        }
+    }
+
+    /// Returns the incarnation.
+    pub(crate) const fn incarnation(&self) -> IncarnationId {
+        self.incarnation
+    }
+
+    /// Returns the journal.
+    pub(crate) const fn journal(&self) -> &JournalWriter {
+        &self.journal
+    }
+
+    /// Returns the budget slices.
+    pub(crate) const fn budget(&self) -> &BudgetKeeper {
+        &self.budget
+    }
+
+    /// Tells whether a peer has sealed the journal.
+    pub(crate) fn is_fenced(&self) -> bool {
+        self.fenced.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the owner takes no new calls because it hands its programs on.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    /// Prepares the planned stop: waiting calls go back to their relays, which find the heir.
+    pub(crate) fn begin_closing(&self) {
+        self.closing.store(true, Ordering::Release);
+        for cell in self.table.all() {
+            for call in cell.take_waiting() {
+                close_call(&cell, &call, CallOutcome::Failed(not_owner()));
+            }
+        }
+    }
+
+    /// Stops the owner after its journal was sealed: open calls end as "not owner" and move to the heirs.
+    pub(crate) fn fence(&self) {
+        self.fenced.store(true, Ordering::Release);
+        for cell in self.table.all() {
+            for call in cell.open_calls() {
+                call.close(CallOutcome::Failed(not_owner()));
+                call.stop.cancel();
+            }
+        }
+    }
+
+    /// Makes records durable, then applies them to the programs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the journal is sealed or the object API does not answer.
+    pub(crate) async fn commit(&self, records: Vec<JournalRecord>) -> Result<(), JournalError> {
+        let _gate = self.fold_gate.read().await;
+        self.journal.append(records.clone()).await?;
+        for record in &records {
+            if let Some(cell) = record.program().and_then(|key| self.table.find(key)) {
+                cell.apply(record);
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes a snapshot of all programs and trims the journal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the journal is sealed or the object API does not answer.
+    pub(crate) async fn fold(&self) -> Result<(), JournalError> {
+        let _gate = self.fold_gate.write().await;
+        let states: Vec<ProgramState> = self.table.all().iter().map(|cell| cell.program()).collect();
+        self.journal.fold(&states, &self.adopted(), &[]).await
+    }
+
+    /// Starts a program.
+    ///
+    /// # Errors
+    ///
+    /// Returns 3011 or 3012, not run, when the journal does not take the record.
+    pub(crate) async fn start_program(&self, start: ProgramStart) -> Result<ProgramSummary, CallError> {
+        let now = TimeMillis::now();
+        let sequence = self.next_program.fetch_add(1, Ordering::Relaxed);
+        let key = ProgramKey { incarnation: self.incarnation, sequence };
+        let mut program = ProgramState::new(key, start.team, start.urgency, now);
+        program.parent = start.parent;
+        program.deadline = start.deadline;
+        self.commit(vec![JournalRecord::Started(program.clone())]).await.map_err(journal_refusal)?;
+        let cell = Arc::new(ProgramCell::new(program, now));
+        let summary = cell.summary();
+        self.table.insert(cell);
+        Ok(summary)
+    }
+
+    /// Takes programs over from a sealed incarnation and returns their cells.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the own journal is sealed or the object API does not answer.
+    pub(crate) async fn adopt(
+        &self,
+        from: IncarnationId,
+        programs: Vec<ProgramState>,
+    ) -> Result<Vec<Arc<ProgramCell>>, JournalError> {
+        let mut records: Vec<_> = programs.iter().cloned().map(JournalRecord::Started).collect();
+        records.push(JournalRecord::Adopted { from });
+        self.commit(records).await?;
+        let now = TimeMillis::now();
+        let cells: Vec<_> = programs.into_iter().map(|program| Arc::new(ProgramCell::new(program, now))).collect();
+        for cell in &cells {
+            self.table.insert(Arc::clone(cell));
+        }
+        self.lock_adopted().push(from);
+        Ok(cells)
+    }
+
+    /// Tells whether the programs of a sealed incarnation stand in the own journal.
+    pub(crate) fn has_adopted(&self, from: IncarnationId) -> bool {
+        self.lock_adopted().contains(&from)
+    }
+
+    /// Returns the sealed incarnations whose programs stand in the own journal, sorted.
+    pub(crate) fn adopted(&self) -> Vec<IncarnationId> {
+        let mut adopted = self.lock_adopted().clone();
+        adopted.sort_unstable();
+        adopted
+    }
+
+    /// Returns a program of the team; `None` as team stands for an operator.
+    ///
+    /// # Errors
+    ///
+    /// Returns 3011 when the owner is fenced, 1005 or 2002 when the program is unknown or another team's.
+    pub(crate) fn find_program(
+        &self,
+        team: Option<&TeamName>,
+        key: ProgramKey,
+    ) -> Result<Arc<ProgramCell>, CallError> {
+        if self.is_fenced() {
+            return Err(not_owner());
+        }
+        let Some(cell) = self.table.find(key) else {
+            return Err(unknown_program(key));
+        };
+        let permitted = team.is_none_or(|team| cell.with_program(|program| program.team == *team));
+        if !permitted {
+            return Err(CallError::not_run(ResultCode::Forbidden, format!("no program {key}")));
+        }
+        Ok(cell)
+    }
+
+    /// Returns output of a call behind an offset and waits until there is some.
+    ///
+    /// # Errors
+    ///
+    /// Returns 3011 when the owner is fenced, 1005 or 1006 when the program or the call is unknown.
+    pub(crate) async fn read_output(&self, request: OutputRequest) -> Result<OutputChunk, CallError> {
+        let cell = self.find_program(None, request.call.program)?;
+        if let Some(call) = cell.open_call(request.call) {
+            let wait = std::time::Duration::from_millis(request.wait_ms.min(MAX_OUTPUT_WAIT_MS));
+            return Ok(call.read(request.offset, wait).await);
+        }
+        let outcome = finished_outcome(&cell, request.call);
+        let outcome = outcome.ok_or_else(|| {
+            let lost = CallError::not_run(ResultCode::UnknownCall, format!("no call {}", request.call));
+            lost.with_retry_after_ms(0)
+        })?;
+        Ok(finished_chunk(outcome, request.offset))
+    }
+
+    /// Ends a program; its open calls are cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::find_program`] does, or when the journal does not take the record.
+    pub(crate) async fn end_program(
+        &self,
+        team: Option<&TeamName>,
+        key: ProgramKey,
+        phase: ProgramPhase,
+    ) -> Result<ProgramSummary, CallError> {
+        let cell = self.find_program(team, key)?;
+        if cell.with_program(|program| program.phase) != ProgramPhase::Running {
+            return Ok(cell.summary());
+        }
+        let record = JournalRecord::Ended { program: key, phase, at: TimeMillis::now() };
+        self.commit(vec![record]).await.map_err(journal_refusal)?;
+        for call in cell.take_waiting() {
+            call.close(CallOutcome::Failed(cancelled()));
+            cell.retire_call(&call);
+        }
+        for call in cell.open_calls() {
+            call.stop.cancel();
+        }
+        Ok(cell.summary())
+    }
+
+    fn lock_adopted(&self) -> std::sync::MutexGuard<'_, Vec<IncarnationId>> {
+        self.adopted.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// Returns the refusal of an owner that is no longer one; the request may be repeated at the heir at once.
+pub(crate) fn not_owner() -> CallError {
+    CallError::not_run(ResultCode::NotOwner, "the program has another owner now").with_retry_after_ms(50)
+}
+
+/// Returns the refusal for a program that does not exist.
+pub(crate) fn unknown_program(key: ProgramKey) -> CallError {
+    CallError::not_run(ResultCode::UnknownProgram, format!("no program {key}"))
+}
+
+/// Returns the end of a call whose program was ended.
+pub(crate) fn cancelled() -> CallError {
+    CallError::not_run(ResultCode::Cancelled, "the program was ended")
+}
+
+/// Turns a failed append into a refusal of a request that did not run.
+pub(crate) fn journal_refusal(error: JournalError) -> CallError {
+    match error {
+        JournalError::Sealed { .. } => not_owner(),
+        other => CallError::from(other),
+    }
+}
+
+/// Returns the final state of a finished call.
+pub(crate) fn finished_outcome(cell: &ProgramCell, key: CallKey) -> Option<CallOutcome> {
+    cell.with_program(|program| {
+        let finished = program.finished.iter().find(|finished| finished.call == key);
+        finished.map(|finished| finished.outcome.clone())
+    })
+}
+
+fn finished_chunk(outcome: CallOutcome, offset: u64) -> OutputChunk {
+    let text = match &outcome {
+        CallOutcome::Answered(CallReply::Chat { text, .. }) => text.as_str(),
+        CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => "",
+    };
+    let (text, whole) = cut_text(text_behind(text, offset));
+    let text = text.to_owned();
+    OutputChunk { offset, text, outcome: if whole { Some(outcome) } else { None } }
+}
+
+/// Closes a call and lets readers see its end.
+pub(crate) fn close_call(cell: &ProgramCell, call: &Arc<OpenCall>, outcome: CallOutcome) {
+    call.close(outcome);
+    cell.retire_call(call);
+}
--- /dev/null
+++ b/components/entry/src/owner/mod.rs
@@ -0,0 +1,20 @@
+//! Programs and calls of one incarnation.
+
+mod attempt;
+mod call;
+mod cell;
+mod core;
+mod flight;
+mod limits;
+mod port;
+mod release;
+mod resume;
+mod run;
+mod table;
+
+pub(crate) use call::OpenCall;
+pub(crate) use core::{OwnerCore, unknown_program};
+pub(crate) use flight::FlightTable;
+pub(crate) use port::OwnerServer;
+pub(crate) use release::release_cache;
+pub(crate) use resume::resume_intents;
--- /dev/null
+++ b/components/entry/src/owner/port.rs
@@ -0,0 +1,162 @@
+//! The process port of an entry.
+
+use std::sync::Arc;
+
+use domain::{
+    AppliedConfiguration, CallKey, CallOutcome, ProgramKey, ProgramPhase, ProgramState, TeamName, TenureNumber,
+    TimeMillis,
+};
+use errors::{CallError, ResultCode};
+use tarpc::context::Context;
+use wire::{CallAttachment, OutputChunk, OutputRequest, OwnerPort, ProgramSummary, SubmittedCall};
+
+use crate::context::EntryContext;
+use crate::owner::cell::CallIntake;
+use crate::owner::core::{OwnerCore, finished_outcome, not_owner, unknown_program};
+use crate::owner::limits::find_service;
+use crate::owner::release::release_cache;
+use crate::owner::run::run_calls;
+
+/// Answers peers and the entry's own callers for the programs it owns.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnerServer {
+    context: Arc<EntryContext>,
+}
+
+impl OwnerServer {
+    /// Creates the server.
+    pub(crate) const fn new(context: Arc<EntryContext>) -> Self {
+        Self { context }
+    }
+
+    /// Returns the owner, or why the program is not found there: it may be on its way from a sealed incarnation.
+    fn owner_of(&self, program: ProgramKey) -> Result<Arc<OwnerCore>, CallError> {
+        let owner = self.context.owner();
+        if owner.table.find(program).is_some() {
+            return Ok(owner);
+        }
+        let members = self.context.board.members();
+        if owner.is_fenced() || program.incarnation != owner.incarnation() {
+            let adopting = members.table.owner_of(program) == Some(owner.incarnation());
+            let settled = adopting && self.has_adopted_all(&owner, program);
+            return Err(if settled { unknown_program(program) } else { not_owner() });
+        }
+        Err(unknown_program(program))
+    }
+
+    /// Tells whether every seal between the program's birth and this owner has been worked off.
+    fn has_adopted_all(&self, owner: &OwnerCore, program: ProgramKey) -> bool {
+        let members = self.context.board.members();
+        let Some(last) = members.table.last_seal_before(program, owner.incarnation()) else {
+            return false;
+        };
+        owner.has_adopted(last)
+    }
+
+    /// Takes a call in, or attaches to the one with the same idempotency key.
+    pub(crate) fn submit(&self, submitted: SubmittedCall) -> Result<CallAttachment, CallError> {
+        let owner = self.owner_of(submitted.program)?;
+        let cell = owner.find_program(Some(&submitted.team), submitted.program)?;
+        let (_, service) = find_service(&self.context, &submitted.request.service)?;
+        let limit = usize::try_from(service.limits.queue_length).unwrap_or(usize::MAX);
+        match cell.submit(submitted, limit, owner.is_closing(), TimeMillis::now())? {
+            CallIntake::Attached(attachment) => Ok(attachment),
+            CallIntake::Queued { attachment, start } => {
+                if start {
+                    tokio::spawn(run_calls(Arc::clone(&self.context), owner, cell));
+                }
+                Ok(attachment)
+            }
+        }
+    }
+
+    /// Ends a program and releases its cache.
+    pub(crate) async fn end(&self, team: Option<TeamName>, program: ProgramKey) -> Result<ProgramSummary, CallError> {
+        let owner = self.owner_of(program)?;
+        let phase = if team.is_some() { ProgramPhase::Ended } else { ProgramPhase::Cancelled };
+        let summary = owner.end_program(team.as_ref(), program, phase).await?;
+        tokio::spawn(release_cache(Arc::clone(&self.context), owner, program));
+        Ok(summary)
+    }
+
+    /// Returns the state of a program.
+    pub(crate) fn read(&self, team: Option<&TeamName>, program: ProgramKey) -> Result<ProgramState, CallError> {
+        let owner = self.owner_of(program)?;
+        Ok(owner.find_program(team, program)?.program())
+    }
+
+    /// Returns output of a call.
+    pub(crate) async fn output(&self, request: OutputRequest) -> Result<OutputChunk, CallError> {
+        let owner = self.owner_of(request.call.program)?;
+        owner.read_output(request).await
+    }
+
+    /// Returns the programs of this entry.
+    pub(crate) fn list(&self) -> Vec<ProgramSummary> {
+        self.context.owner().table.all().iter().map(|cell| cell.summary()).collect()
+    }
+}
+
+impl OwnerPort for OwnerServer {
+    async fn submit_call(self, _: Context, submitted: SubmittedCall) -> Result<CallAttachment, CallError> {
+        self.submit(submitted)
+    }
+
+    async fn read_output(self, _: Context, request: OutputRequest) -> Result<OutputChunk, CallError> {
+        self.output(request).await
+    }
+
+    async fn read_program(
+        self,
+        _: Context,
+        team: Option<TeamName>,
+        program: ProgramKey,
+    ) -> Result<ProgramState, CallError> {
+        self.read(team.as_ref(), program)
+    }
+
+    async fn end_program(
+        self,
+        _: Context,
+        team: Option<TeamName>,
+        program: ProgramKey,
+    ) -> Result<ProgramSummary, CallError> {
+        let ending = tokio::spawn(async move { self.end(team, program).await });
+        ending.await.unwrap_or_else(|error| Err(CallError::unknown(error.to_string())))
+    }
+
+    async fn call_outcome(self, _: Context, team: TeamName, call: CallKey) -> Result<Option<CallOutcome>, CallError> {
+        let owner = self.owner_of(call.program)?;
+        let cell = owner.find_program(Some(&team), call.program)?;
+        let open = cell.open_call(call).and_then(|call| call.outcome());
+        Ok(open.or_else(|| finished_outcome(&cell, call)))
+    }
+
+    async fn list_programs(self, _: Context) -> Result<Vec<ProgramSummary>, CallError> {
+        Ok(self.list())
+    }
+
+    async fn released_programs(
+        self,
+        _: Context,
+        held: Vec<(ProgramKey, TenureNumber)>,
+    ) -> Result<Vec<ProgramKey>, CallError> {
+        let released = held.into_iter().map(|(program, _)| program).filter(|program| match self.owner_of(*program) {
+            Ok(owner) => {
+                let cell = owner.table.find(*program);
+                cell.is_none_or(|cell| cell.with_program(|state| state.phase != ProgramPhase::Running))
+            }
+            Err(error) => error.code == ResultCode::UnknownProgram,
+        });
+        Ok(released.collect())
+    }
+
+    async fn fetch_configuration(self, _: Context) -> Result<Option<AppliedConfiguration>, CallError> {
+        Ok(self.context.board.configuration().map(|applied| (*applied).clone()))
+    }
+
+    async fn drain_host(self, _: Context) -> Result<(), CallError> {
+        self.context.drain.notify_one();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/entry/src/owner/resume.rs
@@ -0,0 +1,133 @@
+//! Calls that an earlier owner handed out: prove what became of them, or go on reading them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{AttemptKey, CallOutcome, CallReply, IntentRecord, MicroUnits};
+use errors::{CallError, ResultCode, RunState};
+use journal::JournalRecord;
+use policy::exact_price;
+use slog::info;
+use tokio::time::sleep;
+use wire::SettledCall;
+
+use crate::context::EntryContext;
+use crate::owner::attempt::{AgentSeat, AttemptEnd, follow_attempt, is_lost};
+use crate::owner::cell::ProgramCell;
+use crate::owner::core::{OwnerCore, journal_refusal, not_owner};
+use crate::owner::limits::find_service;
+use crate::owner::run::{CallRunner, run_calls};
+use crate::pool::{CALL_TIMEOUT, call_context};
+
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts the calls that adopted programs brought along.
+pub(crate) fn resume_intents(context: &Arc<EntryContext>, owner: &Arc<OwnerCore>, cells: &[Arc<ProgramCell>]) {
+    for cell in cells {
+        if cell.claim() {
+            tokio::spawn(run_calls(Arc::clone(context), Arc::clone(owner), Arc::clone(cell)));
+        }
+    }
+}
+
+impl CallRunner {
+    /// Settles a call that an earlier owner handed out.
+    pub(crate) async fn settle_adopted(&self, intent: &IntentRecord) -> CallOutcome {
+        match self.ask_agent(intent).await {
+            Some(SettledCall::Running(attempt)) => self.follow_adopted(intent, attempt).await,
+            Some(SettledCall::Finished(outcome)) => self.finish_adopted(intent, outcome).await,
+            Some(SettledCall::Refused) => self.drop_adopted().await,
+            Some(SettledCall::Unknown) | None => self.give_adopted_up(intent).await,
+        }
+    }
+
+    /// Asks the agent until it answers or is lost.
+    async fn ask_agent(&self, intent: &IntentRecord) -> Option<SettledCall> {
+        let tenure = self.cell.with_program(|program| program.tenure);
+        loop {
+            let seat = self.seat(intent);
+            if let Some(seat) = &seat
+                && let Ok(client) = self.context.pool.agent(seat.address).await
+            {
+                let asked = client.settle_call(call_context(CALL_TIMEOUT), self.call.key, tenure, intent.agent_start);
+                match asked.await {
+                    Ok(Ok(settled)) => return Some(settled),
+                    Ok(Err(_)) => return None,
+                    Err(_) => self.context.pool.forget(seat.address),
+                }
+            }
+            if self.owner.is_fenced() || seat.is_none_or(|seat| is_lost(&self.context, &seat)) {
+                return None;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn seat(&self, intent: &IntentRecord) -> Option<AgentSeat> {
+        let fleet = self.context.board.fleet();
+        let peer = fleet.peer(&intent.host)?;
+        Some(AgentSeat { host: intent.host.clone(), address: peer.heartbeat.address, start: peer.heartbeat.start })
+    }
+
+    async fn follow_adopted(&self, intent: &IntentRecord, attempt: AttemptKey) -> CallOutcome {
+        info!(self.context.options.log, "attempt taken over"; "attempt" => %attempt, "host" => %intent.host);
+        let Some(seat) = self.seat(intent) else {
+            return self.give_adopted_up(intent).await;
+        };
+        match follow_attempt(&self.context, &seat, attempt, &self.call).await {
+            AttemptEnd::Closed(outcome) => self.finish_adopted(intent, outcome).await,
+            AttemptEnd::Lost => self.give_adopted_up(intent).await,
+            AttemptEnd::Stopped if self.owner.is_fenced() => CallOutcome::Failed(not_owner()),
+            AttemptEnd::Stopped => {
+                let stopped = CallError::unknown("the program was ended during the call");
+                self.finish_adopted(intent, CallOutcome::Failed(stopped)).await
+            }
+        }
+    }
+
+    async fn finish_adopted(&self, intent: &IntentRecord, outcome: CallOutcome) -> CallOutcome {
+        if let CallOutcome::Failed(error) = &outcome
+            && error.run == RunState::NotRun
+        {
+            return self.drop_adopted().await;
+        }
+        let charged = self.adopted_charge(intent, &outcome);
+        let record = self.finished_record(&intent.host, outcome.clone(), charged);
+        if let Err(error) = self.owner.commit(vec![record]).await {
+            return CallOutcome::Failed(journal_refusal(error));
+        }
+        outcome
+    }
+
+    fn adopted_charge(&self, intent: &IntentRecord, outcome: &CallOutcome) -> MicroUnits {
+        let service = find_service(&self.context, &self.call.request.service);
+        match (outcome, service) {
+            (CallOutcome::Answered(CallReply::Chat { usage, .. }), Ok((_, service))) => {
+                exact_price(&service.prices, usage).min(intent.reserved)
+            }
+            _ => intent.reserved,
+        }
+    }
+
+    /// Removes the intent of a call that has not run; its caller asks again.
+    async fn drop_adopted(&self) -> CallOutcome {
+        if let Err(error) = self.owner.commit(vec![JournalRecord::Dropped(self.call.key)]).await {
+            return CallOutcome::Failed(journal_refusal(error));
+        }
+        CallOutcome::Failed(not_owner())
+    }
+
+    /// Ends a call whose agent is lost: a repeatable one may be asked for again, any other has an unknown outcome.
+    async fn give_adopted_up(&self, intent: &IntentRecord) -> CallOutcome {
+        if self.owner.is_fenced() {
+            return CallOutcome::Failed(not_owner());
+        }
+        let service = find_service(&self.context, &self.call.request.service);
+        if service.is_ok_and(|(_, service)| service.repeatable) {
+            return self.drop_adopted().await;
+        }
+        let mut unknown = CallError::unknown("the owner and the agent of the call were lost");
+        unknown.code = ResultCode::OutcomeUnknown;
+        self.finish_adopted(intent, CallOutcome::Failed(unknown)).await
+    }
+}
--- /dev/null
+++ b/components/entry/src/owner/run.rs
@@ -0,0 +1,359 @@
+//! Runs the calls of one program, one after the other.
+
+use std::sync::Arc;
+
+use budget::BudgetReservation;
+use domain::{
+    AttemptKey, AttemptNumber, CallOutcome, CallPayload, CallReply, ChatMessage, ChatRole, FinishedCall, HostName,
+    IntentRecord, MicroUnits, ProgramPhase, ServiceConfig, TimeMillis, TokenCount,
+};
+use errors::{CallError, ResultCode, RunState};
+use journal::{JournalError, JournalRecord};
+use policy::{CallFacts, CallShape, call_priority, exact_price};
+use slog::{info, warn};
+use wire::DispatchOrder;
+
+use crate::context::EntryContext;
+use crate::owner::attempt::{AgentSeat, AttemptEnd, Handover, follow_attempt, hand_over};
+use crate::owner::call::OpenCall;
+use crate::owner::cell::ProgramCell;
+use crate::owner::core::{OwnerCore, cancelled, close_call, journal_refusal, not_owner};
+use crate::owner::limits::{ChosenServer, call_shape, check_admission, choose_agent, find_service, worst_price};
+use crate::pool::{CALL_TIMEOUT, call_context};
+
+/// Attempts at one call before it is given up.
+const MAX_ATTEMPTS: u64 = 6;
+
+/// Everything that one call needs while it runs.
+#[derive(Debug)]
+pub(crate) struct CallRunner {
+    /// Shared state of the entry.
+    pub(crate) context: Arc<EntryContext>,
+    /// Owner.
+    pub(crate) owner: Arc<OwnerCore>,
+    /// Program.
+    pub(crate) cell: Arc<ProgramCell>,
+    /// Call.
+    pub(crate) call: Arc<OpenCall>,
+}
+
+/// An attempt that has been handed out.
+#[derive(Debug)]
+struct LiveAttempt {
+    key: AttemptKey,
+    seat: AgentSeat,
+    reservation: BudgetReservation,
+    shape: CallShape,
+}
+
+/// What to do after an attempt.
+#[derive(Debug)]
+enum NextStep {
+    /// The call has its final state.
+    Close(CallOutcome),
+    /// Another attempt may succeed; the refusal stands if there is none left.
+    Again(CallError),
+}
+
+/// Runs the calls of a program until none waits; the caller holds the claim.
+pub(crate) async fn run_calls(context: Arc<EntryContext>, owner: Arc<OwnerCore>, cell: Arc<ProgramCell>) {
+    while let Some(call) = cell.next_call() {
+        if owner.is_fenced() {
+            close_call(&cell, &call, CallOutcome::Failed(not_owner()));
+            continue;
+        }
+        let runner = CallRunner {
+            context: Arc::clone(&context),
+            owner: Arc::clone(&owner),
+            cell: Arc::clone(&cell),
+            call: Arc::clone(&call),
+        };
+        let outcome = match &call.adopted {
+            Some(intent) => runner.settle_adopted(intent).await,
+            None => runner.run().await,
+        };
+        owner.flights.land(call.key);
+        log_call(&context, &call, &outcome);
+        close_call(&cell, &call, outcome);
+    }
+}
+
+fn log_call(context: &EntryContext, call: &OpenCall, outcome: &CallOutcome) {
+    let log = &context.options.log;
+    match outcome {
+        CallOutcome::Answered(_) => info!(log, "call answered"; "call" => %call.key),
+        CallOutcome::Failed(error) => {
+            info!(log, "call failed"; "call" => %call.key, "code" => error.code.number(), "error" => &error.message);
+        }
+    }
+}
+
+impl CallRunner {
+    async fn run(&self) -> CallOutcome {
+        let mut excluded = Vec::new();
+        let mut refusal = CallError::not_run(ResultCode::NoBackendServer, "no backend server took the call");
+        for number in 1..=MAX_ATTEMPTS {
+            match self.attempt(AttemptNumber(number), &mut excluded).await {
+                Ok(NextStep::Close(outcome)) => return outcome,
+                Ok(NextStep::Again(error)) => refusal = error,
+                Err(error) => {
+                    refusal = if number == 1 { error } else { refusal };
+                    break;
+                }
+            }
+        }
+        self.give_up(refusal)
+    }
+
+    /// Returns the last word on a call that no attempt has answered.
+    fn give_up(&self, refusal: CallError) -> CallOutcome {
+        if self.call.text_len() == 0 {
+            return CallOutcome::Failed(refusal);
+        }
+        let message = format!("the answer broke off: {}", refusal.message);
+        let mut broken = CallError::ran(ResultCode::StreamBroken, message);
+        broken.retry_after_ms = refusal.retry_after_ms;
+        CallOutcome::Failed(broken)
+    }
+
+    async fn attempt(&self, number: AttemptNumber, excluded: &mut Vec<HostName>) -> Result<NextStep, CallError> {
+        if self.cell.with_program(|program| program.phase) != ProgramPhase::Running {
+            return Err(cancelled());
+        }
+        let (applied, service) = find_service(&self.context, &self.call.request.service)?;
+        let program = self.cell.program();
+        let shape = call_shape(&program, &self.call);
+        let chosen = choose_agent(&self.context, &self.owner, &service, &self.cell, &shape, excluded);
+        check_admission(&self.context, &applied.content, &service, &self.cell, &self.call, chosen.as_ref())?;
+        let Some(chosen) = chosen else {
+            return Err(CallError::not_run(ResultCode::NoBackendServer, "no backend server of the service is live"));
+        };
+        let worst = worst_price(&service, &shape);
+        let reservation = self.owner.budget().reserve(&program.team, worst).await?;
+        let key = AttemptKey { call: self.call.key, tenure: program.tenure, attempt: number };
+        let seat = AgentSeat {
+            host: chosen.peer.heartbeat.host.clone(),
+            address: chosen.peer.heartbeat.address,
+            start: chosen.peer.heartbeat.start,
+        };
+        excluded.push(seat.host.clone());
+        let order = self.order(key, &service, &chosen);
+        let live = LiveAttempt { key, seat, reservation, shape };
+        Ok(self.conduct(&live, &service, &order).await)
+    }
+
+    async fn conduct(&self, live: &LiveAttempt, service: &ServiceConfig, order: &DispatchOrder) -> NextStep {
+        let tokens = live.shape.prompt_tokens + live.shape.max_tokens;
+        self.owner.flights.take_off(self.call.key, live.seat.host.clone(), tokens);
+        let step = self.hand_out(live, service, order).await;
+        self.owner.flights.land(self.call.key);
+        step
+    }
+
+    /// Writes the intent and hands the order out: one after the other where the call may run only once.
+    async fn hand_out(&self, live: &LiveAttempt, service: &ServiceConfig, order: &DispatchOrder) -> NextStep {
+        let intent = JournalRecord::Intent(IntentRecord {
+            attempt: live.key,
+            request: self.call.request.clone(),
+            host: live.seat.host.clone(),
+            agent_start: live.seat.start,
+            reserved: live.reservation.amount(),
+        });
+        let (written, handover) = if service.repeatable {
+            tokio::join!(self.owner.commit(vec![intent]), hand_over(&self.context, &live.seat, order))
+        } else {
+            match self.owner.commit(vec![intent]).await {
+                Ok(()) => (Ok(()), hand_over(&self.context, &live.seat, order).await),
+                Err(error) => (Err(error), Handover::NeverSent(not_owner())),
+            }
+        };
+        if let Err(error) = written {
+            return self.abandon(live, error, &handover).await;
+        }
+        match handover {
+            Handover::Taken => self.follow(live, service).await,
+            Handover::Refused(refusal) if refusal.run == RunState::NotRun => self.drop_intent(live, refusal).await,
+            Handover::Refused(refusal) => self.finish(live, service, CallOutcome::Failed(refusal)).await,
+            Handover::NeverSent(error) => self.drop_intent(live, error).await,
+            Handover::Unanswered => self.lose(live, service).await,
+        }
+    }
+
+    /// Leaves an attempt whose intent is not in the journal: nothing of it may become visible.
+    async fn abandon(&self, live: &LiveAttempt, error: JournalError, handover: &Handover) -> NextStep {
+        self.owner.budget().settle(&live.reservation, MicroUnits::ZERO);
+        if matches!(handover, Handover::Taken | Handover::Unanswered) {
+            self.cancel_attempt(live).await;
+        }
+        NextStep::Close(CallOutcome::Failed(journal_refusal(error)))
+    }
+
+    async fn follow(&self, live: &LiveAttempt, service: &ServiceConfig) -> NextStep {
+        match follow_attempt(&self.context, &live.seat, live.key, &self.call).await {
+            AttemptEnd::Closed(CallOutcome::Failed(error)) if error.run == RunState::NotRun => {
+                self.drop_intent(live, error).await
+            }
+            AttemptEnd::Closed(outcome) => self.finish(live, service, outcome).await,
+            AttemptEnd::Lost => self.lose(live, service).await,
+            AttemptEnd::Stopped => self.stop(live, service).await,
+        }
+    }
+
+    /// Ends an attempt that was stopped: by a fence, whose heirs go on with it, or by the program's end.
+    async fn stop(&self, live: &LiveAttempt, service: &ServiceConfig) -> NextStep {
+        if self.owner.is_fenced() {
+            return NextStep::Close(CallOutcome::Failed(not_owner()));
+        }
+        self.cancel_attempt(live).await;
+        let outcome = if service.repeatable {
+            CallOutcome::Failed(CallError::ran(ResultCode::Cancelled, "the program was ended during the call"))
+        } else {
+            CallOutcome::Failed(CallError::unknown("the program was ended during the call"))
+        };
+        self.finish(live, service, outcome).await
+    }
+
+    /// Goes on after the agent was lost: a repeatable call is attempted again, any other has an unknown outcome.
+    async fn lose(&self, live: &LiveAttempt, service: &ServiceConfig) -> NextStep {
+        warn!(self.context.options.log, "attempt lost"; "attempt" => %live.key, "host" => %live.seat.host);
+        if !service.repeatable {
+            let unknown = CallError::unknown(format!("host {} was lost during the call", live.seat.host));
+            return self.finish(live, service, CallOutcome::Failed(unknown)).await;
+        }
+        self.owner.budget().settle(&live.reservation, live.reservation.amount());
+        let lost = format!("host {} was lost during the call", live.seat.host);
+        NextStep::Again(CallError::ran(ResultCode::StreamBroken, lost).with_retry_after_ms(1000))
+    }
+
+    /// Removes the intent of an attempt that is proven not to have run.
+    async fn drop_intent(&self, live: &LiveAttempt, refusal: CallError) -> NextStep {
+        self.owner.budget().settle(&live.reservation, MicroUnits::ZERO);
+        if let Err(error) = self.owner.commit(vec![JournalRecord::Dropped(self.call.key)]).await {
+            return NextStep::Close(CallOutcome::Failed(journal_refusal(error)));
+        }
+        NextStep::Again(refusal)
+    }
+
+    /// Makes the final state durable; it becomes visible only afterwards.
+    async fn finish(&self, live: &LiveAttempt, service: &ServiceConfig, outcome: CallOutcome) -> NextStep {
+        let charged = charge(service, &live.reservation, &outcome);
+        let record = self.finished_record(&live.seat.host, outcome.clone(), charged);
+        let written = self.owner.commit(vec![record]).await;
+        self.owner.budget().settle(&live.reservation, charged);
+        if let Err(error) = written {
+            return NextStep::Close(CallOutcome::Failed(pending_refusal(error)));
+        }
+        if let CallOutcome::Answered(CallReply::Chat { usage, .. }) = &outcome {
+            self.cell.set_holding(&live.seat.host, usage.prompt_tokens + usage.completion_tokens);
+        }
+        NextStep::Close(outcome)
+    }
+
+    /// Returns the record of the final state.
+    pub(crate) fn finished_record(&self, host: &HostName, outcome: CallOutcome, charged: MicroUnits) -> JournalRecord {
+        JournalRecord::Finished {
+            new_messages: new_messages(&self.call, &outcome),
+            served_tokens: served_tokens(&outcome),
+            finished: FinishedCall {
+                call: self.call.key,
+                idempotency_key: self.call.request.idempotency_key.clone(),
+                fingerprint: self.call.fingerprint,
+                outcome,
+                charged,
+            },
+            host: Some(host.clone()),
+            at: TimeMillis::now(),
+        }
+    }
+
+    async fn cancel_attempt(&self, live: &LiveAttempt) {
+        let Ok(client) = self.context.pool.agent(live.seat.address).await else {
+            return;
+        };
+        let cancelled = client.cancel_call(call_context(CALL_TIMEOUT), self.call.key, live.key.tenure).await;
+        if let Err(error) = cancelled {
+            warn!(self.context.options.log, "cancel unanswered"; "call" => %self.call.key, "error" => %error);
+        }
+    }
+
+    fn order(&self, attempt: AttemptKey, service: &ServiceConfig, chosen: &ChosenServer) -> DispatchOrder {
+        let program = self.cell.program();
+        let now = TimeMillis::now();
+        let facts = CallFacts {
+            urgency: program.urgency,
+            deadline: program.deadline,
+            queued_at: self.call.queued_at,
+            served_tokens: program.served_tokens,
+            predicted_ms: chosen.choice.predicted_ms.saturating_sub(chosen.choice.wait_ms),
+        };
+        let priority = call_priority(&facts, now);
+        let timeout_ms = service.limits.call_timeout_ms;
+        match &self.call.request.payload {
+            CallPayload::Chat { messages, max_tokens } => {
+                let mut history = program.history;
+                history.extend_from_slice(messages);
+                DispatchOrder::Chat {
+                    attempt,
+                    service: service.name.clone(),
+                    messages: history,
+                    prefix: self.call.text(),
+                    max_tokens: *max_tokens,
+                    priority,
+                    start_before: program.deadline,
+                    timeout_ms,
+                }
+            }
+            CallPayload::Plain(request) => DispatchOrder::Plain {
+                attempt,
+                service: service.name.clone(),
+                request: request.clone(),
+                idempotency_key: format!("{}-{}", self.call.key.program, self.call.request.idempotency_key),
+                repeatable: service.repeatable,
+                priority,
+                start_before: program.deadline,
+                timeout_ms,
+            },
+        }
+    }
+}
+
+/// Returns the price of a call by its final state; what cannot be proven unspent counts as spent.
+fn charge(service: &ServiceConfig, reservation: &BudgetReservation, outcome: &CallOutcome) -> MicroUnits {
+    match outcome {
+        CallOutcome::Answered(CallReply::Chat { usage, .. }) => exact_price(&service.prices, usage),
+        CallOutcome::Answered(CallReply::Plain(_)) => service.prices.per_call,
+        CallOutcome::Failed(_) => reservation.amount(),
+    }
+}
+
+fn new_messages(call: &OpenCall, outcome: &CallOutcome) -> Vec<ChatMessage> {
+    let (CallPayload::Chat { messages, .. }, CallOutcome::Answered(CallReply::Chat { text, .. })) =
+        (&call.request.payload, outcome)
+    else {
+        return Vec::new();
+    };
+    let mut added = messages.clone();
+    added.push(ChatMessage { role: ChatRole::Assistant, content: text.clone() });
+    added
+}
+
+const fn served_tokens(outcome: &CallOutcome) -> TokenCount {
+    match outcome {
+        CallOutcome::Answered(CallReply::Chat { usage, .. }) => usage.prompt_tokens + usage.completion_tokens,
+        CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => 0,
+    }
+}
+
+/// Turns a failed append behind a call that ran into an error that does not say "not run", except that a
+/// sealed owner sends the caller on to the heir, which settles the call.
+fn pending_refusal(error: JournalError) -> CallError {
+    match error {
+        JournalError::Sealed { .. } => not_owner(),
+        other => {
+            let refusal = CallError::from(other);
+            let mut unknown = CallError::unknown(refusal.message);
+            unknown.retry_after_ms = refusal.retry_after_ms;
+            unknown
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/owner/table.rs
@@ -0,0 +1,42 @@
+//! The programs of one owner in the order of their keys.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use domain::ProgramKey;
+
+use crate::owner::cell::ProgramCell;
+
+/// Sorted table of programs.
+#[derive(Debug, Default)]
+pub(crate) struct ProgramTable {
+    cells: RwLock<Vec<Arc<ProgramCell>>>,
+}
+
+impl ProgramTable {
+    /// Returns the program with the key.
+    pub(crate) fn find(&self, key: ProgramKey) -> Option<Arc<ProgramCell>> {
+        let cells = self.cells.read().unwrap_or_else(PoisonError::into_inner);
+        cells.binary_search_by_key(&key, |cell| cell.key).ok().map(|index| Arc::clone(&cells[index]))
+    }
+
+    /// Adds a program unless it is there.
+    pub(crate) fn insert(&self, cell: Arc<ProgramCell>) {
+        let mut cells = self.cells.write().unwrap_or_else(PoisonError::into_inner);
+        if let Err(index) = cells.binary_search_by_key(&cell.key, |present| present.key) {
+            cells.insert(index, cell);
+        }
+    }
+
+    /// Removes a program.
+    pub(crate) fn remove(&self, key: ProgramKey) {
+        let mut cells = self.cells.write().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(index) = cells.binary_search_by_key(&key, |cell| cell.key) {
+            cells.remove(index);
+        }
+    }
+
+    /// Returns every program.
+    pub(crate) fn all(&self) -> Vec<Arc<ProgramCell>> {
+        self.cells.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- /dev/null
+++ b/components/entry/src/pool.rs
@@ -0,0 +1,119 @@
+//! Connections to the process ports of peers, kept open and replaced when they go silent.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use errors::{CallError, ResultCode};
+use tarpc::client::{Config, RpcError};
+use tarpc::context::Context;
+use wire::{AgentPortClient, ClusterSecret, OwnerPortClient, connect_peer};
+
+/// Longest wait for the answer of a call that does no waiting of its own.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sorted list of open connections of one kind.
+#[derive(Debug)]
+struct LinkList<Client> {
+    links: Mutex<Vec<(SocketAddr, Client)>>,
+}
+
+impl<Client: Clone> LinkList<Client> {
+    const fn new() -> Self {
+        Self { links: Mutex::new(Vec::new()) }
+    }
+
+    fn find(&self, address: SocketAddr) -> Option<Client> {
+        let links = self.lock();
+        let found = links.binary_search_by_key(&address, |link| link.0);
+        found.ok().map(|index| links[index].1.clone())
+    }
+
+    fn insert(&self, address: SocketAddr, client: Client) {
+        let mut links = self.lock();
+        match links.binary_search_by_key(&address, |link| link.0) {
+            Ok(index) => links[index].1 = client,
+            Err(index) => links.insert(index, (address, client)),
+        }
+    }
+
+    fn remove(&self, address: SocketAddr) {
+        let mut links = self.lock();
+        if let Ok(index) = links.binary_search_by_key(&address, |link| link.0) {
+            links.remove(index);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Client)>> {
+        self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// Open connections to entries and agents.
+#[derive(Debug)]
+pub(crate) struct PeerPool {
+    secret: ClusterSecret,
+    owners: LinkList<OwnerPortClient>,
+    agents: LinkList<AgentPortClient>,
+}
+
+impl PeerPool {
+    /// Creates an empty pool.
+    pub(crate) const fn new(secret: ClusterSecret) -> Self {
+        Self { secret, owners: LinkList::new(), agents: LinkList::new() }
+    }
+
+    /// Returns a connection to an entry, opening one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns 8001, not run, when the entry cannot be reached.
+    pub(crate) async fn owner(&self, address: SocketAddr) -> Result<OwnerPortClient, CallError> {
+        if let Some(client) = self.owners.find(address) {
+            return Ok(client);
+        }
+        let transport = connect_peer(address, &self.secret).await.map_err(|error| unreachable_peer(&error))?;
+        let client = OwnerPortClient::new(Config::default(), transport).spawn();
+        self.owners.insert(address, client.clone());
+        Ok(client)
+    }
+
+    /// Returns a connection to an agent, opening one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns 8001, not run, when the agent cannot be reached.
+    pub(crate) async fn agent(&self, address: SocketAddr) -> Result<AgentPortClient, CallError> {
+        if let Some(client) = self.agents.find(address) {
+            return Ok(client);
+        }
+        let transport = connect_peer(address, &self.secret).await.map_err(|error| unreachable_peer(&error))?;
+        let client = AgentPortClient::new(Config::default(), transport).spawn();
+        self.agents.insert(address, client.clone());
+        Ok(client)
+    }
+
+    /// Drops the connections to an address, so that the next call opens a fresh one.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.owners.remove(address);
+        self.agents.remove(address);
+    }
+}
+
+fn unreachable_peer(error: &anyhow::Error) -> CallError {
+    CallError::not_run(ResultCode::PeerUnreachable, format!("{error:#}"))
+}
+
+/// Returns a call context whose deadline lies `wait` ahead.
+pub(crate) fn call_context(wait: Duration) -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = std::time::Instant::now() + wait;
+    context
+}
+
+/// Turns a failure of the connection into an error; the call may have reached the peer.
+pub(crate) fn lost_answer(error: &RpcError) -> CallError {
+    let mut lost = CallError::unknown(format!("the peer gave no answer: {error}"));
+    lost.code = ResultCode::PeerUnreachable;
+    lost
+}
--- /dev/null
+++ b/components/entry/src/process.rs
@@ -0,0 +1,209 @@
+//! The life of an entry: start, run, rejoin after a seal, planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use budget::BudgetKeeper;
+use domain::{HostRole, IncarnationId};
+use futures::StreamExt as _;
+use journal::JournalWriter;
+use slog::{info, warn};
+use tarpc::server::{BaseChannel, Channel as _};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use wire::{HeartbeatPublisher, HeartbeatSubscriber, OwnerPort as _, PeerListener};
+
+use crate::adoption::follow_seals;
+use crate::blackboard::Blackboard;
+use crate::configuration::{fetch_announced, watch_configuration};
+use crate::context::EntryContext;
+use crate::fleet::{follow_host_list, publish_heartbeats, record_heartbeats};
+use crate::http::serve_http;
+use crate::member::{follow_members, heirs_of, join_members, record_seal, suspect_members};
+use crate::options::EntryOptions;
+use crate::owner::{OwnerCore, OwnerServer};
+use crate::upkeep::keep_up;
+
+/// Largest amount of records that wait for the object API, in bytes.
+const JOURNAL_BUFFER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time between leaving and the first look at running calls, for the others to hear of it.
+const LEAVING_NOTICE_BEATS: u32 = 2;
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A started entry.
+#[derive(Debug)]
+pub struct EntryProcess {
+    context: Arc<EntryContext>,
+    http: TcpListener,
+    tasks: JoinSet<()>,
+}
+
+impl EntryProcess {
+    /// Binds the ports, joins the members and starts the controllers.
+    ///
+    /// Waits while the object API does not answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound.
+    pub async fn start(options: EntryOptions) -> Result<Self> {
+        let http = TcpListener::bind(options.http).await.with_context(|| format!("cannot bind {}", options.http))?;
+        let listener = PeerListener::bind(options.process, options.secret.clone()).await?;
+        let process_address = listener.local_address()?;
+        let publisher = HeartbeatPublisher::bind(options.heartbeat, options.secret.clone())?;
+        let (subscriber, heartbeats) = HeartbeatSubscriber::start(options.secret.clone())?;
+        let board = Blackboard::new();
+        let incarnation = join_members(&options, process_address, &board).await;
+        let owner = Arc::new(new_owner(&options, incarnation));
+        let context = Arc::new(EntryContext::new(options, process_address, board, owner));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve_peers(Arc::clone(&context), listener));
+        tasks.spawn(publish_heartbeats(Arc::clone(&context), publisher));
+        tasks.spawn(record_heartbeats(Arc::clone(&context), heartbeats));
+        tasks.spawn(follow_host_list(Arc::clone(&context), subscriber));
+        tasks.spawn(follow_members(Arc::clone(&context)));
+        tasks.spawn(watch_configuration(Arc::clone(&context)));
+        tasks.spawn(fetch_announced(Arc::clone(&context)));
+        tasks.spawn(suspect_members(Arc::clone(&context)));
+        tasks.spawn(follow_seals(Arc::clone(&context)));
+        tasks.spawn(rejoin_when_sealed(Arc::clone(&context)));
+        tasks.spawn(keep_up(Arc::clone(&context)));
+        Ok(Self { context, http, tasks })
+    }
+
+    /// Returns the address of the callers' port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket has been closed.
+    pub fn http_address(&self) -> Result<std::net::SocketAddr> {
+        Ok(self.http.local_addr()?)
+    }
+
+    /// Serves until the token is cancelled or an operator drains the host, then stops as planned.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the seal of the own journal cannot be written; peers complete it later.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        let serving = CancellationToken::new();
+        let server = tokio::spawn(serve_http(Arc::clone(&self.context), self.http, serving.clone()));
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.context.drain.notified() => {}
+        }
+        let handed_on = leave(&self.context).await;
+        serving.cancel();
+        timeout(self.context.options.stop_grace, server).await.ok();
+        self.tasks.shutdown().await;
+        info!(self.context.options.log, "stopped"; "incarnation" => self.context.incarnation().0);
+        handed_on
+    }
+}
+
+fn new_owner(options: &EntryOptions, incarnation: IncarnationId) -> OwnerCore {
+    let store = Arc::clone(&options.store);
+    let journal =
+        JournalWriter::open(Arc::clone(&store), incarnation, options.append_spacing, JOURNAL_BUFFER_BYTES);
+    OwnerCore::new(incarnation, journal, BudgetKeeper::new(store, incarnation))
+}
+
+async fn serve_peers(context: Arc<EntryContext>, listener: PeerListener) {
+    let server = OwnerServer::new(context);
+    listener
+        .accept_all(move |transport| {
+            let channel = BaseChannel::with_defaults(transport);
+            let answers = channel.execute(server.clone().serve());
+            tokio::spawn(answers.for_each(|answer| async {
+                tokio::spawn(answer);
+            }));
+        })
+        .await;
+}
+
+/// Fences the owner as soon as its journal is sealed and joins as a new incarnation.
+async fn rejoin_when_sealed(context: Arc<EntryContext>) {
+    loop {
+        let owner = context.owner();
+        wait_sealed(&context, &owner).await;
+        if context.board.is_leaving() {
+            return;
+        }
+        warn!(context.options.log, "fenced"; "incarnation" => owner.incarnation().0);
+        owner.fence();
+        let incarnation = join_members(&context.options, context.process_address, &context.board).await;
+        let successor = Arc::new(new_owner(&context.options, incarnation));
+        if let Some(applied) = context.board.configuration() {
+            let live = context.board.members().table.live().len();
+            successor.budget().set_teams(&applied.content.teams, u32::try_from(live).unwrap_or(u32::MAX));
+        }
+        context.replace_owner(successor);
+    }
+}
+
+/// Waits until an append has met the seal or the member table shows it.
+async fn wait_sealed(context: &EntryContext, owner: &OwnerCore) {
+    let mut members = context.board.watch_members();
+    loop {
+        if context.board.members().table.is_sealed(owner.incarnation()) {
+            return;
+        }
+        tokio::select! {
+            _ = owner.journal().wait_sealed() => return,
+            changed = members.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Leaves as planned: no new programs, running calls end, programs pass to the heirs.
+async fn leave(context: &Arc<EntryContext>) -> Result<()> {
+    let options = &context.options;
+    info!(options.log, "leaving"; "incarnation" => context.incarnation().0);
+    context.board.set_leaving();
+    sleep(options.heartbeat_interval * LEAVING_NOTICE_BEATS).await;
+    let owner = context.owner();
+    owner.begin_closing();
+    timeout(options.stop_grace, wait_idle(&owner)).await.ok();
+    let heirs = staying_heirs(context);
+    if heirs.is_empty() {
+        warn!(options.log, "no heir"; "programs" => owner.table.all().len());
+        owner.fence();
+        return owner.budget().close().await.map_err(Into::into);
+    }
+    let sealed = owner.journal().seal_own(heirs.clone()).await;
+    owner.fence();
+    owner.budget().close().await.ok();
+    sealed?;
+    record_seal(context, owner.incarnation(), heirs).await
+}
+
+async fn wait_idle(owner: &OwnerCore) {
+    while owner.table.all().iter().any(|cell| !cell.open_calls().is_empty()) {
+        sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+}
+
+/// Returns the heirs that are not leaving themselves.
+fn staying_heirs(context: &EntryContext) -> Vec<IncarnationId> {
+    let members = context.board.members();
+    let fleet = context.board.fleet();
+    let heirs = heirs_of(&members.table, context.incarnation());
+    let stays = |heir: &IncarnationId| {
+        let peer = fleet.entry(heir.0);
+        peer.is_some_and(|peer| {
+            let silence = tokio::time::Instant::now().duration_since(peer.heard);
+            peer.heartbeat.role == HostRole::Entry
+                && !peer.heartbeat.leaving
+                && silence <= context.options.suspect_after
+        })
+    };
+    heirs.into_iter().filter(stays).collect()
+}
--- /dev/null
+++ b/components/entry/src/upkeep.rs
@@ -0,0 +1,96 @@
+//! Periodic work of an owner: folding the journal, ending idle programs, returning budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{ProgramKey, ProgramPhase, TimeMillis};
+use journal::JournalError;
+use slog::{debug, info};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::context::EntryContext;
+use crate::owner::{OwnerCore, release_cache};
+
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+const MILLIS_PER_SECOND: u64 = 1000;
+
+/// Segments after which the journal is folded.
+const SEGMENTS_PER_FOLD: u64 = 128;
+
+/// Time for which an ended program stays readable.
+const ENDED_KEPT_MS: u64 = 3_600_000;
+
+/// Runs the periodic work until the entry stops.
+pub(crate) async fn keep_up(context: Arc<EntryContext>) {
+    let mut ticks = interval(UPKEEP_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let owner = context.owner();
+        if owner.is_fenced() {
+            continue;
+        }
+        end_idle_programs(&context, &owner).await;
+        forget_ended_programs(&owner);
+        fold_journal(&context, &owner).await;
+        if let Err(error) = owner.budget().flush().await {
+            debug!(context.options.log, "budget not flushed"; "error" => %error);
+        }
+    }
+}
+
+async fn fold_journal(context: &EntryContext, owner: &OwnerCore) {
+    if owner.journal().segments_since_fold() < SEGMENTS_PER_FOLD {
+        return;
+    }
+    match owner.fold().await {
+        Ok(()) => info!(context.options.log, "journal folded"; "incarnation" => owner.incarnation().0),
+        Err(JournalError::Sealed { .. }) => {}
+        Err(error) => debug!(context.options.log, "journal not folded"; "error" => %error),
+    }
+}
+
+/// Ends programs that have had no call for longer than their services allow.
+async fn end_idle_programs(context: &Arc<EntryContext>, owner: &Arc<OwnerCore>) {
+    for program in idle_programs(context, owner) {
+        info!(context.options.log, "idle program ended"; "program" => %program);
+        if owner.end_program(None, program, ProgramPhase::Ended).await.is_ok() {
+            tokio::spawn(release_cache(Arc::clone(context), Arc::clone(owner), program));
+        }
+    }
+}
+
+fn idle_programs(context: &EntryContext, owner: &OwnerCore) -> Vec<ProgramKey> {
+    let Some(applied) = context.board.configuration() else {
+        return Vec::new();
+    };
+    let services = &applied.content.services;
+    let Some(idle_s) = services.iter().map(|service| service.limits.idle_time_s).max() else {
+        return Vec::new();
+    };
+    let Some(life_s) = services.iter().map(|service| service.limits.program_time_s).max() else {
+        return Vec::new();
+    };
+    let now = TimeMillis::now();
+    let cells = owner.table.all().into_iter().filter(|cell| cell.open_calls().is_empty());
+    let idle = cells.filter(|cell| {
+        cell.with_program(|program| {
+            let is_idle = now.since(program.touched) > idle_s * MILLIS_PER_SECOND;
+            let is_over = now.since(program.started) > life_s * MILLIS_PER_SECOND;
+            program.phase == ProgramPhase::Running && (is_idle || is_over)
+        })
+    });
+    idle.map(|cell| cell.key).collect()
+}
+
+fn forget_ended_programs(owner: &OwnerCore) {
+    let now = TimeMillis::now();
+    for cell in owner.table.all() {
+        let forget = cell.with_program(|program| {
+            program.phase != ProgramPhase::Running && now.since(program.touched) > ENDED_KEPT_MS
+        });
+        if forget {
+            owner.table.remove(cell.key);
+        }
+    }
+}
