--- /dev/null
+++ b/components/budget/src/reservation.rs
@@ -0,0 +1,61 @@
+//! Reservations, reports and proofs of spending.
+
+use domain::{IncarnationId, MicroUnits, TeamName, TimeMillis};
+use serde::{Deserialize, Serialize};
+
+/// Budget set aside for the worst case of one call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetReservation {
+    /// Team that pays.
+    pub team: TeamName,
+    /// Start of the window to which the call is charged.
+    pub window_start: TimeMillis,
+    /// Amount.
+    pub amount: MicroUnits,
+    /// Whether the amount already counts as spent because a sealed owner's slice was written off whole; such a
+    /// reservation settles without effect.
+    pub prepaid: bool,
+}
+
+/// Budget of a team in the present window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetReport {
+    /// Start of the window.
+    pub window_start: TimeMillis,
+    /// Limit of the window.
+    pub limit: MicroUnits,
+    /// Amount spent, as far as the owners have written it back.
+    pub spent: MicroUnits,
+    /// Amount that owners hold in slices: reserved by calls under way or not used yet.
+    pub reserved: MicroUnits,
+    /// Amount from which new slices can be taken.
+    pub left: MicroUnits,
+    /// Amount by which calls of this entry cost more than they had reserved.
+    pub excess: MicroUnits,
+}
+
+/// What the journal of a sealed incarnation proves about its spending from one team's window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProvenSpend {
+    /// Team.
+    pub team: TeamName,
+    /// Start of the window.
+    pub window_start: TimeMillis,
+    /// Sum of the exact prices of every call that the incarnation finished in the window.
+    pub spent: MicroUnits,
+    /// Reservations of the calls that are still open, by the heir that the seal gives them to, sorted.
+    pub open: Vec<OpenShare>,
+}
+
+/// Reservations of open calls that one heir takes over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OpenShare {
+    /// Heir named by the seal.
+    pub heir: IncarnationId,
+    /// Sum of the reservations.
+    pub reserved: MicroUnits,
+}
