Add stand-ins for the platform, the engines and the services

Cause: nothing spoke the other side of docs/design/interfaces.md, so that no process of azuretide could run.

--- /dev/null
+++ b/components/standins/src/cli.rs
@@ -0,0 +1,162 @@
+//! Command line of the stand-ins.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::Context as _;
+use bpaf::Bpaf;
+
+use crate::engine::{EngineSettings, ModelEngine};
+use crate::hosts::{HostList, HostListSettings};
+use crate::object::ObjectApi;
+use crate::service::{PlainService, ServiceFaults};
+
+/// Development stand-ins, each at one interface of azuretide
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+pub enum StandinCommand {
+    /// Object API with versions, conditional updates and watches
+    #[bpaf(command("object-api"))]
+    ObjectApi {
+        /// Address to listen on
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+        /// File with the bearer key that requests must carry
+        #[bpaf(argument("FILE"))]
+        key_file: Option<PathBuf>,
+    },
+    /// Host list that lags
+    #[bpaf(command("host-list"))]
+    HostList {
+        /// Address to listen on
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+        /// File with the bearer key that requests must carry
+        #[bpaf(argument("FILE"))]
+        key_file: Option<PathBuf>,
+        /// Time from a change until it is visible, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        lag_ms: u64,
+    },
+    /// Model engine
+    #[bpaf(command("engine"))]
+    Engine {
+        /// Address to listen on
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+        /// Settings
+        #[bpaf(external(engine_settings))]
+        settings: EngineSettings,
+    },
+    /// Tool or plain service
+    #[bpaf(command("service"))]
+    Service {
+        /// Address to listen on
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+        /// Time of a call in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        delay_ms: u64,
+    },
+}
+
+fn number_option(name: &'static str, help: &'static str, fallback: u64) -> impl bpaf::Parser<u64> {
+    use bpaf::Parser as _;
+    bpaf::long(name).help(help).argument("N").fallback(fallback)
+}
+
+fn engine_settings() -> impl bpaf::Parser<EngineSettings> {
+    use bpaf::Parser as _;
+    let defaults = EngineSettings::default();
+    let capacity = number_option("capacity", "Requests that run at a time", defaults.capacity);
+    let step_us = number_option("step-us", "Fixed time of a step", defaults.step_us);
+    let decode_us = number_option(
+        "decode-us",
+        "Time of a step per running request",
+        defaults.decode_us,
+    );
+    let prefill_us = number_option(
+        "prefill-us",
+        "Time per uncached prompt token",
+        defaults.prefill_us,
+    );
+    let cache_tokens = number_option("cache-tokens", "Size of the prefix cache", defaults.cache_tokens);
+    let answer_tokens = number_option("answer-tokens", "Length of an answer", defaults.answer_tokens);
+    let load_lag_ms = number_option("load-lag-ms", "Age of the load report", defaults.load_lag_ms);
+    let event_lag_ms = number_option("event-lag-ms", "Age of the cache events", defaults.event_lag_ms);
+    let event_gap = number_option(
+        "event-gap",
+        "Lose every Nth cache event; 0 for none",
+        defaults.event_gap,
+    );
+    let load_ms = number_option(
+        "load-ms",
+        "Time of a load from the weight store",
+        defaults.load_ms,
+    );
+    let check_fencing = bpaf::long("check-fencing")
+        .help("Refuse old fencing numbers")
+        .switch();
+    let models = bpaf::long("model")
+        .help("Model loaded at the start")
+        .argument("NAME")
+        .many();
+    bpaf::construct!(EngineSettings {
+        capacity,
+        step_us,
+        decode_us,
+        prefill_us,
+        cache_tokens,
+        answer_tokens,
+        load_lag_ms,
+        event_lag_ms,
+        event_gap,
+        check_fencing,
+        load_ms,
+        models,
+    })
+}
+
+impl StandinCommand {
+    /// Runs the stand-in until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the key cannot be read.
+    pub async fn run(self) -> anyhow::Result<()> {
+        match self {
+            Self::ObjectApi { listen, key_file } => {
+                let key = read_key(key_file.as_deref())?;
+                ObjectApi::start(listen, key).await?.join().await;
+            }
+            Self::HostList {
+                listen,
+                key_file,
+                lag_ms,
+            } => {
+                let settings = HostListSettings {
+                    key: read_key(key_file.as_deref())?,
+                    lag: Duration::from_millis(lag_ms),
+                    hosts: Vec::new(),
+                };
+                HostList::start(listen, settings).await?.join().await;
+            }
+            Self::Engine { listen, settings } => ModelEngine::start(listen, settings).await?.join().await,
+            Self::Service { listen, delay_ms } => {
+                let faults = ServiceFaults {
+                    delay_ms,
+                    ..ServiceFaults::default()
+                };
+                PlainService::start(listen, faults).await?.join().await;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn read_key(file: Option<&Path>) -> anyhow::Result<Option<String>> {
+    let Some(file) = file else { return Ok(None) };
+    let text = std::fs::read_to_string(file).with_context(|| format!("reading {}", file.display()))?;
+    Ok(Some(text.trim().to_owned()))
+}
--- a/components/standins/src/main.rs
+++ b/components/standins/src/main.rs
@@ -1,3 +1,6 @@
-//! Development stand-ins.
+//! Development stand-ins for the platform, the engines and the services.
 
-fn main() {}
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    standins::standin_command().run().run().await
+}
