--- a/components/budget/src/keeper.rs
+++ b/components/budget/src/keeper.rs
@@ -1,13 +1,12 @@
 //! The budgets of all teams at one entry.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use domain::{IncarnationId, MicroUnits, TeamConfig, TeamName, TimeMillis};
 use errors::{CallError, ResultCode};
-use platform::{ObjectStore, ObjectVersion, PlatformError, WriteCondition};
+use platform::ObjectStore;
 use rand::RngExt as _;
 use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
@@ -15,15 +14,10 @@
 use crate::account::BudgetObject;
 use crate::ledger::{StandingRefusal, TeamLedger};
 use crate::reservation::{BudgetReport, BudgetReservation, ProvenSpend};
+use crate::store::{BudgetStore, MAX_UPDATE_ATTEMPTS};
 use crate::team::{Change, FlushKind, TakeOutcome, TeamBudget};
 
 const MILLIS_PER_SECOND: u64 = 1_000;
-/// Attempts at one update of an object before the caller is told to come back.
-const MAX_UPDATE_ATTEMPTS: u32 = 32;
-/// Longest first pause in milliseconds after a conflict; it doubles with each attempt.
-const CONFLICT_PAUSE_MS: u64 = 4;
-/// Number of doublings of the pause.
-const MAX_PAUSE_DOUBLINGS: u32 = 6;
 /// Time in milliseconds after which an exhausted budget is looked at again.
 const EXHAUSTED_RECHECK_MS: u64 = 1_000;
 /// Least time in milliseconds between calls to an object API that is down; up to twice as long at random.
@@ -37,24 +31,17 @@
 
 #[derive(Debug)]
 struct KeeperState {
-    store: Arc<dyn ObjectStore>,
+    store: BudgetStore,
     incarnation: IncarnationId,
     /// Budgets in the order of their teams.
     budgets: ArcSwap<Vec<Arc<TeamBudget>>>,
 }
 
-/// An object as it was read.
-struct ReadObject {
-    object: BudgetObject,
-    version: ObjectVersion,
-    date: TimeMillis,
-}
-
 impl BudgetKeeper {
     /// Creates a keeper that holds no slices and knows no teams.
     pub fn new(store: Arc<dyn ObjectStore>, incarnation: IncarnationId) -> Self {
         let shared = KeeperState {
-            store,
+            store: BudgetStore::new(store, incarnation),
             incarnation,
             budgets: ArcSwap::default(),
         };
@@ -144,7 +131,7 @@
             self.inherit_open(budget, from, proven);
             let _permit = admit_update(budget).await?;
             let change = |object: &mut BudgetObject, _| budget.adopt_slices(object, from, proven);
-            outcome = outcome.and(self.update(budget, change, |_, ()| ()).await);
+            outcome = outcome.and(self.shared.store.update(budget, change, |_, ()| ()).await);
         }
         outcome
     }
@@ -156,7 +143,7 @@
     /// Returns 3012 when the object API does not answer, 3002 for an unknown team.
     pub async fn report(&self, team: &TeamName) -> Result<BudgetReport, CallError> {
         let budget = self.find(team)?;
-        let mut read = self.read(&budget).await?;
+        let mut read = self.shared.store.read(&budget).await?;
         let ledger = budget.ledger();
         let (limit, window_ms) = (ledger.limit, ledger.window_ms);
         let account = read.object.turn_window(read.date, window_ms);
@@ -192,7 +179,7 @@
         for _ in 0..MAX_UPDATE_ATTEMPTS {
             let change = |object: &mut BudgetObject, date| budget.take_slice(object, date, worst);
             let commit = |ledger: &mut TeamLedger, outcome| finish_take(ledger, outcome, worst);
-            match self.update(budget, change, commit).await {
+            match self.shared.store.update(budget, change, commit).await {
                 Ok(Ok(Some(window_start))) => return Ok(window_start),
                 // Smaller calls were faster and used the new slice up.
                 Ok(Ok(None)) => {}
@@ -232,7 +219,7 @@
             ledger.slice_limit = limit;
             ledger.finish_flush(&object);
         };
-        self.update(budget, change, commit).await
+        self.shared.store.update(budget, change, commit).await
     }
 
     fn inherit_open(&self, budget: &TeamBudget, from: IncarnationId, proven: &[ProvenSpend]) {
@@ -247,110 +234,6 @@
             }
         }
     }
-
-    /// Changes a team's object conditionally until the change stands, and brings the ledger in line with it.
-    ///
-    /// The caller holds the permit for updates. A write without an answer is settled by reading back: it has
-    /// either changed the version, or it can take effect only on the version that the next write replaces.
-    async fn update<T, R>(
-        &self,
-        budget: &TeamBudget,
-        mut change: impl FnMut(&mut BudgetObject, TimeMillis) -> Change<T>,
-        commit: impl FnOnce(&mut TeamLedger, T) -> R,
-    ) -> Result<R, CallError> {
-        let incarnation = self.shared.incarnation;
-        for attempt in 0..MAX_UPDATE_ATTEMPTS {
-            let read = self.read(budget).await?;
-            let is_settled = budget.is_settled(read.version);
-            if is_settled {
-                budget.ledger().synchronise(&read.object, incarnation);
-            }
-            let mut object = read.object.clone();
-            let outcome = match change(&mut object, read.date) {
-                Change::Unchanged(outcome) => return Ok(commit(&mut budget.ledger(), outcome)),
-                Change::Changed(outcome) => outcome,
-            };
-            match self.write(budget, &object, read.version).await {
-                Ok(_) => {
-                    budget.set_unresolved(None);
-                    let mut ledger = budget.ledger();
-                    ledger.synchronise(&object, incarnation);
-                    return Ok(commit(&mut ledger, outcome));
-                }
-                Err(PlatformError::Conflict) => pause_after_conflict(attempt).await,
-                Err(PlatformError::NoAnswer(_)) => budget.set_unresolved(Some(read.version)),
-                Err(error) => {
-                    if is_settled {
-                        budget.ledger().synchronise(&read.object, incarnation);
-                    }
-                    return Err(platform_refusal(&error));
-                }
-            }
-        }
-        let message = "the budget object changes too often";
-        Err(CallError::not_run(ResultCode::PlatformUnavailable, message))
-    }
-
-    async fn read(&self, budget: &TeamBudget) -> Result<ReadObject, CallError> {
-        let key = budget.object_key();
-        for _ in 0..MAX_UPDATE_ATTEMPTS {
-            let read = self.shared.store.read(&key).await;
-            let Some(found) = read.map_err(|error| platform_refusal(&error))? else {
-                // Only an answer that carries an object carries the date, so the object is made first.
-                let created = encode(&BudgetObject::default())?;
-                let written = self
-                    .shared
-                    .store
-                    .write(&key, created, WriteCondition::Absent)
-                    .await;
-                match written {
-                    Ok(_) | Err(PlatformError::Conflict | PlatformError::NoAnswer(_)) => continue,
-                    Err(error) => return Err(platform_refusal(&error)),
-                }
-            };
-            let object = serde_json::from_slice(&found.value).map_err(|error| {
-                let message = format!("object {key} is not a budget: {error}");
-                CallError::not_run(ResultCode::PlatformProtocol, message)
-            })?;
-            return Ok(ReadObject {
-                object,
-                version: found.version,
-                date: found.date,
-            });
-        }
-        let message = "the budget object cannot be made";
-        Err(CallError::not_run(ResultCode::PlatformUnavailable, message))
-    }
-
-    async fn write(
-        &self,
-        budget: &TeamBudget,
-        object: &BudgetObject,
-        version: ObjectVersion,
-    ) -> Result<ObjectVersion, PlatformError> {
-        let value = encode(object).map_err(|error| PlatformError::Protocol(error.message))?;
-        let condition = WriteCondition::Version(version);
-        self.shared
-            .store
-            .write(&budget.object_key(), value, condition)
-            .await
-    }
-}
-
-impl TeamBudget {
-    /// Returns whether no write without an answer can still take effect on the version.
-    fn is_settled(&self, version: ObjectVersion) -> bool {
-        let mut unresolved = self.unresolved.lock().unwrap_or_else(PoisonError::into_inner);
-        if *unresolved == Some(version) {
-            return false;
-        }
-        *unresolved = None;
-        true
-    }
-
-    fn set_unresolved(&self, version: Option<ObjectVersion>) {
-        *self.unresolved.lock().unwrap_or_else(PoisonError::into_inner) = version;
-    }
 }
 
 fn reserve_held(budget: &TeamBudget, worst: MicroUnits) -> Result<Option<BudgetReservation>, CallError> {
@@ -408,27 +291,3 @@
     let admitted = budget.updates.acquire().await;
     admitted.map_err(|closed| CallError::not_run(ResultCode::Internal, closed.to_string()))
 }
-
-async fn pause_after_conflict(attempt: u32) {
-    let longest = CONFLICT_PAUSE_MS << attempt.min(MAX_PAUSE_DOUBLINGS);
-    let pause = rand::rng().random_range(0..=longest);
-    tokio::time::sleep(Duration::from_millis(pause)).await;
-}
-
-fn encode(object: &BudgetObject) -> Result<Bytes, CallError> {
-    let encoded = serde_json::to_vec(object);
-    encoded
-        .map(Bytes::from)
-        .map_err(|error| CallError::not_run(ResultCode::Internal, error.to_string()))
-}
-
-fn platform_refusal(error: &PlatformError) -> CallError {
-    let code = match error {
-        PlatformError::Protocol(_) => ResultCode::PlatformProtocol,
-        PlatformError::TooLarge(_) => ResultCode::ObjectTooLarge,
-        PlatformError::Conflict | PlatformError::Unavailable(_) | PlatformError::NoAnswer(_) => {
-            ResultCode::PlatformUnavailable
-        }
-    };
-    CallError::not_run(code, format!("no new budget slice: {error}"))
-}
--- a/components/budget/src/lib.rs
+++ b/components/budget/src/lib.rs
@@ -4,6 +4,7 @@
 mod keeper;
 mod ledger;
 mod reservation;
+mod store;
 mod team;
 
 pub use account::{BudgetObject, SliceRecord, WindowAccount};
