Give reservations accessors and a constructor for inherited ones

Cause: the entry reads the amount of a reservation to write its intent. Change: fields are private, with accessors; the prepaid flag goes, since a slice written off whole leaves no reservation to settle.

--- a/components/budget/src/keeper.rs
+++ b/components/budget/src/keeper.rs
@@ -94,7 +94,7 @@
     /// Settles a reservation exactly. What exceeds the reservation is charged to the team as well and appears
     /// in the report.
     pub fn settle(&self, reservation: &BudgetReservation, charged: MicroUnits) {
-        if let Ok(budget) = self.find(&reservation.team) {
+        if let Ok(budget) = self.find(reservation.team()) {
             budget.ledger().settle(reservation, charged);
         }
     }
--- a/components/budget/src/ledger.rs
+++ b/components/budget/src/ledger.rs
@@ -115,15 +115,10 @@
 
     /// Settles a reservation and charges what exceeds it as well.
     pub(crate) fn settle(&mut self, reservation: &BudgetReservation, charged: MicroUnits) {
-        let excess = charged.saturating_sub(reservation.amount);
+        let excess = charged.saturating_sub(reservation.amount());
         self.excess = self.excess.saturating_add(excess);
-        let Some(window) = self.window_mut(reservation.window_start) else {
-            return;
-        };
-        if reservation.prepaid {
-            window.spent = window.spent.saturating_add(excess);
-        } else {
-            window.reserved = window.reserved.saturating_sub(reservation.amount);
+        if let Some(window) = self.window_mut(reservation.window_start()) {
+            window.reserved = window.reserved.saturating_sub(reservation.amount());
             window.spent = window.spent.saturating_add(charged);
         }
     }
--- a/components/budget/src/reservation.rs
+++ b/components/budget/src/reservation.rs
@@ -7,15 +7,35 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BudgetReservation {
-    /// Team that pays.
-    pub team: TeamName,
-    /// Start of the window to which the call is charged.
-    pub window_start: TimeMillis,
-    /// Amount.
-    pub amount: MicroUnits,
-    /// Whether the amount already counts as spent because a sealed owner's slice was written off whole; such a
-    /// reservation settles without effect.
-    pub prepaid: bool,
+    team: TeamName,
+    window_start: TimeMillis,
+    amount: MicroUnits,
+}
+
+impl BudgetReservation {
+    /// Creates a reservation that a keeper holds already: one of its own, or one inherited with a proof.
+    pub const fn new(team: TeamName, window_start: TimeMillis, amount: MicroUnits) -> Self {
+        Self {
+            team,
+            window_start,
+            amount,
+        }
+    }
+
+    /// Returns the team that pays.
+    pub const fn team(&self) -> &TeamName {
+        &self.team
+    }
+
+    /// Returns the start of the window to which the call is charged.
+    pub const fn window_start(&self) -> TimeMillis {
+        self.window_start
+    }
+
+    /// Returns the amount.
+    pub const fn amount(&self) -> MicroUnits {
+        self.amount
+    }
 }
 
 /// Budget of a team in the present window.
--- a/components/budget/src/team.rs
+++ b/components/budget/src/team.rs
@@ -84,12 +84,7 @@
     }
 
     pub(crate) fn reservation(&self, window_start: TimeMillis, amount: MicroUnits) -> BudgetReservation {
-        BudgetReservation {
-            team: self.team.clone(),
-            window_start,
-            amount,
-            prepaid: false,
-        }
+        BudgetReservation::new(self.team.clone(), window_start, amount)
     }
 
     /// Takes a slice that covers `worst` on a copy of the object.
