Add the testbed of real processes, a recording caller and the demo

Cause: no run crossed the real processes, and nothing counted what callers lost. Change: Testbed starts a deployment's daemons and stand-ins, each on a loopback address of its own, and kills, stops, freezes and wakes them by their ids; ProgramSession keeps a caller's own record; the subcommand demo plays both teams and counts from the stand-ins' and callers' records.

--- a/components/standins/src/cli.rs
+++ b/components/standins/src/cli.rs
@@ -7,6 +7,7 @@
 use anyhow::Context as _;
 use bpaf::Bpaf;
 
+use crate::demo::run_demo;
 use crate::engine::{EngineSettings, ModelEngine};
 use crate::hosts::{HostList, HostListSettings};
 use crate::object::ObjectApi;
@@ -59,6 +60,9 @@
         #[bpaf(argument("MS"), fallback(0))]
         delay_ms: u64,
     },
+    /// Play both teams' programs on real processes, with an entry killed on the way
+    #[bpaf(command("demo"))]
+    Demo,
 }
 
 fn number_option(name: &'static str, help: &'static str, fallback: u64) -> impl bpaf::Parser<u64> {
@@ -126,6 +130,7 @@
     /// Fails when the address cannot be bound or the key cannot be read.
     pub async fn run(self) -> anyhow::Result<()> {
         match self {
+            Self::Demo => run_demo().await?,
             Self::ObjectApi { listen, key_file } => {
                 let key = read_key(key_file.as_deref())?;
                 ObjectApi::start(listen, key).await?.join().await;
--- /dev/null
+++ b/components/standins/src/testbed.rs
@@ -0,0 +1,400 @@
+//! Real processes on loopback: the daemons of a deployment and the stand-ins around them.
+
+mod deployment;
+mod process;
+mod settings;
+mod start;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
+use std::time::Duration;
+
+use anyhow::{Context as _, bail};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+use crate::client::{HttpReply, send_json, send_request};
+use process::{ChildProcess, ProcessPlan, find_binary};
+use settings::{HEARTBEAT_PORT, HTTP_PORT, STANDIN_PORT};
+
+pub use deployment::{BackendKind, BackendPlan, Deployment, EntryPlan, KELANIMATCH_KEY, SALISH_KEY};
+
+/// Longest wait for a process to become ready or to end.
+const PATIENCE: Duration = Duration::from_secs(45);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const OPERATOR_KEY: &str = "operator-key";
+
+/// One process of a testbed.
+#[derive(Debug)]
+struct TestbedProcess {
+    name: String,
+    address: Ipv4Addr,
+    child: Option<ChildProcess>,
+}
+
+/// A deployment as real processes in a folder of its own; all of them end when it is dropped.
+#[derive(Debug)]
+pub struct Testbed {
+    deployment: Deployment,
+    processes: Vec<TestbedProcess>,
+    generation: u64,
+    folder: TempDir,
+}
+
+impl Testbed {
+    /// Starts every process of the deployment, applies its configuration and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a binary is missing, a process ends early or the fleet is not ready in time.
+    pub async fn start(deployment: Deployment) -> anyhow::Result<Self> {
+        let mut testbed = Self::prepare(deployment).await?;
+        for name in testbed.host_names() {
+            testbed.start_host(&name)?;
+        }
+        let first = testbed.deployment.entries[0].name.clone();
+        testbed.wait_reachable(&first).await?;
+        let text = testbed.deployment.configuration.clone();
+        testbed.apply_configuration(&first, &text).await?;
+        testbed.wait_ready().await?;
+        Ok(testbed)
+    }
+
+    /// Starts the stand-ins only and writes the settings files of the hosts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a binary is missing or a stand-in does not answer in time.
+    pub async fn prepare(deployment: Deployment) -> anyhow::Result<Self> {
+        let folder = TempDir::with_prefix("azuretide-testbed-").context("creating a folder")?;
+        let mut testbed = Self {
+            deployment,
+            processes: Vec::new(),
+            generation: 0,
+            folder,
+        };
+        for key in ["platform", "cluster", "operator"] {
+            testbed.write_file(&format!("{key}.key"), &format!("{key}-key\n"))?;
+        }
+        testbed.start_platform().await?;
+        testbed.start_backends().await?;
+        testbed.write_settings()?;
+        testbed.publish_hosts(&[]).await?;
+        Ok(testbed)
+    }
+
+    /// Returns the folder with the settings files, keys and logs.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns the names of the entries.
+    pub fn entry_names(&self) -> Vec<String> {
+        let names = self.deployment.entries.iter().map(|plan| plan.name.clone());
+        names.collect()
+    }
+
+    /// Returns the names of all hosts, entries first.
+    pub fn host_names(&self) -> Vec<String> {
+        let agents = self.deployment.backends.iter().map(|plan| plan.name.clone());
+        self.entry_names().into_iter().chain(agents).collect()
+    }
+
+    /// Returns the base URLs of all entries.
+    pub fn entry_urls(&self) -> Vec<String> {
+        let urls = self
+            .deployment
+            .entries
+            .iter()
+            .map(|plan| self.entry_url(&plan.name));
+        urls.collect()
+    }
+
+    /// Returns the base URL of an entry's callers' interface.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such host.
+    pub fn entry_url(&self, name: &str) -> String {
+        format!("http://{}:{HTTP_PORT}", self.address(name))
+    }
+
+    /// Returns the base URL of a stand-in: `object-api`, `host-list` or the name of a backend server's host.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such stand-in.
+    pub fn standin_url(&self, name: &str) -> String {
+        let process = self
+            .find_process(&backend_name(name))
+            .or_else(|| self.find_process(name));
+        let process = process.unwrap_or_else(|| panic!("no stand-in {name}"));
+        format!("http://{}:{STANDIN_PORT}", process.address)
+    }
+
+    /// Returns the loopback address of a process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such process.
+    pub fn address(&self, name: &str) -> Ipv4Addr {
+        self.find_process(name)
+            .unwrap_or_else(|| panic!("no process {name}"))
+            .address
+    }
+
+    /// Returns what a process has written so far, over all of its starts.
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.log_path(name)).unwrap_or_default()
+    }
+
+    /// Switches the faults of a stand-in, as a JSON object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not take them.
+    pub async fn set_faults(&self, standin: &str, faults: &Value) -> anyhow::Result<()> {
+        let url = format!("{}/control/faults", self.standin_url(standin));
+        let reply = send_json("POST", &url, &faults.to_string()).await?;
+        anyhow::ensure!(reply.status == 204, "faults of {standin}: {}", reply.text());
+        Ok(())
+    }
+
+    /// Publishes the host list, with the named hosts as leaving.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host list does not take it.
+    pub async fn publish_hosts(&self, leaving: &[&str]) -> anyhow::Result<()> {
+        let row = |name: &str, role: &str, failure_domain: &str| {
+            let heartbeat = SocketAddr::from((self.address(name), HEARTBEAT_PORT));
+            let state = if leaving.contains(&name) {
+                "leaving"
+            } else {
+                "live"
+            };
+            json!({"name": name, "role": role, "failure_domain": failure_domain,
+                "heartbeat": heartbeat, "state": state})
+        };
+        let entries = self.deployment.entries.iter();
+        let entries = entries.map(|plan| row(&plan.name, "entry", &plan.failure_domain));
+        let agents = self.deployment.backends.iter();
+        let agents = agents.map(|plan| row(&plan.name, "agent", &plan.failure_domain));
+        let hosts = Value::from(entries.chain(agents).collect::<Vec<_>>());
+        let url = format!("{}/control/hosts", self.standin_url("host-list"));
+        let reply = send_json("PUT", &url, &hosts.to_string()).await?;
+        anyhow::ensure!(reply.status == 204, "host list: {}", reply.text());
+        Ok(())
+    }
+
+    /// Sends an operator's request to an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry gives no answer.
+    pub async fn operate(
+        &self,
+        entry: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> anyhow::Result<HttpReply> {
+        let url = format!("{}{path}", self.entry_url(entry));
+        let bearer = format!("Bearer {OPERATOR_KEY}");
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("azuretide-operator", "harbor-ops"),
+        ];
+        send_request(method, &url, &headers, body).await
+    }
+
+    /// Applies a configuration text on top of the one applied last.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry refuses it.
+    pub async fn apply_configuration(&mut self, entry: &str, text: &str) -> anyhow::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        let path = format!("/admin/configuration?base={}", self.generation);
+        loop {
+            let reply = self.operate(entry, "PUT", &path, text).await?;
+            if reply.status == 200 {
+                let body: Value = reply.decode()?;
+                self.generation = body["generation"].as_u64().context("no generation")?;
+                return Ok(());
+            }
+            // An entry that has just started may not have joined yet.
+            if reply.status != 503 || Instant::now() > until {
+                bail!("configuration refused: status {} {}", reply.status, reply.text());
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the generation applied last.
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Waits until every running entry hears every running host with the configuration in force there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process ended or the time ran out, with the last status seen.
+    pub async fn wait_ready(&mut self) -> anyhow::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let missing = self.missing_hosts().await?;
+            if missing.is_empty() {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                bail!("not ready: {}", missing.join("; "));
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Starts a host's process with its settings file, also after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the binary is missing.
+    pub fn start_host(&mut self, name: &str) -> anyhow::Result<()> {
+        let settings = self.folder.path().join(format!("{name}.ini"));
+        let plan = ProcessPlan {
+            program: find_binary("azuretided")?,
+            arguments: vec!["--settings".to_owned(), settings.display().to_string()],
+            log: self.log_path(name),
+        };
+        self.process_mut(name)?.child = Some(ChildProcess::start(plan)?);
+        Ok(())
+    }
+
+    /// Kills a process at once and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended already.
+    pub async fn kill(&mut self, name: &str) -> anyhow::Result<()> {
+        self.signal(name, Signal::KILL)?;
+        self.wait_exit(name).await?;
+        Ok(())
+    }
+
+    /// Asks a process to stop; [`Self::wait_exit`] waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended already.
+    pub fn terminate(&mut self, name: &str) -> anyhow::Result<()> {
+        self.signal(name, Signal::TERM)
+    }
+
+    /// Freezes a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended already.
+    pub fn freeze(&mut self, name: &str) -> anyhow::Result<()> {
+        self.signal(name, Signal::STOP)
+    }
+
+    /// Wakes a frozen process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended already.
+    pub fn wake(&mut self, name: &str) -> anyhow::Result<()> {
+        self.signal(name, Signal::CONT)
+    }
+
+    /// Waits for the end of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it still runs after 45 s.
+    pub async fn wait_exit(&mut self, name: &str) -> anyhow::Result<ExitStatus> {
+        let process = self.process_mut(name)?;
+        let child = process.child.as_mut().context("the process was not started")?;
+        let status = child.wait(PATIENCE).await?;
+        process.child = None;
+        Ok(status)
+    }
+
+    /// Returns whether a process was started and has not been waited for.
+    pub fn is_running(&self, name: &str) -> bool {
+        self.find_process(name)
+            .is_some_and(|process| process.child.is_some())
+    }
+
+    fn signal(&mut self, name: &str, signal: Signal) -> anyhow::Result<()> {
+        let child = self.process_mut(name)?.child.as_ref();
+        child.context("the process does not run")?.signal(signal)
+    }
+
+    fn find_process(&self, name: &str) -> Option<&TestbedProcess> {
+        self.processes.iter().find(|process| process.name == name)
+    }
+
+    fn process_mut(&mut self, name: &str) -> anyhow::Result<&mut TestbedProcess> {
+        let found = self.processes.iter_mut().find(|process| process.name == name);
+        found.with_context(|| format!("no process {name}"))
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.log"))
+    }
+
+    async fn wait_reachable(&mut self, entry: &str) -> anyhow::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        while self.operate(entry, "GET", "/admin/status", "").await.is_err() {
+            if let Some(child) = &mut self.process_mut(entry)?.child {
+                child.check_alive()?;
+            }
+            anyhow::ensure!(
+                Instant::now() < until,
+                "{entry} does not answer:\n{}",
+                self.log(entry)
+            );
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    async fn missing_hosts(&mut self) -> anyhow::Result<Vec<String>> {
+        let mut running = Vec::new();
+        for process in &mut self.processes {
+            if let Some(child) = &mut process.child {
+                child.check_alive()?;
+                running.push(process.name.clone());
+            }
+        }
+        let mut missing = Vec::new();
+        for entry in self.entry_names().iter().filter(|name| running.contains(name)) {
+            let status = match self.operate(entry, "GET", "/admin/status", "").await {
+                Ok(reply) => reply.decode().unwrap_or(Value::Null),
+                Err(error) => json!(error.to_string()),
+            };
+            for host in self.host_names().iter().filter(|name| running.contains(name)) {
+                if !shows_host(&status, host, self.generation) {
+                    missing.push(format!("{entry} lacks {host} in {status}"));
+                }
+            }
+        }
+        Ok(missing)
+    }
+}
+
+fn shows_host(status: &Value, host: &str, generation: u64) -> bool {
+    let hosts = status["hosts"].as_array();
+    let row = hosts.and_then(|hosts| hosts.iter().find(|row| row["name"] == host));
+    row.is_some_and(|row| row["generation"].as_u64() >= Some(generation) && row["leaving"] != true)
+}
+
+fn backend_name(host: &str) -> String {
+    format!("{host}.backend")
+}
--- /dev/null
+++ b/components/standins/src/testbed/deployment.rs
@@ -0,0 +1,169 @@
+//! What stands where in a testbed.
+
+use bon::Builder;
+
+use crate::engine::EngineSettings;
+
+const KELANIMATCH_TEXT: &str = include_str!("../../deployments/kelanimatch.ini");
+const SALISH_TEXT: &str = include_str!("../../deployments/salish.ini");
+const DEMO_TEXT: &str = include_str!("../../deployments/demo.ini");
+
+/// API key of the team `kelanimatch` in every deployment.
+pub const KELANIMATCH_KEY: &str = "kelanimatch-key";
+/// API key of the team `salish` in every deployment.
+pub const SALISH_KEY: &str = "salish-key";
+
+/// Host of an entry.
+#[derive(Debug, Clone)]
+pub struct EntryPlan {
+    /// Name.
+    pub name: String,
+    /// Failure domain.
+    pub failure_domain: String,
+}
+
+impl EntryPlan {
+    /// Creates the plan of a host.
+    pub fn new(name: &str, failure_domain: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            failure_domain: failure_domain.to_owned(),
+        }
+    }
+}
+
+/// What runs as a backend server.
+#[derive(Debug, Clone)]
+pub enum BackendKind {
+    /// A model engine.
+    Engine(EngineSettings),
+    /// A tool or plain service whose calls take so many milliseconds.
+    Service(u64),
+}
+
+/// Host of a backend server and its agent.
+#[derive(Debug, Clone)]
+pub struct BackendPlan {
+    /// Name of the host.
+    pub name: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Service.
+    pub service: String,
+    /// Stand-in.
+    pub kind: BackendKind,
+}
+
+impl BackendPlan {
+    /// Creates the plan of a host.
+    pub fn new(name: &str, failure_domain: &str, service: &str, kind: BackendKind) -> Self {
+        Self {
+            name: name.to_owned(),
+            failure_domain: failure_domain.to_owned(),
+            service: service.to_owned(),
+            kind,
+        }
+    }
+}
+
+/// What a testbed starts.
+#[derive(Debug, Clone, Builder)]
+pub struct Deployment {
+    /// Entries.
+    pub entries: Vec<EntryPlan>,
+    /// Backend servers.
+    pub backends: Vec<BackendPlan>,
+    /// Configuration text.
+    #[builder(into)]
+    pub configuration: String,
+    /// Rows of the section `[timing]` of every settings file.
+    #[builder(default = default_timing())]
+    pub timing: Vec<(String, String)>,
+    /// Lag of the host list in milliseconds.
+    #[builder(default)]
+    pub host_lag_ms: u64,
+    /// Time of the object API's answers in milliseconds.
+    #[builder(default)]
+    pub object_slow_ms: u64,
+}
+
+fn default_timing() -> Vec<(String, String)> {
+    let rows = [("heartbeat-ms", "100"), ("suspect-ms", "1000")];
+    rows.map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .to_vec()
+}
+
+impl Deployment {
+    /// Returns Kelanimatch's deployment in small: two entries, two engines, a tool and a plain service.
+    pub fn kelanimatch() -> Self {
+        let engine = || BackendKind::Engine(EngineSettings::default());
+        Self::builder()
+            .entries(vec![
+                EntryPlan::new("entry-1", "colombo-1"),
+                EntryPlan::new("entry-2", "colombo-2"),
+            ])
+            .backends(vec![
+                BackendPlan::new("matcher-1", "colombo-1", "matcher", engine()),
+                BackendPlan::new("matcher-2", "colombo-2", "matcher", engine()),
+                BackendPlan::new("ledger-1", "colombo-1", "ledger", BackendKind::Service(5)),
+                BackendPlan::new("notices-1", "colombo-2", "notices", BackendKind::Service(5)),
+            ])
+            .configuration(KELANIMATCH_TEXT)
+            .build()
+    }
+
+    /// Returns Salish Hullworks's deployment in small; its engines check fencing numbers.
+    pub fn salish() -> Self {
+        let engine = || {
+            BackendKind::Engine(EngineSettings {
+                check_fencing: true,
+                ..EngineSettings::default()
+            })
+        };
+        Self::builder()
+            .entries(vec![
+                EntryPlan::new("entry-1", "seattle-1"),
+                EntryPlan::new("entry-2", "tacoma-1"),
+            ])
+            .backends(vec![
+                BackendPlan::new("surveyor-1", "seattle-1", "surveyor", engine()),
+                BackendPlan::new("surveyor-2", "tacoma-1", "surveyor", engine()),
+                BackendPlan::new("tides-1", "seattle-2", "tides", BackendKind::Service(5)),
+                BackendPlan::new("invoices-1", "everett-1", "invoices", BackendKind::Service(5)),
+            ])
+            .configuration(SALISH_TEXT)
+            .build()
+    }
+
+    /// Returns the demo's deployment: both teams, two entries, four engines, a tool and a plain service.
+    pub fn demo() -> Self {
+        let engine = |check_fencing| {
+            BackendKind::Engine(EngineSettings {
+                check_fencing,
+                step_us: 10_000,
+                decode_us: 500,
+                prefill_us: 50,
+                load_lag_ms: 200,
+                event_lag_ms: 200,
+                event_gap: 5,
+                ..EngineSettings::default()
+            })
+        };
+        Self::builder()
+            .entries(vec![
+                EntryPlan::new("entry-1", "colombo-1"),
+                EntryPlan::new("entry-2", "seattle-1"),
+            ])
+            .backends(vec![
+                BackendPlan::new("matcher-1", "colombo-1", "matcher", engine(false)),
+                BackendPlan::new("matcher-2", "colombo-2", "matcher", engine(false)),
+                BackendPlan::new("surveyor-1", "seattle-1", "surveyor", engine(true)),
+                BackendPlan::new("surveyor-2", "tacoma-1", "surveyor", engine(true)),
+                BackendPlan::new("ledger-1", "colombo-1", "ledger", BackendKind::Service(300)),
+                BackendPlan::new("notices-1", "seattle-1", "notices", BackendKind::Service(50)),
+            ])
+            .configuration(DEMO_TEXT)
+            .host_lag_ms(1_000)
+            .build()
+    }
+}
--- /dev/null
+++ b/components/standins/src/testbed/settings.rs
@@ -0,0 +1,106 @@
+//! Settings files and command lines of a testbed's processes.
+
+use std::net::Ipv4Addr;
+
+use super::deployment::{BackendKind, BackendPlan, EntryPlan};
+use crate::engine::EngineSettings;
+
+/// Port of the callers' interface.
+pub(super) const HTTP_PORT: u16 = 7100;
+/// Port of the heartbeats.
+pub(super) const HEARTBEAT_PORT: u16 = 7102;
+/// Port of every stand-in.
+pub(super) const STANDIN_PORT: u16 = 8001;
+
+const PROCESS_PORT: u16 = 7101;
+
+/// Addresses and timing that every settings file shares.
+#[derive(Debug)]
+pub(super) struct SharedSettings {
+    pub(super) object_api: String,
+    pub(super) host_list: String,
+    pub(super) timing: Vec<(String, String)>,
+}
+
+impl SharedSettings {
+    /// Returns the settings text of an entry.
+    pub(super) fn entry(&self, plan: &EntryPlan, address: Ipv4Addr) -> String {
+        let host = host_sections(&plan.name, "entry", &plan.failure_domain, address);
+        let shared = self.shared_sections();
+        format!(
+            "{host}http = {HTTP_PORT}\n{shared}[cluster]\nkey-file = cluster.key\noperator-key-file = operator.key\n"
+        )
+    }
+
+    /// Returns the settings text of an agent.
+    pub(super) fn agent(&self, plan: &BackendPlan, address: Ipv4Addr, backend: &str) -> String {
+        let host = host_sections(&plan.name, "agent", &plan.failure_domain, address);
+        let shared = self.shared_sections();
+        let service = &plan.service;
+        format!(
+            "{host}{shared}[cluster]\nkey-file = cluster.key\n\
+             [backend]\nservice = {service}\naddress = {backend}\n"
+        )
+    }
+
+    fn shared_sections(&self) -> String {
+        let rows = self
+            .timing
+            .iter()
+            .map(|(key, value)| [key, " = ", value, "\n"].concat());
+        format!(
+            "[platform]\nobject-api = {}\nhost-list = {}\nkey-file = platform.key\n\
+             [log]\nlevel = debug\n[timing]\n{}",
+            self.object_api,
+            self.host_list,
+            rows.collect::<String>()
+        )
+    }
+}
+
+fn host_sections(name: &str, role: &str, failure_domain: &str, address: Ipv4Addr) -> String {
+    format!(
+        "[host]\nname = {name}\nrole = {role}\nfailure-domain = {failure_domain}\nip = {address}\n\
+         [ports]\nprocess = {PROCESS_PORT}\nheartbeat = {HEARTBEAT_PORT}\n"
+    )
+}
+
+/// Returns the command line of a backend server's stand-in.
+pub(super) fn backend_arguments(kind: &BackendKind) -> Vec<String> {
+    match kind {
+        BackendKind::Engine(settings) => engine_arguments(settings),
+        BackendKind::Service(delay_ms) => {
+            vec![
+                "service".to_owned(),
+                "--delay-ms".to_owned(),
+                delay_ms.to_string(),
+            ]
+        }
+    }
+}
+
+fn engine_arguments(settings: &EngineSettings) -> Vec<String> {
+    let mut arguments = vec!["engine".to_owned()];
+    let numbers = [
+        ("--capacity", settings.capacity),
+        ("--step-us", settings.step_us),
+        ("--decode-us", settings.decode_us),
+        ("--prefill-us", settings.prefill_us),
+        ("--cache-tokens", settings.cache_tokens),
+        ("--answer-tokens", settings.answer_tokens),
+        ("--load-lag-ms", settings.load_lag_ms),
+        ("--event-lag-ms", settings.event_lag_ms),
+        ("--event-gap", settings.event_gap),
+        ("--load-ms", settings.load_ms),
+    ];
+    for (name, number) in numbers {
+        arguments.extend([name.to_owned(), number.to_string()]);
+    }
+    if settings.check_fencing {
+        arguments.push("--check-fencing".to_owned());
+    }
+    for model in &settings.models {
+        arguments.extend(["--model".to_owned(), model.clone()]);
+    }
+    arguments
+}
