--- a/components/daemon/src/log.rs
+++ b/components/daemon/src/log.rs
@@ -23,5 +23,6 @@
         LogLevel::Warning => Level::Warning,
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
+        LogLevel::Trace => Level::Trace,
     }
 }
--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -7,7 +7,7 @@
 use config::parse_configuration;
 use domain::{AppliedConfiguration, Generation};
 use errors::{CallError, ResultCode};
-use platform::{ObjectStore, ObjectVersion, PlatformError, VersionedObject, WriteCondition};
+use platform::{ObjectVersion, PlatformError, VersionedObject, WriteCondition};
 use slog::{error, info, warn};
 use tokio::time::{sleep, timeout};
 
--- a/components/entry/src/http/chat.rs
+++ b/components/entry/src/http/chat.rs
@@ -10,7 +10,7 @@
 };
 use errors::{CallError, ResultCode};
 use futures::StreamExt as _;
-use http_body_util::{BodyExt as _, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -148,7 +148,7 @@
         let text = event_text(&model, event);
         Ok::<_, Infallible>(Frame::data(Bytes::from(text)))
     });
-    let mut reply = Response::new(StreamBody::new(frames).boxed());
+    let mut reply = Response::new(BodyExt::boxed(StreamBody::new(frames)));
     reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     reply.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
     reply
--- a/components/entry/src/owner/cell.rs
+++ b/components/entry/src/owner/cell.rs
@@ -173,13 +173,6 @@
         calls.find(|call| call.key == key).cloned()
     }
 
-    /// Returns a call that runs or waits under the idempotency key.
-    pub(crate) fn open_call_by_key(&self, idempotency_key: &str) -> Option<Arc<OpenCall>> {
-        let state = self.lock();
-        let mut calls = state.waiting.iter().chain(&state.running);
-        calls.find(|call| call.request.idempotency_key == idempotency_key).cloned()
-    }
-
     /// Returns the calls that run or wait.
     pub(crate) fn open_calls(&self) -> Vec<Arc<OpenCall>> {
         let state = self.lock();
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -12,9 +12,7 @@
 mod run;
 mod table;
 
-pub(crate) use call::OpenCall;
 pub(crate) use core::{OwnerCore, unknown_program};
-pub(crate) use flight::FlightTable;
 pub(crate) use port::OwnerServer;
 pub(crate) use release::release_cache;
 pub(crate) use resume::resume_intents;
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -104,7 +104,8 @@
                 events.send(RelayEvent::End(call, CallOutcome::Failed(last_word))).await.ok();
                 return;
             }
-            sleep(Duration::from_millis(rand::rng().random_range(SHORTEST_PAUSE_MS..=pause_ms))).await;
+            let jittered_ms = rand::rng().random_range(SHORTEST_PAUSE_MS..=pause_ms);
+            sleep(Duration::from_millis(jittered_ms)).await;
             pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
         }
     }
