--- /dev/null
+++ b/components/agent/src/configuration.rs
@@ -0,0 +1,99 @@
+//! Configuration from the entries: the highest generation heard, never a lower one than that in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{AppliedConfiguration, Generation};
+use errors::{CallError, ResultCode};
+use slog::{info, warn};
+use tarpc::client::Config;
+use tokio::time::Instant;
+use wire::{OwnerPortClient, PortResult};
+
+use crate::ledger::LedgerLimits;
+use crate::shared::AgentShared;
+
+/// Heartbeat intervals for which a fresh agent listens before it takes the highest generation heard.
+const FIRST_INTERVALS: u32 = 3;
+
+/// Follows the generations in the entries' heartbeats.
+pub(crate) async fn follow_configuration(shared: Arc<AgentShared>) {
+    let mut first_heard = None;
+    loop {
+        tokio::time::sleep(shared.options.heartbeat_interval / 2).await;
+        let entries = shared.live_entries();
+        let Some(entry) = entries.iter().max_by_key(|entry| entry.generation) else {
+            continue;
+        };
+        let heard: Instant = *first_heard.get_or_insert_with(Instant::now);
+        let fresh = heard.elapsed() < shared.options.heartbeat_interval * FIRST_INTERVALS;
+        if entry.generation <= shared.generation() || fresh {
+            continue;
+        }
+        match fetch_configuration(&shared, entry.address).await {
+            Ok(applied) => shared.apply_configuration(applied),
+            Err(error) => {
+                warn!(shared.options.log, "configuration not fetched"; "host" => %entry.host, "cause" => %error);
+            }
+        }
+    }
+}
+
+async fn fetch_configuration(
+    shared: &AgentShared,
+    address: std::net::SocketAddr,
+) -> PortResult<AppliedConfiguration> {
+    let client = connect_entry(shared, address).await?;
+    let answer = client.fetch_configuration(call_context(shared)).await;
+    let fetched = answer.map_err(|error| unreachable(&error.to_string()))??;
+    fetched.ok_or_else(|| CallError::not_run(ResultCode::NoConfiguration, "the entry has no configuration"))
+}
+
+/// Opens a connection to an entry.
+pub(crate) async fn connect_entry(
+    shared: &AgentShared,
+    address: std::net::SocketAddr,
+) -> PortResult<OwnerPortClient> {
+    let transport = wire::connect_peer(address, &shared.options.secret).await;
+    let transport = transport.map_err(|error| unreachable(&format!("{error:#}")))?;
+    Ok(OwnerPortClient::new(Config::default(), transport).spawn())
+}
+
+/// Returns a context whose deadline is the suspicion time.
+pub(crate) fn call_context(shared: &AgentShared) -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline =
+        std::time::Instant::now() + shared.options.suspect_after.max(Duration::from_millis(100));
+    context
+}
+
+/// Creates the error for an entry that does not answer.
+pub(crate) fn unreachable(cause: &str) -> CallError {
+    CallError::not_run(ResultCode::PeerUnreachable, cause)
+}
+
+impl AgentShared {
+    /// Returns the generation in force.
+    pub(crate) fn generation(&self) -> Generation {
+        let applied = self.configuration.load();
+        applied
+            .as_ref()
+            .map(|applied| applied.generation)
+            .unwrap_or_default()
+    }
+
+    fn apply_configuration(&self, applied: AppliedConfiguration) {
+        if applied.generation <= self.generation() {
+            return;
+        }
+        info!(self.options.log, "configuration applied"; "generation" => %applied.generation);
+        if let Some(service) = applied.content.service(&self.options.service) {
+            self.ledger().set_limits(LedgerLimits {
+                concurrency: service.limits.concurrency,
+                queue_length: service.limits.queue_length,
+            });
+        }
+        self.configuration.store(Some(Arc::new(applied)));
+        self.work.notify_waiters();
+    }
+}
--- /dev/null
+++ b/components/agent/src/heartbeat.rs
@@ -0,0 +1,155 @@
+//! Heartbeats: the agent's own and those of the entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{Heartbeat, HostName, HostRole, HostState, ListedHost, LoadDigest};
+use slog::{info, warn};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use wire::{HeartbeatPublisher, HeartbeatSubscriber};
+
+use crate::process::follow_host_list;
+use crate::shared::{AgentShared, BackendReport};
+
+const HOST_LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// An entry whose heartbeat was heard.
+#[derive(Debug, Clone)]
+pub(crate) struct KnownEntry {
+    pub(crate) heartbeat: Heartbeat,
+    pub(crate) heard: Instant,
+}
+
+/// Publishes the agent's heartbeat at its interval, and at once when the agent starts to leave.
+pub(crate) async fn publish_heartbeats(
+    shared: Arc<AgentShared>,
+    publisher: HeartbeatPublisher,
+    address: SocketAddr,
+) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        if let Err(error) = publisher.publish(&own_heartbeat(&shared, address, sequence)) {
+            warn!(shared.options.log, "heartbeat not published"; "cause" => %error);
+        }
+        let announced = shared.announced.notified();
+        // A timeout is the ordinary case.
+        let _ = tokio::time::timeout(shared.options.heartbeat_interval, announced).await;
+    }
+}
+
+fn own_heartbeat(shared: &AgentShared, address: SocketAddr, sequence: u64) -> Heartbeat {
+    let options = &shared.options;
+    let applied = shared.configuration.load();
+    let BackendReport { load, healthy } = **shared.backend.load();
+    let ledger = shared.ledger();
+    Heartbeat {
+        host: options.host.clone(),
+        role: HostRole::Agent,
+        failure_domain: options.failure_domain.clone(),
+        start: shared.start,
+        sequence,
+        address,
+        generation: applied
+            .as_ref()
+            .map(|applied| applied.generation)
+            .unwrap_or_default(),
+        members: domain::Generation::default(),
+        leaving: ledger.is_leaving(),
+        load: Some(LoadDigest {
+            service: options.service.clone(),
+            queued: u32::try_from(ledger.queue().len()).unwrap_or(u32::MAX),
+            running: ledger.running(),
+            capacity: ledger.limits().concurrency,
+            pending_tokens: load.pending_tokens + ledger.waiting_tokens(),
+            cache_used: load.cache_used,
+            cache_size: load.cache_size,
+            healthy,
+        }),
+    }
+}
+
+/// Asks the backend server for its load at the heartbeat's interval.
+pub(crate) async fn probe_backend(shared: Arc<AgentShared>) {
+    loop {
+        let report = probe_once(&shared).await;
+        let before = shared.backend.swap(Arc::new(report));
+        if before.healthy != report.healthy {
+            info!(shared.options.log, "backend server"; "healthy" => report.healthy);
+        }
+        tokio::time::sleep(shared.options.heartbeat_interval).await;
+    }
+}
+
+async fn probe_once(shared: &AgentShared) -> BackendReport {
+    if !shared.serves_model() {
+        return BackendReport {
+            healthy: shared.engine.accepts_connections().await,
+            ..BackendReport::default()
+        };
+    }
+    let known = shared.backend.load().load;
+    let load = shared.engine.read_load().await;
+    BackendReport {
+        healthy: load.is_ok(),
+        load: load.unwrap_or(known),
+    }
+}
+
+/// Follows the host list and dials the entries in it.
+pub(crate) async fn follow_hosts(shared: Arc<AgentShared>, subscriber: Arc<HeartbeatSubscriber>) {
+    loop {
+        match shared.options.hosts.read_hosts().await {
+            Ok(hosts) => {
+                dial_entries(&shared, &subscriber, &hosts);
+                follow_host_list(&shared, is_leaving(&hosts, &shared.options.host));
+            }
+            Err(error) => warn!(shared.options.log, "host list"; "cause" => %error),
+        }
+        tokio::time::sleep(HOST_LIST_INTERVAL.min(shared.options.heartbeat_interval * 4)).await;
+    }
+}
+
+fn is_leaving(hosts: &[ListedHost], name: &HostName) -> bool {
+    hosts
+        .iter()
+        .any(|host| host.name == *name && host.role == HostRole::Agent && host.state == HostState::Leaving)
+}
+
+fn dial_entries(shared: &AgentShared, subscriber: &HeartbeatSubscriber, hosts: &[ListedHost]) {
+    for host in hosts.iter().filter(|host| host.role == HostRole::Entry) {
+        if let Err(error) = subscriber.dial(host.heartbeat) {
+            warn!(shared.options.log, "entry not dialled"; "host" => %host.name, "cause" => %error);
+        }
+    }
+}
+
+/// Keeps the table of entries from their heartbeats.
+pub(crate) async fn hear_entries(shared: Arc<AgentShared>, mut heartbeats: mpsc::Receiver<Heartbeat>) {
+    while let Some(heartbeat) = heartbeats.recv().await {
+        if heartbeat.role != HostRole::Entry {
+            continue;
+        }
+        let heard = Instant::now();
+        let mut entries: Vec<_> = shared.entries.load().iter().cloned().collect();
+        entries.retain(|entry| heard.duration_since(entry.heard) < shared.options.suspect_after);
+        match entries.binary_search_by(|entry| entry.heartbeat.host.cmp(&heartbeat.host)) {
+            Ok(index) => entries[index] = KnownEntry { heartbeat, heard },
+            Err(index) => entries.insert(index, KnownEntry { heartbeat, heard }),
+        }
+        shared.entries.store(Arc::new(entries));
+    }
+}
+
+impl AgentShared {
+    /// Returns the entries heard within the suspicion time.
+    pub(crate) fn live_entries(&self) -> Vec<Heartbeat> {
+        let entries = self.entries.load();
+        let live = entries
+            .iter()
+            .filter(|entry| entry.heard.elapsed() < self.options.suspect_after);
+        live.map(|entry| entry.heartbeat.clone()).collect()
+    }
+}
--- /dev/null
+++ b/components/agent/src/ledger.rs
@@ -0,0 +1,227 @@
+//! The calls of an agent: queue, fences and the at-most-once table, without I/O and without a clock.
+
+mod dispatch;
+mod ending;
+mod settle;
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
+use domain::{AttemptKey, CallKey, CallOutcome, ProgramKey, TenureNumber, TimeMillis, TokenCount};
+use errors::{CallError, ResultCode, RunState};
+use tokio_util::sync::CancellationToken;
+use wire::{DispatchOrder, PortResult};
+
+use crate::output::CallOutput;
+use crate::programs::ProgramTable;
+use crate::queue::CallQueue;
+use crate::row::{CallPhase, CallRow, CallTombstone, error_with};
+
+/// Limits of an agent's calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerLimits {
+    /// Calls running at a time.
+    pub concurrency: u32,
+    /// Calls waiting.
+    pub queue_length: u32,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> Self {
+        Self {
+            concurrency: 8,
+            queue_length: 64,
+        }
+    }
+}
+
+/// A call that the ledger hands out to be run.
+#[derive(Debug)]
+pub struct StartedCall {
+    /// Order.
+    pub order: DispatchOrder,
+    /// Output buffer.
+    pub output: Arc<CallOutput>,
+    /// Cancelled when nobody wants the answer any more.
+    pub cancel: CancellationToken,
+}
+
+/// The calls of an agent.
+#[derive(Debug)]
+pub struct CallLedger {
+    start: u64,
+    limits: LedgerLimits,
+    leaving: bool,
+    queue: CallQueue,
+    programs: ProgramTable,
+    rows: BTreeMap<CallKey, CallRow>,
+    tombstones: BTreeMap<CallKey, CallTombstone>,
+    running: u32,
+    mean_run_ms: u64,
+}
+
+impl CallLedger {
+    /// Creates an empty ledger; `start` identifies the start of the agent.
+    pub fn new(start: u64, limits: LedgerLimits) -> Self {
+        Self {
+            start,
+            limits,
+            leaving: false,
+            queue: CallQueue::default(),
+            programs: ProgramTable::new(),
+            rows: BTreeMap::new(),
+            tombstones: BTreeMap::new(),
+            running: 0,
+            mean_run_ms: 0,
+        }
+    }
+
+    /// Sets the limits; calls that wait or run already are not touched.
+    pub const fn set_limits(&mut self, limits: LedgerLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns the limits.
+    pub const fn limits(&self) -> LedgerLimits {
+        self.limits
+    }
+
+    /// Returns the number of running calls.
+    pub const fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the waiting calls.
+    pub const fn queue(&self) -> &CallQueue {
+        &self.queue
+    }
+
+    /// Returns the table of programs.
+    pub const fn programs(&mut self) -> &mut ProgramTable {
+        &mut self.programs
+    }
+
+    /// Tells whether the ledger refuses new calls.
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns an estimate of the tokens that the waiting calls will cost.
+    pub fn waiting_tokens(&self) -> TokenCount {
+        self.queue
+            .calls()
+            .iter()
+            .map(|call| estimated_tokens(&call.order))
+            .sum()
+    }
+
+    /// Takes the next call out of the queue, if there is one and a place for it.
+    pub fn start_next(&mut self, now: TimeMillis) -> Option<StartedCall> {
+        self.expire_waiting(now);
+        if self.running >= self.limits.concurrency {
+            return None;
+        }
+        let order = self.queue.pop()?.order;
+        let row = self.rows.get_mut(&order.attempt().call)?;
+        row.phase = CallPhase::Running;
+        row.changed = now;
+        self.running += 1;
+        let started = StartedCall {
+            output: Arc::clone(&row.output),
+            cancel: row.cancel.clone(),
+            order,
+        };
+        let program = started.order.attempt().call.program;
+        match started.order {
+            DispatchOrder::Chat { .. } => self.programs.hold(program, now),
+            DispatchOrder::Plain { .. } => self.programs.touch(program, now),
+        }
+        Some(started)
+    }
+
+    /// Returns the output buffer of an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the agent does not know the attempt or a later one has taken its place.
+    pub fn output(&self, attempt: AttemptKey) -> PortResult<Arc<CallOutput>> {
+        let Some(row) = self.rows.get(&attempt.call) else {
+            let message = format!("the agent does not know the attempt {attempt}");
+            return Err(error_with(
+                ResultCode::UnknownCall,
+                RunState::OutcomeUnknown,
+                message,
+            ));
+        };
+        // A call that may not be repeated has one run, which answers every attempt.
+        if row.attempt == attempt || (!row.repeatable && order_of(attempt) <= order_of(row.attempt)) {
+            return Ok(Arc::clone(&row.output));
+        }
+        if let Some(next) = &row.next
+            && next.order.attempt() == attempt
+        {
+            return Ok(Arc::clone(&next.output));
+        }
+        let message = format!("the attempt {attempt} is not the present one, {}", row.attempt);
+        Err(error_with(ResultCode::UnknownCall, row.run_state(), message))
+    }
+
+    /// Tells whether a call of the program is waiting or running.
+    pub fn is_busy(&self, program: ProgramKey) -> bool {
+        self.rows.range(calls_of(program)).any(|(_, row)| row.is_open())
+    }
+
+    /// Checks the tenure of a peer and raises the fence.
+    fn check_fence(&mut self, call: CallKey, tenure: TenureNumber, now: TimeMillis) -> PortResult<()> {
+        self.programs.fence(call.program, tenure, now).map_err(|largest| {
+            let message = format!("tenure {tenure} is older than {largest}");
+            error_with(ResultCode::StaleTenure, self.run_state(call), message)
+        })
+    }
+
+    fn run_state(&self, call: CallKey) -> RunState {
+        match (self.rows.get(&call), self.tombstones.get(&call)) {
+            (Some(row), _) => row.run_state(),
+            (None, Some(CallTombstone::Ran)) => RunState::OutcomeUnknown,
+            (None, _) => RunState::NotRun,
+        }
+    }
+
+    fn finish_row(&mut self, call: CallKey, outcome: CallOutcome, now: TimeMillis) {
+        if let Some(row) = self.rows.get_mut(&call) {
+            row.finish(outcome, now);
+        }
+    }
+
+    fn fail_row(&mut self, call: CallKey, error: CallError, now: TimeMillis) {
+        self.finish_row(call, CallOutcome::Failed(error), now);
+    }
+}
+
+/// Order of the attempts at one call.
+const fn order_of(attempt: AttemptKey) -> (u64, u64) {
+    (attempt.tenure.0, attempt.attempt.0)
+}
+
+const fn calls_of(program: ProgramKey) -> RangeInclusive<CallKey> {
+    let first = CallKey { program, sequence: 0 };
+    let last = CallKey {
+        program,
+        sequence: u64::MAX,
+    };
+    first..=last
+}
+
+fn estimated_tokens(order: &DispatchOrder) -> TokenCount {
+    const BYTES_PER_TOKEN: usize = 4;
+    match order {
+        DispatchOrder::Chat {
+            messages, max_tokens, ..
+        } => {
+            let bytes: usize = messages.iter().map(|message| message.content.len()).sum();
+            max_tokens + (bytes / BYTES_PER_TOKEN) as u64
+        }
+        DispatchOrder::Plain { .. } => 0,
+    }
+}
--- /dev/null
+++ b/components/agent/src/ledger/dispatch.rs
@@ -0,0 +1,175 @@
+//! Admission of dispatched orders.
+
+use std::sync::Arc;
+
+use domain::TimeMillis;
+use errors::{CallError, ResultCode, RunState};
+use wire::{DispatchOrder, DispatchReceipt, PortResult};
+
+use super::{CallLedger, order_of};
+use crate::output::CallOutput;
+use crate::row::{CallPhase, CallRow, CallTombstone, NextAttempt, error_with, prefix_of};
+
+const SHORTEST_RETRY_MS: u64 = 50;
+const LONGEST_RETRY_MS: u64 = 60_000;
+/// Time after which a leaving host's calls find another one.
+const LEAVING_RETRY_MS: u64 = 100;
+
+/// What a dispatched order leads to.
+enum Admission {
+    /// The order is known; nothing changes.
+    Known,
+    /// The present run or its answer serves the order as well.
+    Attach,
+    /// The order goes into the queue.
+    Enqueue,
+    /// The order takes the place of an earlier attempt in the queue.
+    Replace,
+    /// The order waits until the running attempt has been cancelled.
+    Supersede,
+    /// The order never starts.
+    Refuse(CallError),
+}
+
+impl CallLedger {
+    /// Takes an order in; repeating it with the same attempt changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an order that may not start here; a refusal that says "not run" holds for ever.
+    pub fn dispatch(&mut self, order: DispatchOrder, now: TimeMillis) -> PortResult<DispatchReceipt> {
+        let attempt = order.attempt();
+        self.check_fence(attempt.call, attempt.tenure, now)?;
+        if self.programs.is_released(attempt.call.program) {
+            let run = self.run_state(attempt.call);
+            return Err(error_with(ResultCode::ProgramEnded, run, "the program has ended"));
+        }
+        match self.admit(&order) {
+            Admission::Known => {}
+            Admission::Attach => {
+                if let Some(row) = self.rows.get_mut(&attempt.call) {
+                    row.attempt = attempt;
+                }
+            }
+            Admission::Enqueue => self.enqueue(order, now)?,
+            Admission::Replace => {
+                self.queue.remove(attempt.call);
+                self.insert_waiting(order, now);
+            }
+            Admission::Supersede => self.supersede(order),
+            Admission::Refuse(error) => return Err(error),
+        }
+        Ok(DispatchReceipt {
+            agent_start: self.start,
+        })
+    }
+
+    fn admit(&self, order: &DispatchOrder) -> Admission {
+        let attempt = order.attempt();
+        let Some(row) = self.rows.get(&attempt.call) else {
+            return match self.tombstones.get(&attempt.call) {
+                None => Admission::Enqueue,
+                Some(CallTombstone::Promised) => Admission::Refuse(promised()),
+                Some(CallTombstone::Ran) => Admission::Refuse(forgotten()),
+            };
+        };
+        match row.phase {
+            CallPhase::Promised => return Admission::Refuse(promised()),
+            CallPhase::Refused if order_of(attempt) <= order_of(row.attempt) => {
+                return Admission::Refuse(row.failure().unwrap_or_else(promised));
+            }
+            CallPhase::Refused => return Admission::Enqueue,
+            _ => {}
+        }
+        if attempt == row.attempt
+            || row
+                .next
+                .as_ref()
+                .is_some_and(|next| next.order.attempt() == attempt)
+        {
+            return Admission::Known;
+        }
+        let latest = row.next.as_ref().map_or(row.attempt, |next| next.order.attempt());
+        if order_of(attempt) < order_of(latest) {
+            let message = format!("a later attempt than {attempt} was dispatched");
+            return Admission::Refuse(error_with(ResultCode::CallRefused, row.run_state(), message));
+        }
+        match row.phase {
+            CallPhase::Waiting if row.repeatable => Admission::Replace,
+            CallPhase::Running if row.repeatable => Admission::Supersede,
+            CallPhase::Finished if row.run_state() == RunState::NotRun => Admission::Enqueue,
+            CallPhase::Finished if row.repeatable && !row.answers(prefix_of(order)) => Admission::Enqueue,
+            _ => Admission::Attach,
+        }
+    }
+
+    fn enqueue(&mut self, order: DispatchOrder, now: TimeMillis) -> PortResult<()> {
+        if let Some(error) = self.refusal(&order, now) {
+            let attempt = order.attempt();
+            let row = CallRow::refused(attempt, CallPhase::Refused, error.clone(), now);
+            self.rows.insert(attempt.call, row);
+            return Err(error);
+        }
+        self.insert_waiting(order, now);
+        Ok(())
+    }
+
+    fn refusal(&self, order: &DispatchOrder, now: TimeMillis) -> Option<CallError> {
+        if self.leaving {
+            return Some(leaving());
+        }
+        let (DispatchOrder::Chat { start_before, .. } | DispatchOrder::Plain { start_before, .. }) = order;
+        if start_before.is_some_and(|limit| limit < now) {
+            return Some(expired());
+        }
+        let places = self.limits.concurrency.saturating_sub(self.running) + self.limits.queue_length;
+        (self.queue.len() >= places as usize).then(|| {
+            let error = CallError::not_run(ResultCode::QueueFull, "the queue of the agent is full");
+            error.with_retry_after_ms(self.retry_after_ms())
+        })
+    }
+
+    /// Estimates the time until the queue has a free place.
+    fn retry_after_ms(&self) -> u64 {
+        let concurrency = u64::from(self.limits.concurrency.max(1));
+        (self.mean_run_ms / concurrency).clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
+    }
+
+    pub(super) fn insert_waiting(&mut self, order: DispatchOrder, now: TimeMillis) {
+        self.rows
+            .insert(order.attempt().call, CallRow::waiting(&order, now));
+        self.queue.push(order);
+    }
+
+    fn supersede(&mut self, order: DispatchOrder) {
+        let Some(row) = self.rows.get_mut(&order.attempt().call) else {
+            return;
+        };
+        row.cancel.cancel();
+        let output = Arc::new(CallOutput::with_prefix(prefix_of(&order)));
+        row.next = Some(NextAttempt { order, output });
+    }
+}
+
+pub(super) fn expired() -> CallError {
+    CallError::not_run(
+        ResultCode::DeadlinePassed,
+        "the time to start the call has passed",
+    )
+}
+
+pub(super) fn leaving() -> CallError {
+    let error = CallError::not_run(ResultCode::Leaving, "the agent is leaving");
+    error.with_retry_after_ms(LEAVING_RETRY_MS)
+}
+
+pub(super) fn promised() -> CallError {
+    CallError::not_run(
+        ResultCode::CallRefused,
+        "the agent has promised never to run the call",
+    )
+}
+
+pub(super) fn forgotten() -> CallError {
+    CallError::unknown("the call ran and its outcome is no longer kept")
+}
--- /dev/null
+++ b/components/agent/src/ledger/settle.rs
@@ -0,0 +1,133 @@
+//! Settlement, cancellation and release.
+
+use domain::{AttemptKey, AttemptNumber, CallKey, CallOutcome, ProgramKey, TenureNumber, TimeMillis};
+use errors::{CallError, ResultCode, RunState};
+use wire::{PortResult, SettledCall};
+
+use super::dispatch::{forgotten, promised};
+use super::{CallLedger, calls_of};
+use crate::row::{CallPhase, CallRow, CallTombstone, error_with};
+
+impl CallLedger {
+    /// Proves what became of a call, or promises never to start it.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a tenure older than the largest seen.
+    pub fn settle(
+        &mut self,
+        call: CallKey,
+        tenure: TenureNumber,
+        agent_start: u64,
+        now: TimeMillis,
+    ) -> PortResult<SettledCall> {
+        self.check_fence(call, tenure, now)?;
+        if agent_start != self.start {
+            return Ok(SettledCall::Unknown);
+        }
+        if let Some(row) = self.rows.get_mut(&call) {
+            return Ok(settle_row(row));
+        }
+        match self.tombstones.get(&call) {
+            Some(CallTombstone::Promised) => Ok(SettledCall::Refused),
+            Some(CallTombstone::Ran) => Ok(SettledCall::Finished(CallOutcome::Failed(forgotten()))),
+            // The rows of an ended program are dropped, so their absence proves nothing.
+            None if self.programs.is_released(call.program) || self.programs.is_forgotten(call.program) => {
+                Ok(SettledCall::Unknown)
+            }
+            None => {
+                self.promise(call, tenure, promised(), now);
+                Ok(SettledCall::Refused)
+            }
+        }
+    }
+
+    /// Cancels a call that waits or runs; one that may not be repeated runs on to its end.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a tenure older than the largest seen.
+    pub fn cancel(&mut self, call: CallKey, tenure: TenureNumber, now: TimeMillis) -> PortResult<()> {
+        self.check_fence(call, tenure, now)?;
+        if self.rows.contains_key(&call) {
+            self.cancel_row(call, now);
+        } else if !self.tombstones.contains_key(&call) {
+            self.promise(call, tenure, cancelled(), now);
+        }
+        Ok(())
+    }
+
+    /// Notes the end of a program: its calls are cancelled, later ones refused, its cache is to be released.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a tenure older than the largest seen.
+    pub fn release(&mut self, program: ProgramKey, tenure: TenureNumber, now: TimeMillis) -> PortResult<()> {
+        self.programs.fence(program, tenure, now).map_err(|largest| {
+            let message = format!("tenure {tenure} is older than {largest}");
+            error_with(ResultCode::StaleTenure, RunState::NotRun, message)
+        })?;
+        self.release_ended(program, now);
+        Ok(())
+    }
+
+    /// Notes the end of a program on its owner's word in answer to a question.
+    pub fn release_ended(&mut self, program: ProgramKey, now: TimeMillis) {
+        self.programs.release(program, now);
+        let calls: Vec<_> = self
+            .rows
+            .range(calls_of(program))
+            .map(|(call, _)| *call)
+            .collect();
+        for call in calls {
+            self.cancel_row(call, now);
+        }
+    }
+
+    fn cancel_row(&mut self, call: CallKey, now: TimeMillis) {
+        let Some(row) = self.rows.get_mut(&call) else {
+            return;
+        };
+        if let Some(next) = row.next.take() {
+            next.output.finish(CallOutcome::Failed(cancelled()));
+        }
+        match row.phase {
+            CallPhase::Waiting => {
+                row.finish(CallOutcome::Failed(cancelled()), now);
+                self.queue.remove(call);
+            }
+            CallPhase::Running if row.repeatable => row.cancel.cancel(),
+            _ => {}
+        }
+    }
+
+    fn promise(&mut self, call: CallKey, tenure: TenureNumber, error: CallError, now: TimeMillis) {
+        let attempt = AttemptKey {
+            call,
+            tenure,
+            attempt: AttemptNumber(u64::MAX),
+        };
+        self.rows
+            .insert(call, CallRow::refused(attempt, CallPhase::Promised, error, now));
+    }
+}
+
+fn settle_row(row: &mut CallRow) -> SettledCall {
+    match row.phase {
+        CallPhase::Waiting | CallPhase::Running => {
+            SettledCall::Running(row.next.as_ref().map_or(row.attempt, |next| next.order.attempt()))
+        }
+        CallPhase::Finished => {
+            row.output.mark_read();
+            SettledCall::Finished(row.output.outcome().unwrap_or(CallOutcome::Failed(forgotten())))
+        }
+        CallPhase::Refused | CallPhase::Promised => {
+            row.phase = CallPhase::Promised;
+            SettledCall::Refused
+        }
+    }
+}
+
+pub(super) fn cancelled() -> CallError {
+    CallError::not_run(ResultCode::Cancelled, "the call was cancelled before it started")
+}
--- /dev/null
+++ b/components/agent/src/orders.rs
@@ -0,0 +1,62 @@
+//! Orders to the engine, passed on one at a time under the largest term seen.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use engine::OrderCommand;
+use errors::{CallError, ResultCode};
+use slog::info;
+use tokio::sync::{mpsc, oneshot};
+use wire::{EngineCommand, EngineOrder, PortResult};
+
+use crate::shared::AgentShared;
+
+/// Orders that may wait at a time.
+pub(crate) const ORDER_QUEUE_LENGTH: usize = 64;
+
+/// An order and the place for its result.
+#[derive(Debug)]
+pub(crate) struct PendingOrder {
+    order: EngineOrder,
+    done: oneshot::Sender<PortResult<()>>,
+}
+
+/// Passes an order on and returns the engine's answer.
+pub(crate) async fn submit_order(shared: &AgentShared, order: EngineOrder) -> PortResult<()> {
+    raise_term(shared, order.term)?;
+    let (done, answer) = oneshot::channel();
+    let sent = shared.orders.try_send(PendingOrder { order, done });
+    sent.map_err(|_refused| CallError::not_run(ResultCode::QueueFull, "too many orders wait"))?;
+    answer
+        .await
+        .map_err(|_dropped| CallError::unknown("the agent stopped"))?
+}
+
+/// Sends orders one at a time, so that an older one cannot overtake a newer one on its way.
+pub(crate) async fn send_orders(shared: Arc<AgentShared>, mut orders: mpsc::Receiver<PendingOrder>) {
+    while let Some(pending) = orders.recv().await {
+        let result = send_order(&shared, &pending.order).await;
+        info!(shared.options.log, "engine order"; "term" => pending.order.term,
+            "command" => ?pending.order.command, "code" => result.as_ref().err().map(|error| error.code.number()));
+        // The peer that asked may have gone.
+        let _ = pending.done.send(result);
+    }
+}
+
+async fn send_order(shared: &AgentShared, order: &EngineOrder) -> PortResult<()> {
+    raise_term(shared, order.term)?;
+    let (command, model) = match &order.command {
+        EngineCommand::Load(model) => (OrderCommand::Load, model),
+        EngineCommand::Unload(model) => (OrderCommand::Unload, model),
+    };
+    shared.engine.send_order(order.term, command, model).await
+}
+
+fn raise_term(shared: &AgentShared, term: u64) -> PortResult<()> {
+    let largest = shared.largest_term.fetch_max(term, Ordering::SeqCst);
+    if term >= largest {
+        return Ok(());
+    }
+    let message = format!("term {term} is older than {largest}");
+    Err(CallError::not_run(ResultCode::StaleTenure, message))
+}
--- /dev/null
+++ b/components/agent/src/process.rs
@@ -0,0 +1,176 @@
+//! Start, run and planned stop of an agent.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::{Context as _, Result, anyhow};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use domain::{Heartbeat, TimeMillis};
+use engine::{EngineClient, EngineOptions, parse_backend};
+use slog::info;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wire::{HeartbeatPublisher, HeartbeatSubscriber, PeerListener};
+
+use crate::configuration::follow_configuration;
+use crate::heartbeat::{follow_hosts, hear_entries, probe_backend, publish_heartbeats};
+use crate::ledger::{CallLedger, LedgerLimits};
+use crate::options::AgentOptions;
+use crate::orders::{ORDER_QUEUE_LENGTH, PendingOrder, send_orders};
+use crate::port::serve_port;
+use crate::runner::run_calls;
+use crate::shared::{AgentShared, BackendReport};
+use crate::sweeper::sweep_programs;
+
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time for which outcomes that ended before the stop are kept for their readers, in milliseconds.
+const UNREAD_KEEP_MS: u64 = 5_000;
+/// Time in which the last answers leave the process.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
+/// A started agent.
+#[derive(Debug)]
+pub struct AgentProcess {
+    shared: Arc<AgentShared>,
+    listener: PeerListener,
+    address: SocketAddr,
+    publisher: HeartbeatPublisher,
+    subscriber: Arc<HeartbeatSubscriber>,
+    heartbeats: mpsc::Receiver<Heartbeat>,
+    orders: mpsc::Receiver<PendingOrder>,
+}
+
+impl AgentProcess {
+    /// Binds the agent's addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound or the backend server's address is malformed.
+    pub async fn start(options: AgentOptions) -> Result<Self> {
+        let backend = parse_backend(&options.backend).map_err(|error| anyhow!(error))?;
+        let listener = PeerListener::bind(options.process, options.secret.clone()).await?;
+        let address = listener.local_address()?;
+        let publisher = HeartbeatPublisher::bind(options.heartbeat, options.secret.clone())?;
+        let (subscriber, heartbeats) =
+            HeartbeatSubscriber::start(options.secret.clone()).context("cannot receive heartbeats")?;
+        let (sender, orders) = mpsc::channel(ORDER_QUEUE_LENGTH);
+        let start = rand::random();
+        let engine = EngineOptions::builder()
+            .address(backend)
+            .silence(options.suspect_after)
+            .build();
+        info!(options.log, "agent started"; "host" => %options.host, "address" => %address,
+            "backend" => %backend, "start" => start);
+        let shared = Arc::new(AgentShared {
+            start,
+            engine: EngineClient::new(engine),
+            ledger: Mutex::new(CallLedger::new(start, LedgerLimits::default())),
+            work: Notify::new(),
+            released: Notify::new(),
+            announced: Notify::new(),
+            configuration: ArcSwapOption::empty(),
+            entries: ArcSwap::default(),
+            backend: ArcSwap::from_pointee(BackendReport::default()),
+            orders: sender,
+            largest_term: AtomicU64::new(0),
+            draining: CancellationToken::new(),
+            listed_leaving: AtomicBool::new(false),
+            options,
+        });
+        Ok(Self {
+            shared,
+            listener,
+            address,
+            publisher,
+            subscriber,
+            heartbeats,
+            orders,
+        })
+    }
+
+    /// Returns the address of the process port.
+    pub const fn process_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs until the token is cancelled or an operator drains the host, then drains and returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a task of the agent has panicked.
+    pub async fn run(self, stop: CancellationToken) -> Result<()> {
+        let Self {
+            shared,
+            listener,
+            address,
+            publisher,
+            subscriber,
+            heartbeats,
+            orders,
+        } = self;
+        let closing = CancellationToken::new();
+        let _close = closing.clone().drop_guard();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve_port(Arc::clone(&shared), listener, closing.clone()));
+        tasks.spawn(run_calls(Arc::clone(&shared)));
+        tasks.spawn(send_orders(Arc::clone(&shared), orders));
+        tasks.spawn(publish_heartbeats(Arc::clone(&shared), publisher, address));
+        tasks.spawn(probe_backend(Arc::clone(&shared)));
+        tasks.spawn(follow_hosts(Arc::clone(&shared), subscriber));
+        tasks.spawn(hear_entries(Arc::clone(&shared), heartbeats));
+        tasks.spawn(follow_configuration(Arc::clone(&shared)));
+        tasks.spawn(sweep_programs(Arc::clone(&shared)));
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = shared.draining.cancelled() => {}
+            ended = tasks.join_next() => {
+                if let Some(Err(error)) = ended {
+                    return Err(error).context("a task of the agent failed");
+                }
+            }
+        }
+        drain(&shared).await;
+        tasks.shutdown().await;
+        Ok(())
+    }
+}
+
+/// Starts a planned stop: new and waiting calls are refused, the heartbeat says so at once.
+pub(crate) fn begin_drain(shared: &AgentShared) {
+    shared.draining.cancel();
+    leave(shared);
+}
+
+/// Takes in whether the host list shows this host as leaving; the list may be wrong, so this can be taken back.
+pub(crate) fn follow_host_list(shared: &AgentShared, leaving: bool) {
+    let before = shared.listed_leaving.swap(leaving, Ordering::Relaxed);
+    if leaving && !before {
+        leave(shared);
+    } else if before && !leaving && !shared.draining.is_cancelled() {
+        info!(shared.options.log, "staying"; "cause" => "host list");
+        shared.ledger().stay();
+    }
+}
+
+fn leave(shared: &AgentShared) {
+    info!(shared.options.log, "leaving"; "listed" => shared.listed_leaving.load(Ordering::Relaxed));
+    shared.ledger().leave(TimeMillis::now());
+    shared.work.notify_waiters();
+    shared.announced.notify_one();
+}
+
+/// Waits until the running calls have ended and their outcomes are read, or the grace has passed.
+async fn drain(shared: &AgentShared) {
+    let unread_since = TimeMillis(TimeMillis::now().0.saturating_sub(UNREAD_KEEP_MS));
+    begin_drain(shared);
+    let deadline = Instant::now() + shared.options.stop_grace;
+    while shared.ledger().has_unread(unread_since) && Instant::now() < deadline {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    tokio::time::sleep(LAST_ANSWERS).await;
+    info!(shared.options.log, "agent stopped"; "running" => shared.ledger().running());
+}
--- /dev/null
+++ b/components/agent/src/queue.rs
@@ -0,0 +1,95 @@
+//! Waiting calls in the order of their priority, first come first served among equals.
+
+use domain::{CallKey, TimeMillis};
+use wire::DispatchOrder;
+
+/// A waiting call.
+#[derive(Debug, Clone)]
+pub struct QueuedCall {
+    /// Order as the owner dispatched it.
+    pub order: DispatchOrder,
+    arrival: u64,
+}
+
+impl QueuedCall {
+    const fn rank(&self) -> (u64, u64) {
+        (self.order.priority(), self.arrival)
+    }
+
+    const fn start_before(&self) -> Option<TimeMillis> {
+        match &self.order {
+            DispatchOrder::Chat { start_before, .. } | DispatchOrder::Plain { start_before, .. } => {
+                *start_before
+            }
+        }
+    }
+
+    /// Tells whether the call may not be started any more.
+    pub fn expired(&self, now: TimeMillis) -> bool {
+        self.start_before().is_some_and(|limit| limit < now)
+    }
+}
+
+/// Queue of calls; the next one stands last, so that taking it moves nothing.
+#[derive(Debug, Default)]
+pub struct CallQueue {
+    calls: Vec<QueuedCall>,
+    arrivals: u64,
+}
+
+impl CallQueue {
+    /// Returns the number of waiting calls.
+    pub const fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tells whether no call waits.
+    pub const fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Returns the waiting calls, the next one last.
+    pub fn calls(&self) -> &[QueuedCall] {
+        &self.calls
+    }
+
+    /// Adds a call behind those of the same priority.
+    pub fn push(&mut self, order: DispatchOrder) {
+        self.arrivals += 1;
+        let call = QueuedCall {
+            order,
+            arrival: self.arrivals,
+        };
+        let index = self.calls.partition_point(|other| other.rank() > call.rank());
+        self.calls.insert(index, call);
+    }
+
+    /// Takes the next call out.
+    pub fn pop(&mut self) -> Option<QueuedCall> {
+        self.calls.pop()
+    }
+
+    /// Takes a call out wherever it stands.
+    pub fn remove(&mut self, key: CallKey) -> Option<QueuedCall> {
+        let index = self
+            .calls
+            .iter()
+            .position(|call| call.order.attempt().call == key)?;
+        Some(self.calls.remove(index))
+    }
+
+    /// Takes out every call that may not be started any more.
+    pub fn remove_expired(&mut self, now: TimeMillis) -> Vec<QueuedCall> {
+        self.calls.extract_if(.., |call| call.expired(now)).collect()
+    }
+
+    /// Takes out every call.
+    pub fn remove_all(&mut self) -> Vec<QueuedCall> {
+        std::mem::take(&mut self.calls)
+    }
+
+    /// Returns the time at which the first call expires.
+    pub fn next_expiry(&self) -> Option<TimeMillis> {
+        self.calls.iter().filter_map(QueuedCall::start_before).min()
+    }
+}
--- /dev/null
+++ b/components/agent/src/row.rs
@@ -0,0 +1,145 @@
+//! Rows of the at-most-once table.
+
+use std::sync::Arc;
+
+use domain::{AttemptKey, CallOutcome, CallReply, TimeMillis};
+use errors::{CallError, ResultCode, RunState};
+use tokio_util::sync::CancellationToken;
+use wire::DispatchOrder;
+
+use crate::output::CallOutput;
+
+/// Phase of a call at the agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallPhase {
+    /// In the queue.
+    Waiting,
+    /// At the backend server.
+    Running,
+    /// Ended.
+    Finished,
+    /// This attempt and earlier ones never start; a later attempt may.
+    Refused,
+    /// No attempt ever starts.
+    Promised,
+}
+
+/// What remains of a call whose row was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallTombstone {
+    /// No attempt ever starts.
+    Promised,
+    /// The call ran or may have run.
+    Ran,
+}
+
+/// A later attempt that waits for the end of the running one.
+#[derive(Debug)]
+pub(crate) struct NextAttempt {
+    pub(crate) order: DispatchOrder,
+    pub(crate) output: Arc<CallOutput>,
+}
+
+/// One call.
+#[derive(Debug)]
+pub(crate) struct CallRow {
+    /// Latest attempt that was taken in.
+    pub(crate) attempt: AttemptKey,
+    /// Whether the call may run more than once.
+    pub(crate) repeatable: bool,
+    pub(crate) phase: CallPhase,
+    pub(crate) output: Arc<CallOutput>,
+    pub(crate) cancel: CancellationToken,
+    pub(crate) next: Option<NextAttempt>,
+    pub(crate) changed: TimeMillis,
+}
+
+impl CallRow {
+    /// Creates the row of an order that waits.
+    pub(crate) fn waiting(order: &DispatchOrder, now: TimeMillis) -> Self {
+        Self {
+            attempt: order.attempt(),
+            repeatable: is_repeatable(order),
+            phase: CallPhase::Waiting,
+            output: Arc::new(CallOutput::with_prefix(prefix_of(order))),
+            cancel: CancellationToken::new(),
+            next: None,
+            changed: now,
+        }
+    }
+
+    /// Creates the row of an attempt that never starts.
+    pub(crate) fn refused(attempt: AttemptKey, phase: CallPhase, error: CallError, now: TimeMillis) -> Self {
+        Self {
+            attempt,
+            repeatable: false,
+            phase,
+            output: Arc::new(CallOutput::ended(CallOutcome::Failed(error))),
+            cancel: CancellationToken::new(),
+            next: None,
+            changed: now,
+        }
+    }
+
+    /// Ends the row with an outcome.
+    pub(crate) fn finish(&mut self, outcome: CallOutcome, now: TimeMillis) {
+        self.phase = CallPhase::Finished;
+        self.changed = now;
+        self.output.finish(outcome);
+    }
+
+    /// Tells whether the call waits or runs.
+    pub(crate) const fn is_open(&self) -> bool {
+        matches!(self.phase, CallPhase::Waiting | CallPhase::Running)
+    }
+
+    /// Returns the error with which the row ended.
+    pub(crate) fn failure(&self) -> Option<CallError> {
+        match self.output.outcome() {
+            Some(CallOutcome::Failed(error)) => Some(error),
+            _ => None,
+        }
+    }
+
+    /// Returns whether any attempt up to the latest one has run.
+    pub(crate) fn run_state(&self) -> RunState {
+        match self.phase {
+            CallPhase::Waiting | CallPhase::Refused | CallPhase::Promised => RunState::NotRun,
+            CallPhase::Running => RunState::OutcomeUnknown,
+            CallPhase::Finished => self.failure().map_or(RunState::Ran, |error| error.run),
+        }
+    }
+
+    /// Tells whether the finished call satisfies a later attempt, whose text begins with `prefix`.
+    pub(crate) fn answers(&self, prefix: &str) -> bool {
+        match self.output.outcome() {
+            Some(CallOutcome::Answered(CallReply::Chat { text, .. })) => text.starts_with(prefix),
+            Some(CallOutcome::Answered(CallReply::Plain(_))) => true,
+            _ => false,
+        }
+    }
+}
+
+/// Tells whether the order's call may run more than once.
+pub(crate) const fn is_repeatable(order: &DispatchOrder) -> bool {
+    match order {
+        DispatchOrder::Chat { .. } => true,
+        DispatchOrder::Plain { repeatable, .. } => *repeatable,
+    }
+}
+
+/// Returns the text with which the order's answer begins.
+pub(crate) fn prefix_of(order: &DispatchOrder) -> &str {
+    match order {
+        DispatchOrder::Chat { prefix, .. } => prefix,
+        DispatchOrder::Plain { .. } => "",
+    }
+}
+
+/// Creates an error with a stated run state.
+pub(crate) fn error_with(code: ResultCode, run: RunState, message: impl Into<String>) -> CallError {
+    CallError {
+        run,
+        ..CallError::not_run(code, message)
+    }
+}
--- /dev/null
+++ b/components/agent/src/shared.rs
@@ -0,0 +1,68 @@
+//! State that the tasks of one agent share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use domain::{AppliedConfiguration, ServiceKind};
+use engine::{EngineClient, EngineLoad};
+use tokio::sync::{Notify, mpsc};
+use tokio_util::sync::CancellationToken;
+
+use crate::heartbeat::KnownEntry;
+use crate::ledger::CallLedger;
+use crate::options::AgentOptions;
+use crate::orders::PendingOrder;
+
+/// What the agent last heard of its backend server.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct BackendReport {
+    pub(crate) load: EngineLoad,
+    pub(crate) healthy: bool,
+}
+
+/// State that the tasks of one agent share.
+#[derive(Debug)]
+pub(crate) struct AgentShared {
+    pub(crate) options: AgentOptions,
+    pub(crate) start: u64,
+    pub(crate) engine: EngineClient,
+    pub(crate) ledger: Mutex<CallLedger>,
+    /// Wakes the runner after a change of the ledger.
+    pub(crate) work: Notify,
+    /// Wakes the sweeper when a program has ended.
+    pub(crate) released: Notify,
+    /// Wakes the publisher when the agent starts to leave.
+    pub(crate) announced: Notify,
+    pub(crate) configuration: ArcSwapOption<AppliedConfiguration>,
+    pub(crate) entries: ArcSwap<Vec<KnownEntry>>,
+    pub(crate) backend: ArcSwap<BackendReport>,
+    pub(crate) orders: mpsc::Sender<PendingOrder>,
+    pub(crate) largest_term: AtomicU64,
+    /// Whether a planned stop is under way.
+    pub(crate) draining: CancellationToken,
+    /// Whether the host list shows this host as leaving.
+    pub(crate) listed_leaving: AtomicBool,
+}
+
+impl AgentShared {
+    /// Locks the ledger; no guard lives across an await.
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, CallLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the kind of the agent's service once the configuration is known.
+    pub(crate) fn service_kind(&self) -> Option<ServiceKind> {
+        let applied = self.configuration.load();
+        let applied = applied.as_ref()?;
+        applied
+            .content
+            .service(&self.options.service)
+            .map(|service| service.kind)
+    }
+
+    /// Tells whether the backend server is a model engine.
+    pub(crate) fn serves_model(&self) -> bool {
+        self.service_kind() == Some(ServiceKind::Model)
+    }
+}
--- /dev/null
+++ b/components/engine/src/connection.rs
@@ -0,0 +1,123 @@
+//! One HTTP connection for one exchange, with the line between "not sent" and "may have been sent".
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Failure of one exchange.
+#[derive(Debug)]
+pub(crate) enum ExchangeError {
+    /// No connection was made, so no byte of the request was sent.
+    NotSent(String),
+    /// The request may have arrived; its answer is missing or cut off.
+    NoAnswer(String),
+    /// The answer exceeds the limit.
+    TooLarge,
+}
+
+/// A response whose connection lives as long as itself.
+#[derive(Debug)]
+pub(crate) struct OpenResponse {
+    response: Response<Incoming>,
+    _driver: AbortOnDropHandle<()>,
+}
+
+impl OpenResponse {
+    /// Returns the status.
+    pub(crate) fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Returns the head.
+    pub(crate) const fn head(&self) -> &Response<Incoming> {
+        &self.response
+    }
+
+    /// Returns the next bytes of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or stays without a byte for `silence`.
+    pub(crate) async fn next_bytes(&mut self, silence: Duration) -> Result<Option<Bytes>, ExchangeError> {
+        loop {
+            let Ok(frame) = timeout(silence, self.response.body_mut().frame()).await else {
+                return Err(ExchangeError::NoAnswer("the connection went silent".to_owned()));
+            };
+            let Some(frame) = frame else { return Ok(None) };
+            let frame = frame.map_err(|error| ExchangeError::NoAnswer(error.to_string()))?;
+            if let Ok(bytes) = frame.into_data() {
+                return Ok(Some(bytes));
+            }
+        }
+    }
+
+    /// Returns the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks, goes silent or the body exceeds `limit` bytes.
+    pub(crate) async fn read_body(
+        &mut self,
+        limit: usize,
+        silence: Duration,
+    ) -> Result<Vec<u8>, ExchangeError> {
+        let mut body = Vec::new();
+        while let Some(bytes) = self.next_bytes(silence).await? {
+            if body.len() + bytes.len() > limit {
+                return Err(ExchangeError::TooLarge);
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(body)
+    }
+}
+
+/// Sends a request over a fresh connection and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Returns `NotSent` when no connection was made and `NoAnswer` when no head came within `head_wait`.
+pub(crate) async fn send_request(
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    head_wait: Duration,
+) -> Result<OpenResponse, ExchangeError> {
+    let host = HeaderValue::from_str(&address.to_string());
+    let host = host.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+    request.headers_mut().insert(HOST, host);
+    let stream = open_stream(address).await.map_err(ExchangeError::NotSent)?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+    let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+        // The failure of a connection shows in its response.
+        let _ = connection.await;
+    }));
+    let response = timeout(head_wait, sender.send_request(request)).await;
+    let response = response.map_err(|_elapsed| ExchangeError::NoAnswer("no answer in time".to_owned()))?;
+    let response = response.map_err(|error| ExchangeError::NoAnswer(error.to_string()))?;
+    Ok(OpenResponse {
+        response,
+        _driver: driver,
+    })
+}
+
+/// Opens a connection.
+pub(crate) async fn open_stream(address: SocketAddr) -> Result<TcpStream, String> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = connecting.map_err(|_elapsed| "connect timed out".to_owned())?;
+    let stream = connected.map_err(|error| error.to_string())?;
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    Ok(stream)
+}
--- /dev/null
+++ b/components/engine/src/plain.rs
@@ -0,0 +1,178 @@
+//! Requests to tools and plain services.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::{PlainReply, PlainRequest, ProgramKey};
+use errors::{CallError, ResultCode};
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, StatusCode};
+use tokio::time::{Instant, timeout_at};
+
+use crate::backoff::RetryBackoff;
+use crate::client::EngineClient;
+use crate::connection::{ExchangeError, send_request};
+
+const UNREACHABLE_RETRY_MS: u64 = 500;
+/// Share of the timeout that one try of a repeatable request may take.
+const TRIES_IN_TIMEOUT: u32 = 3;
+
+/// A request to a tool or a plain service.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct PlainOrder {
+    /// Request.
+    pub request: PlainRequest,
+    /// Key by which the backend server may recognise the request.
+    pub idempotency_key: String,
+    /// Program that makes the request.
+    pub program: ProgramKey,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Longest time of the whole request.
+    pub timeout: Duration,
+}
+
+impl EngineClient {
+    /// Passes a request on; one that may not be repeated is sent at most once.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" when no byte of the request was sent, "outcome unknown" when its answer was lost, and "ran"
+    /// when the backend server answered with a server error or with too large an answer.
+    pub async fn run_plain(&self, order: &PlainOrder) -> Result<PlainReply, CallError> {
+        let deadline = Instant::now() + order.timeout;
+        if !order.repeatable {
+            return self
+                .try_plain(order, order.timeout)
+                .await
+                .map_err(PlainFailure::into_error);
+        }
+        let mut backoff = RetryBackoff::new();
+        let mut last: Option<PlainFailure> = None;
+        loop {
+            let outcome = timeout_at(deadline, self.try_plain(order, order.timeout / TRIES_IN_TIMEOUT)).await;
+            let failure = match outcome {
+                Ok(Ok(reply)) => return Ok(reply),
+                Ok(Err(failure)) => failure,
+                Err(_elapsed) => {
+                    return Err(CallError::unknown("the answer did not come before the timeout"));
+                }
+            };
+            if !failure.may_retry() {
+                return Err(failure.into_error());
+            }
+            let merged = match last.take() {
+                Some(earlier) => earlier.merge(failure),
+                None => failure,
+            };
+            if timeout_at(deadline, backoff.pause()).await.is_err() {
+                return Err(merged.into_error());
+            }
+            last = Some(merged);
+        }
+    }
+
+    async fn try_plain(&self, order: &PlainOrder, limit: Duration) -> Result<PlainReply, PlainFailure> {
+        let request = build_request(order).map_err(PlainFailure::Final)?;
+        let deadline = Instant::now() + limit;
+        let mut response = send_request(self.options.address, request, limit).await?;
+        let body = timeout_at(deadline, response.read_body(self.options.answer_limit, limit)).await;
+        let body = body.map_err(|_elapsed| PlainFailure::Lost("the answer was cut off".to_owned()))??;
+        let status = response.status();
+        if status.is_server_error() {
+            let message = format!("status {}", status.as_u16());
+            let error = CallError::ran(ResultCode::BackendFailed, message);
+            let passing = [
+                StatusCode::BAD_GATEWAY,
+                StatusCode::SERVICE_UNAVAILABLE,
+                StatusCode::GATEWAY_TIMEOUT,
+            ];
+            return Err(if passing.contains(&status) {
+                PlainFailure::Passing(error)
+            } else {
+                PlainFailure::Final(error)
+            });
+        }
+        let content_type = response.head().headers().get(CONTENT_TYPE);
+        let content_type = content_type
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        Ok(PlainReply {
+            status: status.as_u16(),
+            content_type: content_type.to_owned(),
+            body,
+        })
+    }
+}
+
+/// Failure of one try.
+#[derive(Debug)]
+enum PlainFailure {
+    /// No byte was sent.
+    NotSent(String),
+    /// The answer is missing.
+    Lost(String),
+    /// The backend server failed in a way that may pass.
+    Passing(CallError),
+    /// Another try cannot help.
+    Final(CallError),
+}
+
+impl PlainFailure {
+    const fn may_retry(&self) -> bool {
+        !matches!(self, Self::Final(_))
+    }
+
+    /// Keeps the failure that says more about whether the request ran.
+    fn merge(self, later: Self) -> Self {
+        match later {
+            Self::NotSent(_) => self,
+            other => other,
+        }
+    }
+
+    fn into_error(self) -> CallError {
+        match self {
+            Self::NotSent(cause) => {
+                let error = CallError::not_run(ResultCode::NoBackendServer, cause);
+                error.with_retry_after_ms(UNREACHABLE_RETRY_MS)
+            }
+            Self::Lost(cause) => CallError::unknown(cause),
+            Self::Passing(error) | Self::Final(error) => error,
+        }
+    }
+}
+
+impl From<ExchangeError> for PlainFailure {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotSent(cause) => Self::NotSent(cause),
+            ExchangeError::NoAnswer(cause) => Self::Lost(cause),
+            ExchangeError::TooLarge => Self::Final(CallError::ran(
+                ResultCode::AnswerTooLarge,
+                "the answer exceeds the limit",
+            )),
+        }
+    }
+}
+
+fn build_request(order: &PlainOrder) -> Result<Request<Full<Bytes>>, CallError> {
+    let path = if order.request.path.starts_with('/') {
+        order.request.path.clone()
+    } else {
+        format!("/{}", order.request.path)
+    };
+    let mut builder = Request::builder()
+        .method(order.request.method.as_str())
+        .uri(path)
+        .header("Idempotency-Key", &order.idempotency_key)
+        .header("Azuretide-Program", order.program.to_string());
+    if !order.request.content_type.is_empty() {
+        builder = builder.header(CONTENT_TYPE, &order.request.content_type);
+    }
+    let body = Full::new(Bytes::from(order.request.body.clone()));
+    builder
+        .body(body)
+        .map_err(|error| CallError::not_run(ResultCode::MalformedRequest, error.to_string()))
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,7 +12,7 @@
 pub use heartbeat::{HeartbeatPublisher, HeartbeatSubscriber};
 pub use message::{
     CallAttachment, DispatchOrder, DispatchReceipt, EngineCommand, EngineOrder, OutputChunk, OutputRequest,
-    ProgramStart, ProgramSummary, SettledCall, SubmittedCall,
+    PortResult, ProgramStart, ProgramSummary, SettledCall, SubmittedCall,
 };
 pub use owner::{OwnerPort, OwnerPortClient};
 pub use secret::ClusterSecret;
