--- a/components/agent/src/configuration.rs
+++ b/components/agent/src/configuration.rs
@@ -1,9 +1,10 @@
 //! Configuration from the entries: the highest generation heard, never a lower one than that in force.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
-use domain::{AppliedConfiguration, Generation};
+use domain::{AppliedConfiguration, Generation, Heartbeat};
 use errors::{CallError, ResultCode};
 use slog::{info, warn};
 use tarpc::client::Config;
@@ -21,17 +22,25 @@
     let mut first_heard = None;
     loop {
         tokio::time::sleep(shared.options.heartbeat_interval / 2).await;
-        let entries = shared.live_entries();
-        let Some(entry) = entries.iter().max_by_key(|entry| entry.generation) else {
+        let mut entries = shared.live_entries();
+        if entries.is_empty() {
             continue;
-        };
+        }
         let heard: Instant = *first_heard.get_or_insert_with(Instant::now);
-        let fresh = heard.elapsed() < shared.options.heartbeat_interval * FIRST_INTERVALS;
-        if entry.generation <= shared.generation() || fresh {
+        if heard.elapsed() < shared.options.heartbeat_interval * FIRST_INTERVALS {
             continue;
         }
-        match fetch_configuration(&shared, entry.address).await {
-            Ok(applied) => shared.apply_configuration(applied),
+        entries.sort_by_key(|entry| Reverse(entry.generation));
+        fetch_newer(&shared, &entries).await;
+    }
+}
+
+/// Fetches the highest generation that an entry hands out.
+async fn fetch_newer(shared: &AgentShared, entries: &[Heartbeat]) {
+    let own = shared.generation();
+    for entry in entries.iter().take_while(|entry| entry.generation > own) {
+        match fetch_configuration(shared, entry.address).await {
+            Ok(applied) => return shared.apply_configuration(applied),
             Err(error) => {
                 warn!(shared.options.log, "configuration not fetched"; "host" => %entry.host, "cause" => %error);
             }
--- a/components/agent/src/ledger.rs
+++ b/components/agent/src/ledger.rs
@@ -132,11 +132,8 @@
             cancel: row.cancel.clone(),
             order,
         };
-        let program = started.order.attempt().call.program;
-        match started.order {
-            DispatchOrder::Chat { .. } => self.programs.hold(program, now),
-            DispatchOrder::Plain { .. } => self.programs.touch(program, now),
-        }
+        let fills_cache = row.fills_cache;
+        self.note_use(started.order.attempt().call.program, fills_cache, now);
         Some(started)
     }
 
@@ -172,6 +169,14 @@
         self.rows.range(calls_of(program)).any(|(_, row)| row.is_open())
     }
 
+    fn note_use(&mut self, program: ProgramKey, fills_cache: bool, now: TimeMillis) {
+        if fills_cache {
+            self.programs.hold(program, now);
+        } else {
+            self.programs.touch(program, now);
+        }
+    }
+
     /// Checks the tenure of a peer and raises the fence.
     fn check_fence(&mut self, call: CallKey, tenure: TenureNumber, now: TimeMillis) -> PortResult<()> {
         self.programs.fence(call.program, tenure, now).map_err(|largest| {
--- a/components/agent/src/ledger/ending.rs
+++ b/components/agent/src/ledger/ending.rs
@@ -33,9 +33,10 @@
         } else {
             (self.mean_run_ms * 7 + ran_ms) / 8
         };
-        self.programs.touch(attempt.call.program, now);
         let next = row.next.take();
+        let fills_cache = row.fills_cache;
         row.finish(outcome, now);
+        self.note_use(attempt.call.program, fills_cache, now);
         let Some(next) = next else { return };
         let refusal = if self.leaving {
             Some(leaving())
@@ -108,6 +109,9 @@
 
     /// Returns the time before which rows are dropped for their number.
     fn surplus_before(&self) -> TimeMillis {
+        if self.rows.len() <= FINISHED_KEEP_ROWS {
+            return TimeMillis(0);
+        }
         let mut changed: Vec<_> = self
             .rows
             .values()
--- a/components/agent/src/programs.rs
+++ b/components/agent/src/programs.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub struct ProgramTable {
     rows: BTreeMap<ProgramKey, ProgramRow>,
+    /// Programs whose cache the engine has to release, sorted.
+    releasing: Vec<ProgramKey>,
     /// Largest sequence number among the forgotten programs of each incarnation, sorted.
     forgotten: Vec<(IncarnationId, u64)>,
 }
@@ -81,13 +83,8 @@
 
     /// Notes that the engine will hold cache of the program.
     pub fn hold(&mut self, program: ProgramKey, now: TimeMillis) {
-        let row = self.rows.entry(program).or_default();
-        row.touched = now;
-        row.hold = if row.released {
-            CacheHold::Releasing
-        } else {
-            CacheHold::Held
-        };
+        self.note_held(program);
+        self.touch(program, now);
     }
 
     /// Notes that the program has ended; its cache is to be released.
@@ -96,7 +93,7 @@
         row.touched = now;
         row.released = true;
         if row.hold == CacheHold::Held {
-            row.hold = CacheHold::Releasing;
+            self.set_hold(program, CacheHold::Releasing);
         }
     }
 
@@ -119,41 +116,45 @@
     }
 
     /// Returns the programs whose cache the engine has to release.
-    pub fn pending_releases(&self) -> Vec<ProgramKey> {
-        let pending = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.hold == CacheHold::Releasing);
-        pending.map(|(program, _)| *program).collect()
+    pub fn pending_releases(&self) -> &[ProgramKey] {
+        &self.releasing
     }
 
     /// Notes that the engine has released the cache.
     pub fn confirm_release(&mut self, program: ProgramKey) {
-        if let Some(row) = self.rows.get_mut(&program)
-            && row.hold == CacheHold::Releasing
-        {
-            row.hold = CacheHold::Empty;
+        if self.hold_of(program) == CacheHold::Releasing {
+            self.set_hold(program, CacheHold::Empty);
         }
     }
 
     /// Takes a program in that the engine reports to hold; an unknown one counts as quiet for long.
     pub fn note_held(&mut self, program: ProgramKey) {
-        let row = self.rows.entry(program).or_default();
-        row.hold = if row.released {
-            CacheHold::Releasing
-        } else {
-            CacheHold::Held
-        };
+        let released = self.is_released(program);
+        self.set_hold(
+            program,
+            if released {
+                CacheHold::Releasing
+            } else {
+                CacheHold::Held
+            },
+        );
     }
 
     /// Takes a whole listing in that was asked for at `asked`: what it lacks and was not used since is not held.
     pub fn note_listing(&mut self, listed: &[ProgramKey], asked: TimeMillis) {
         let mut sorted = listed.to_vec();
         sorted.sort_unstable();
-        for (program, row) in &mut self.rows {
-            if row.touched < asked && sorted.binary_search(program).is_err() {
-                row.hold = CacheHold::Empty;
-            }
+        let lost = |program: &ProgramKey, row: &ProgramRow| {
+            row.hold != CacheHold::Empty && row.touched < asked && sorted.binary_search(program).is_err()
+        };
+        let lost: Vec<_> = self
+            .rows
+            .iter()
+            .filter(|(program, row)| lost(program, row))
+            .map(|(program, _)| *program)
+            .collect();
+        for program in lost {
+            self.set_hold(program, CacheHold::Empty);
         }
         for program in sorted {
             self.note_held(program);
@@ -197,6 +198,17 @@
         dropped
     }
 
+    fn set_hold(&mut self, program: ProgramKey, hold: CacheHold) {
+        self.rows.entry(program).or_default().hold = hold;
+        match (self.releasing.binary_search(&program), hold) {
+            (Err(index), CacheHold::Releasing) => self.releasing.insert(index, program),
+            (Ok(index), CacheHold::Empty | CacheHold::Held) => {
+                self.releasing.remove(index);
+            }
+            _ => {}
+        }
+    }
+
     fn note_forgotten(&mut self, program: ProgramKey) {
         let key = program.incarnation;
         match self
--- a/components/agent/src/row.rs
+++ b/components/agent/src/row.rs
@@ -47,6 +47,8 @@
     pub(crate) attempt: AttemptKey,
     /// Whether the call may run more than once.
     pub(crate) repeatable: bool,
+    /// Whether the engine keeps cache of the call's program.
+    pub(crate) fills_cache: bool,
     pub(crate) phase: CallPhase,
     pub(crate) output: Arc<CallOutput>,
     pub(crate) cancel: CancellationToken,
@@ -60,6 +62,7 @@
         Self {
             attempt: order.attempt(),
             repeatable: is_repeatable(order),
+            fills_cache: matches!(order, DispatchOrder::Chat { .. }),
             phase: CallPhase::Waiting,
             output: Arc::new(CallOutput::with_prefix(prefix_of(order))),
             cancel: CancellationToken::new(),
@@ -73,6 +76,7 @@
         Self {
             attempt,
             repeatable: false,
+            fills_cache: false,
             phase,
             output: Arc::new(CallOutput::ended(CallOutcome::Failed(error))),
             cancel: CancellationToken::new(),
--- a/components/agent/src/runner.rs
+++ b/components/agent/src/runner.rs
@@ -57,11 +57,15 @@
                 "code" => error.code.number(), "run" => ?error.run, "cause" => &error.message);
         }
     }
-    shared
-        .ledger()
-        .finish(attempt, outcome, ran_ms, TimeMillis::now());
+    let ended = {
+        let mut ledger = shared.ledger();
+        ledger.finish(attempt, outcome, ran_ms, TimeMillis::now());
+        ledger.programs().is_released(attempt.call.program)
+    };
     shared.work.notify_waiters();
-    shared.released.notify_one();
+    if ended {
+        shared.released.notify_one();
+    }
 }
 
 async fn exchange(shared: Arc<AgentShared>, started: StartedCall) -> CallOutcome {
--- a/components/agent/src/sweeper.rs
+++ b/components/agent/src/sweeper.rs
@@ -6,6 +6,7 @@
 use engine::CacheEventKind;
 use futures::future::join_all;
 use slog::{debug, info, warn};
+use tokio::time::{Instant, timeout_at};
 use wire::PortResult;
 
 use crate::configuration::{call_context, connect_entry, unreachable};
@@ -41,11 +42,8 @@
         shared.ledger().drop_old(TimeMillis::now());
         round += 1;
         // The releases that a finished call or an ended program makes possible do not wait for the round.
-        let deadline = tokio::time::Instant::now() + shared.options.heartbeat_interval;
-        while tokio::time::timeout_at(deadline, shared.released.notified())
-            .await
-            .is_ok()
-        {
+        let deadline = Instant::now() + shared.options.heartbeat_interval;
+        while Instant::now() < deadline && timeout_at(deadline, shared.released.notified()).await.is_ok() {
             release_caches(&shared).await;
         }
     }
@@ -83,7 +81,7 @@
 async fn release_caches(shared: &AgentShared) {
     let pending: Vec<_> = {
         let mut ledger = shared.ledger();
-        let pending = ledger.programs().pending_releases();
+        let pending = ledger.programs().pending_releases().to_vec();
         pending
             .into_iter()
             .filter(|program| !ledger.is_busy(*program))
--- a/components/daemon/src/log.rs
+++ b/components/daemon/src/log.rs
@@ -11,7 +11,9 @@
 /// Opens the log of a process; the guard writes the last lines when it is dropped.
 pub(crate) fn open_log(settings: &DaemonSettings) -> (Logger, AsyncGuard) {
     let drain = Logfmt::new(std::io::stderr()).build().fuse();
-    let (drain, guard) = slog_async::Async::new(drain).chan_size(LINES_BUFFERED).build_with_guard();
+    let (drain, guard) = slog_async::Async::new(drain)
+        .chan_size(LINES_BUFFERED)
+        .build_with_guard();
     let drain = drain.filter_level(level_of(settings.log.level)).fuse();
     let log = Logger::root(drain, o!("host" => settings.host.name.to_string()));
     (log, guard)
--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -23,19 +23,33 @@
 /// # Errors
 ///
 /// Fails when a key file cannot be read, a port cannot be bound or the last seal cannot be written.
-pub(crate) async fn run_entry(settings: &DaemonSettings, log: &Logger, stop: CancellationToken) -> Result<()> {
+pub(crate) async fn run_entry(
+    settings: &DaemonSettings,
+    log: &Logger,
+    stop: CancellationToken,
+) -> Result<()> {
     let platform_key = read_key(&settings.platform.key_file)?;
-    let operator_file = settings.cluster.operator_key_file.as_deref().context("an entry needs an operator key")?;
+    let operator_file = settings
+        .cluster
+        .operator_key_file
+        .as_deref()
+        .context("an entry needs an operator key")?;
     let timing = &settings.timing;
     let options = EntryOptions::builder()
         .host(settings.host.name.clone())
         .failure_domain(settings.host.failure_domain.clone())
-        .http(SocketAddr::new(settings.host.ip, settings.ports.http.unwrap_or(0)))
+        .http(SocketAddr::new(
+            settings.host.ip,
+            settings.ports.http.unwrap_or(0),
+        ))
         .process(SocketAddr::new(settings.host.ip, settings.ports.process))
         .heartbeat(SocketAddr::new(settings.host.ip, settings.ports.heartbeat))
         .secret(ClusterSecret::from_file(&settings.cluster.key_file)?)
         .operator_key_sha256(hex::encode(Sha256::digest(read_key(operator_file)?)))
-        .store(Arc::new(RemoteStore::new(&settings.platform.object_api, &platform_key)))
+        .store(Arc::new(RemoteStore::new(
+            &settings.platform.object_api,
+            &platform_key,
+        )))
         .hosts(HostDirectory::new(&settings.platform.host_list, &platform_key))
         .heartbeat_interval(Duration::from_millis(timing.heartbeat_ms))
         .suspect_after(Duration::from_millis(timing.suspect_ms))
@@ -57,9 +71,16 @@
 /// # Errors
 ///
 /// Fails when a key file cannot be read or a port cannot be bound.
-pub(crate) async fn run_agent(settings: &DaemonSettings, log: &Logger, stop: CancellationToken) -> Result<()> {
+pub(crate) async fn run_agent(
+    settings: &DaemonSettings,
+    log: &Logger,
+    stop: CancellationToken,
+) -> Result<()> {
     let platform_key = read_key(&settings.platform.key_file)?;
-    let backend = settings.backend.as_ref().context("an agent needs a backend server")?;
+    let backend = settings
+        .backend
+        .as_ref()
+        .context("an agent needs a backend server")?;
     let timing = &settings.timing;
     let options = AgentOptions::builder()
         .host(settings.host.name.clone())
@@ -81,7 +102,8 @@
 }
 
 fn read_key(path: &Path) -> Result<String> {
-    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read the key file {}", path.display()))?;
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("cannot read the key file {}", path.display()))?;
     Ok(text.trim().to_owned())
 }
 
@@ -89,8 +111,11 @@
     let Some(address) = settings.metrics.address else {
         return Ok(StatsdClient::from_sink(METRICS_PREFIX, NopMetricSink));
     };
-    let socket = UdpSocket::bind(SocketAddr::new(settings.host.ip, 0)).context("cannot bind the metrics socket")?;
+    let socket =
+        UdpSocket::bind(SocketAddr::new(settings.host.ip, 0)).context("cannot bind the metrics socket")?;
     socket.set_nonblocking(true)?;
     let sink = QueuingMetricSink::from(BufferedUdpMetricSink::from(address, socket)?);
-    Ok(StatsdClient::builder(METRICS_PREFIX, sink).with_tag("host", settings.host.name.as_str()).build())
+    Ok(StatsdClient::builder(METRICS_PREFIX, sink)
+        .with_tag("host", settings.host.name.as_str())
+        .build())
 }
--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -48,7 +48,9 @@
         MemberState::Sealed { heirs } => heirs.contains(&own),
         MemberState::Live => false,
     });
-    let pending = sealed.map(|member| member.incarnation).filter(|from| !owner.has_adopted(*from));
+    let pending = sealed
+        .map(|member| member.incarnation)
+        .filter(|from| !owner.has_adopted(*from));
     pending.collect()
 }
 
@@ -61,7 +63,9 @@
     let store = context.options.store.as_ref();
     let ledger = replay_journal(store, from).await?.ledger;
     let estate = estate_of(store, table, from, &ledger).await?;
-    let mine = estate.into_iter().filter(|program| table.owner_of(program.key) == Some(owner.incarnation()));
+    let mine = estate
+        .into_iter()
+        .filter(|program| table.owner_of(program.key) == Some(owner.incarnation()));
     let programs: Vec<_> = mine.map(|program| inherit(program, from)).collect();
     let count = programs.len();
     let cells = owner.adopt(from, programs).await?;
@@ -94,7 +98,9 @@
         }
         let earlier = replay_journal(store, member.incarnation).await?.ledger;
         let unadopted = Box::pin(estate_of(store, table, member.incarnation, &earlier)).await?;
-        let fallen = unadopted.into_iter().filter(|program| heir_of(program.key, heirs) == Some(from));
+        let fallen = unadopted
+            .into_iter()
+            .filter(|program| heir_of(program.key, heirs) == Some(from));
         for program in fallen {
             insert_latest(&mut estate, program);
         }
--- a/components/entry/src/audit.rs
+++ b/components/entry/src/audit.rs
@@ -34,7 +34,14 @@
     /// Creates an event of an operator.
     pub(crate) fn operator(operator: &str, action: &str, subject: String, detail: String) -> Self {
         let time = TimeMillis::now();
-        Self { number: 0, time, operator: operator.to_owned(), action: action.to_owned(), subject, detail }
+        Self {
+            number: 0,
+            time,
+            operator: operator.to_owned(),
+            action: action.to_owned(),
+            subject,
+            detail,
+        }
     }
 
     /// Creates an event of azuretide itself.
@@ -54,7 +61,9 @@
     async fn write(mut self, store: &dyn ObjectStore) -> Result<()> {
         const MAX_TRIES: usize = 16;
         let listed = store.list(AUDIT_PREFIX).await?;
-        let last = listed.last().and_then(|(key, _)| key.strip_prefix(AUDIT_PREFIX)?.parse::<u64>().ok());
+        let last = listed
+            .last()
+            .and_then(|(key, _)| key.strip_prefix(AUDIT_PREFIX)?.parse::<u64>().ok());
         self.number = last.unwrap_or(0) + 1;
         for _ in 0..MAX_TRIES {
             let key = format!("{AUDIT_PREFIX}{:020}", self.number);
@@ -82,13 +91,21 @@
 /// Fails when the object API does not answer or an event cannot be decoded.
 pub(crate) async fn read_audit(store: &dyn ObjectStore, after: u64) -> Result<Vec<AuditEvent>> {
     let listed = store.list(AUDIT_PREFIX).await?;
-    let behind = |key: &str| key.strip_prefix(AUDIT_PREFIX).and_then(|number| number.parse::<u64>().ok());
-    let wanted: Vec<_> = listed.iter().filter(|(key, _)| behind(key).is_some_and(|number| number > after)).collect();
+    let behind = |key: &str| {
+        key.strip_prefix(AUDIT_PREFIX)
+            .and_then(|number| number.parse::<u64>().ok())
+    };
+    let wanted: Vec<_> = listed
+        .iter()
+        .filter(|(key, _)| behind(key).is_some_and(|number| number > after))
+        .collect();
     let skipped = wanted.len().saturating_sub(MAX_EVENTS_READ);
     let mut events = Vec::new();
     for (key, _) in &wanted[skipped..] {
         if let Some(object) = store.read(key).await? {
-            events.push(serde_json::from_slice(&object.value).with_context(|| format!("{key} cannot be decoded"))?);
+            events.push(
+                serde_json::from_slice(&object.value).with_context(|| format!("{key} cannot be decoded"))?,
+            );
         }
     }
     Ok(events)
--- a/components/entry/src/blackboard.rs
+++ b/components/entry/src/blackboard.rs
@@ -49,16 +49,25 @@
 
     /// Returns the generation in force; zero before the first.
     pub(crate) fn generation(&self) -> Generation {
-        self.configuration.load().as_ref().map_or(Generation(0), |applied| applied.generation)
+        self.configuration
+            .load()
+            .as_ref()
+            .map_or(Generation(0), |applied| applied.generation)
     }
 
     /// Puts a configuration in force unless one of the same or a later generation is.
     pub(crate) fn raise_configuration(&self, applied: &Arc<AppliedConfiguration>) -> bool {
         let mut raised = false;
         self.configuration.rcu(|present| {
-            let newer = present.as_ref().is_none_or(|present| applied.generation > present.generation);
+            let newer = present
+                .as_ref()
+                .is_none_or(|present| applied.generation > present.generation);
             raised = newer;
-            if newer { Some(Arc::clone(applied)) } else { present.clone() }
+            if newer {
+                Some(Arc::clone(applied))
+            } else {
+                present.clone()
+            }
         });
         raised
     }
@@ -92,7 +101,13 @@
     pub(crate) fn raise_members(&self, view: MemberView) {
         let version = view.version;
         let view = Arc::new(view);
-        self.members.rcu(|present| if view.version > present.version { Arc::clone(&view) } else { Arc::clone(present) });
+        self.members.rcu(|present| {
+            if view.version > present.version {
+                Arc::clone(&view)
+            } else {
+                Arc::clone(present)
+            }
+        });
         self.members_changed.send_if_modified(|known| {
             let newer = version > *known;
             *known = (*known).max(version);
--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -32,7 +32,12 @@
         }
         let seen = Some(context.board.generation()).filter(|seen| *seen > Generation(0));
         let seen = seen.map(|seen| ObjectVersion(seen.0));
-        match context.options.store.watch(CONFIGURATION_KEY, seen, WATCH_WAIT).await {
+        match context
+            .options
+            .store
+            .watch(CONFIGURATION_KEY, seen, WATCH_WAIT)
+            .await
+        {
             Ok(Some(object)) => raise(&context, &object),
             Ok(None) => {}
             Err(error) => {
@@ -54,14 +59,26 @@
 fn is_watcher(context: &EntryContext) -> bool {
     let members = context.board.members();
     let own = context.incarnation();
-    members.table.live().iter().take(WATCHERS).any(|live| *live == own)
+    members
+        .table
+        .live()
+        .iter()
+        .take(WATCHERS)
+        .any(|live| *live == own)
 }
 
 fn raise(context: &EntryContext, object: &VersionedObject) {
     let generation = Generation(object.version.0);
     let text = String::from_utf8_lossy(&object.value).into_owned();
     match parse_configuration(&text) {
-        Ok(content) => raise_applied(context, AppliedConfiguration { generation, text, content }),
+        Ok(content) => raise_applied(
+            context,
+            AppliedConfiguration {
+                generation,
+                text,
+                content,
+            },
+        ),
         Err(faults) => error!(context.options.log, "configuration has faults"; "generation" => generation.0,
             "faults" => faults.len()),
     }
@@ -113,7 +130,9 @@
         Generation(0) => WriteCondition::Absent,
         Generation(version) => WriteCondition::Version(ObjectVersion(version)),
     };
-    let written = store.write(CONFIGURATION_KEY, Bytes::from(text.to_owned()), condition).await;
+    let written = store
+        .write(CONFIGURATION_KEY, Bytes::from(text.to_owned()), condition)
+        .await;
     let error = match written {
         Ok(version) => return take_effect(context, Generation(version.0), text),
         Err(PlatformError::NoAnswer(reason)) => reason,
@@ -139,9 +158,19 @@
 fn take_effect(context: &EntryContext, generation: Generation, text: &str) -> Result<Generation, CallError> {
     let content = parse_configuration(text).map_err(|faults| {
         let first = faults.first().map(ToString::to_string).unwrap_or_default();
-        CallError::ran(ResultCode::Internal, format!("the applied text has faults: {first}"))
+        CallError::ran(
+            ResultCode::Internal,
+            format!("the applied text has faults: {first}"),
+        )
     })?;
-    raise_applied(context, AppliedConfiguration { generation, text: text.to_owned(), content });
+    raise_applied(
+        context,
+        AppliedConfiguration {
+            generation,
+            text: text.to_owned(),
+            content,
+        },
+    );
     Ok(generation)
 }
 
@@ -151,5 +180,8 @@
         raise(context, object);
     }
     let generation = present.ok().flatten().map_or(0, |object| object.version.0);
-    CallError::not_run(ResultCode::GenerationConflict, format!("generation {generation} is in force, not {base}"))
+    CallError::not_run(
+        ResultCode::GenerationConflict,
+        format!("generation {generation} is in force, not {base}"),
+    )
 }
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -78,7 +78,8 @@
             return;
         }
         if heartbeat.generation > self.board.generation() {
-            self.newer_configuration.send_replace(Some((heartbeat.generation, heartbeat.address)));
+            self.newer_configuration
+                .send_replace(Some((heartbeat.generation, heartbeat.address)));
         }
         self.newer_members.send_if_modified(|known| {
             let newer = heartbeat.members > *known;
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -43,7 +43,10 @@
 
     /// Returns the record of an entry's incarnation.
     pub(crate) fn entry(&self, incarnation: u64) -> Option<&PeerRecord> {
-        let mut entries = self.peers.iter().filter(|peer| peer.heartbeat.role == HostRole::Entry);
+        let mut entries = self
+            .peers
+            .iter()
+            .filter(|peer| peer.heartbeat.role == HostRole::Entry);
         entries.find(|peer| peer.heartbeat.start == incarnation)
     }
 
@@ -57,15 +60,27 @@
 
     /// Records a heartbeat; one of an earlier start or of a smaller sequence number changes nothing.
     fn record(&mut self, heartbeat: Heartbeat, now: Instant) {
-        match self.peers.binary_search_by(|peer| peer.heartbeat.host.cmp(&heartbeat.host)) {
+        match self
+            .peers
+            .binary_search_by(|peer| peer.heartbeat.host.cmp(&heartbeat.host))
+        {
             Ok(index) => {
                 let peer = &mut self.peers[index];
                 let same_start = peer.heartbeat.start == heartbeat.start;
                 if !same_start || heartbeat.sequence > peer.heartbeat.sequence {
-                    *peer = PeerRecord { heartbeat, heard: now };
+                    *peer = PeerRecord {
+                        heartbeat,
+                        heard: now,
+                    };
                 }
             }
-            Err(index) => self.peers.insert(index, PeerRecord { heartbeat, heard: now }),
+            Err(index) => self.peers.insert(
+                index,
+                PeerRecord {
+                    heartbeat,
+                    heard: now,
+                },
+            ),
         }
     }
 
@@ -134,7 +149,8 @@
         context.note_generation(&heartbeat);
         let now = Instant::now();
         view.record(heartbeat, now);
-        view.peers.retain(|peer| now.duration_since(peer.heard) < FORGET_AFTER);
+        view.peers
+            .retain(|peer| now.duration_since(peer.heard) < FORGET_AFTER);
         context.board.set_fleet(view.clone());
     }
 }
@@ -164,5 +180,7 @@
 /// Tells whether the host list shows a host as leaving.
 pub(crate) fn is_listed_leaving(context: &EntryContext, host: &HostName) -> bool {
     let listed = context.board.listed();
-    listed.iter().any(|row| row.name == *host && row.state == HostState::Leaving)
+    listed
+        .iter()
+        .any(|row| row.name == *host && row.state == HostState::Leaving)
 }
--- a/components/entry/src/http/admin.rs
+++ b/components/entry/src/http/admin.rs
@@ -53,7 +53,11 @@
         (&Method::PUT, ["configuration"]) => apply(context, request).await,
         (&Method::GET, ["status"]) => Ok(json_reply(StatusCode::OK, &StatusBody::collect(context).await)),
         (&Method::GET, ["programs"]) => {
-            let programs: Vec<_> = list_programs(context).await.into_iter().map(ProgramBody::from).collect();
+            let programs: Vec<_> = list_programs(context)
+                .await
+                .into_iter()
+                .map(ProgramBody::from)
+                .collect();
             Ok(json_reply(StatusCode::OK, &programs))
         }
         (&Method::GET, ["programs", id, "history"]) => history(context, None, id).await,
@@ -67,15 +71,23 @@
 
 fn show(context: &EntryContext) -> Result<HttpReply, CallError> {
     let Some(applied) = context.board.configuration() else {
-        return Err(CallError::not_run(ResultCode::NoConfiguration, "no configuration has been applied"));
+        return Err(CallError::not_run(
+            ResultCode::NoConfiguration,
+            "no configuration has been applied",
+        ));
     };
     let mut reply = Response::new(full_body(applied.text.clone()));
-    reply.headers_mut().insert(GENERATION_HEADER, HeaderValue::from(applied.generation.0));
+    reply
+        .headers_mut()
+        .insert(GENERATION_HEADER, HeaderValue::from(applied.generation.0));
     Ok(reply)
 }
 
 async fn apply(context: &Arc<EntryContext>, request: &WholeRequest) -> Result<HttpReply, CallError> {
-    let base = request.query("base").and_then(|base| base.parse().ok()).map(Generation);
+    let base = request
+        .query("base")
+        .and_then(|base| base.parse().ok())
+        .map(Generation);
     let base = base.ok_or_else(|| malformed("the query needs base=GENERATION"))?;
     if request.body.len() > MAX_CONFIGURATION_BYTES {
         let message = format!("a configuration has at most {MAX_CONFIGURATION_BYTES} bytes");
@@ -90,16 +102,30 @@
             code: fault.code,
             message: fault.message,
         });
-        return Ok(json_reply(StatusCode::BAD_REQUEST, &FaultsBody { faults: faults.collect() }));
+        return Ok(json_reply(
+            StatusCode::BAD_REQUEST,
+            &FaultsBody {
+                faults: faults.collect(),
+            },
+        ));
     }
     let generation = apply_configuration(context, base, text).await?;
     let detail = format!("base={base} bytes={}", text.len());
-    let event = AuditEvent::operator(operator(request), "apply", format!("generation {generation}"), detail);
+    let event = AuditEvent::operator(
+        operator(request),
+        "apply",
+        format!("generation {generation}"),
+        detail,
+    );
     event.write_logged(context).await;
     Ok(json_reply(StatusCode::OK, &GenerationBody { generation }))
 }
 
-async fn cancel(context: &Arc<EntryContext>, request: &WholeRequest, id: &str) -> Result<HttpReply, CallError> {
+async fn cancel(
+    context: &Arc<EntryContext>,
+    request: &WholeRequest,
+    id: &str,
+) -> Result<HttpReply, CallError> {
     let summary = end_program(context, None, parse_program(id)?).await?;
     let event = AuditEvent::operator(operator(request), "cancel", id.to_owned(), String::new());
     event.write_logged(context).await;
@@ -112,11 +138,17 @@
     Ok(json_reply(StatusCode::OK, &report))
 }
 
-async fn drain(context: &Arc<EntryContext>, request: &WholeRequest, name: &str) -> Result<HttpReply, CallError> {
+async fn drain(
+    context: &Arc<EntryContext>,
+    request: &WholeRequest,
+    name: &str,
+) -> Result<HttpReply, CallError> {
     let host: HostName = name.parse().map_err(|message: String| malformed(message))?;
     let fleet = context.board.fleet();
     let own = host == context.options.host;
-    let peer = fleet.peer(&host).map(|peer| (peer.heartbeat.role, peer.heartbeat.address));
+    let peer = fleet
+        .peer(&host)
+        .map(|peer| (peer.heartbeat.role, peer.heartbeat.address));
     match peer {
         _ if own => context.drain.notify_one(),
         Some((role, address)) => drain_peer(context, role, address).await?,
@@ -130,20 +162,43 @@
     Ok(json_reply(StatusCode::ACCEPTED, &host))
 }
 
-async fn drain_peer(context: &EntryContext, role: HostRole, address: std::net::SocketAddr) -> Result<(), CallError> {
+async fn drain_peer(
+    context: &EntryContext,
+    role: HostRole,
+    address: std::net::SocketAddr,
+) -> Result<(), CallError> {
     let answered = match role {
-        HostRole::Entry => context.pool.owner(address).await?.drain_host(call_context(CALL_TIMEOUT)).await,
-        HostRole::Agent => context.pool.agent(address).await?.drain_host(call_context(CALL_TIMEOUT)).await,
+        HostRole::Entry => {
+            context
+                .pool
+                .owner(address)
+                .await?
+                .drain_host(call_context(CALL_TIMEOUT))
+                .await
+        }
+        HostRole::Agent => {
+            context
+                .pool
+                .agent(address)
+                .await?
+                .drain_host(call_context(CALL_TIMEOUT))
+                .await
+        }
     };
     answered.map_err(|error| lost_answer(&error))?
 }
 
 async fn audit(context: &EntryContext, request: &WholeRequest) -> Result<HttpReply, CallError> {
-    let after = request.query("after").and_then(|after| after.parse().ok()).unwrap_or(0);
-    let events = read_audit(context.options.store.as_ref(), after).await.map_err(|error| {
-        let refusal = CallError::not_run(ResultCode::PlatformUnavailable, format!("{error:#}"));
-        refusal.with_retry_after_ms(1000)
-    })?;
+    let after = request
+        .query("after")
+        .and_then(|after| after.parse().ok())
+        .unwrap_or(0);
+    let events = read_audit(context.options.store.as_ref(), after)
+        .await
+        .map_err(|error| {
+            let refusal = CallError::not_run(ResultCode::PlatformUnavailable, format!("{error:#}"));
+            refusal.with_retry_after_ms(1000)
+        })?;
     Ok(json_reply(StatusCode::OK, &events))
 }
 
--- a/components/entry/src/http/auth.rs
+++ b/components/entry/src/http/auth.rs
@@ -22,7 +22,12 @@
     };
     let mut found = None;
     for team in &applied.content.teams {
-        if bool::from(team.key_sha256.to_ascii_lowercase().as_bytes().ct_eq(digest.as_bytes())) {
+        if bool::from(
+            team.key_sha256
+                .to_ascii_lowercase()
+                .as_bytes()
+                .ct_eq(digest.as_bytes()),
+        ) {
             found = Some(team.name.clone());
         }
     }
@@ -37,7 +42,11 @@
 pub(crate) fn authenticate_operator(context: &EntryContext, headers: &HeaderMap) -> Result<(), CallError> {
     let digest = bearer_digest(headers)?;
     let expected = context.options.operator_key_sha256.as_bytes();
-    if bool::from(digest.as_bytes().ct_eq(expected)) { Ok(()) } else { Err(unauthorized()) }
+    if bool::from(digest.as_bytes().ct_eq(expected)) {
+        Ok(())
+    } else {
+        Err(unauthorized())
+    }
 }
 
 fn bearer_digest(headers: &HeaderMap) -> Result<String, CallError> {
--- a/components/entry/src/http/chat.rs
+++ b/components/entry/src/http/chat.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use domain::{
-    CallKey, CallOutcome, CallPayload, CallReply, CallRequest, ChatMessage, ServiceKind, ServiceName, TeamName,
-    TokenCount,
+    CallKey, CallOutcome, CallPayload, CallReply, CallRequest, ChatMessage, ServiceKind, ServiceName,
+    TeamName, TokenCount,
 };
 use errors::{CallError, ResultCode};
 use futures::StreamExt as _;
@@ -85,9 +85,21 @@
         return Err(malformed("a turn brings at least one message"));
     }
     let max_tokens = body.max_tokens.unwrap_or(service.limits.max_tokens);
-    let payload = CallPayload::Chat { messages: body.messages, max_tokens };
-    let call = CallRequest { service: body.model.clone(), idempotency_key: request.idempotency_key()?, payload };
-    let submitted = SubmittedCall { team, program, request: call, delivered: String::new() };
+    let payload = CallPayload::Chat {
+        messages: body.messages,
+        max_tokens,
+    };
+    let call = CallRequest {
+        service: body.model.clone(),
+        idempotency_key: request.idempotency_key()?,
+        payload,
+    };
+    let submitted = SubmittedCall {
+        team,
+        program,
+        request: call,
+        delivered: String::new(),
+    };
     let resume = request.stream_position()?;
     let (sender, receiver) = mpsc::channel(EVENTS_BUFFERED);
     let relay = CallRelay::new(Arc::clone(context), submitted, resume);
@@ -110,14 +122,29 @@
 fn outcome_reply(model: &ServiceName, call: Option<CallKey>, outcome: &CallOutcome) -> HttpReply {
     match outcome {
         CallOutcome::Answered(CallReply::Chat { text, usage }) => {
-            let message = MessageBody { role: "assistant", content: text };
-            let choice = ChoiceBody { index: 0, message: Some(message), delta: None, finish_reason: Some("stop") };
-            let body = completion_body(model, call, "chat.completion", choice, Some(UsageBody::from(*usage)));
+            let message = MessageBody {
+                role: "assistant",
+                content: text,
+            };
+            let choice = ChoiceBody {
+                index: 0,
+                message: Some(message),
+                delta: None,
+                finish_reason: Some("stop"),
+            };
+            let body = completion_body(
+                model,
+                call,
+                "chat.completion",
+                choice,
+                Some(UsageBody::from(*usage)),
+            );
             json_reply(StatusCode::OK, &body)
         }
-        CallOutcome::Answered(CallReply::Plain(_)) => {
-            error_reply(&CallError::ran(ResultCode::Internal, "a model answered as a plain service"))
-        }
+        CallOutcome::Answered(CallReply::Plain(_)) => error_reply(&CallError::ran(
+            ResultCode::Internal,
+            "a model answered as a plain service",
+        )),
         CallOutcome::Failed(error) => error_reply(error),
     }
 }
@@ -130,7 +157,13 @@
     usage: Option<UsageBody>,
 ) -> CompletionBody<'a> {
     let id = call.map(|call| call.to_string()).unwrap_or_default();
-    CompletionBody { id, object, model, choices: [choice], usage }
+    CompletionBody {
+        id,
+        object,
+        model,
+        choices: [choice],
+        usage,
+    }
 }
 
 /// Answers with a stream; a refusal that comes before the first text keeps its HTTP status.
@@ -144,13 +177,19 @@
         let event = events.recv().await?;
         Some((event, events))
     });
-    let frames = futures::stream::once(async move { first }).chain(rest).map(move |event| {
-        let text = event_text(&model, event);
-        Ok::<_, Infallible>(Frame::data(Bytes::from(text)))
-    });
+    let frames = futures::stream::once(async move { first })
+        .chain(rest)
+        .map(move |event| {
+            let text = event_text(&model, event);
+            Ok::<_, Infallible>(Frame::data(Bytes::from(text)))
+        });
     let mut reply = Response::new(StreamBody::new(frames).boxed());
-    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    reply.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    reply
+        .headers_mut()
+        .insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
     reply
 }
 
@@ -158,14 +197,30 @@
     match event {
         RelayEvent::Text(text, position) => {
             let delta = DeltaBody { content: Some(&text) };
-            let choice = ChoiceBody { index: 0, message: None, delta: Some(delta), finish_reason: None };
+            let choice = ChoiceBody {
+                index: 0,
+                message: None,
+                delta: Some(delta),
+                finish_reason: None,
+            };
             let body = completion_body(model, None, "chat.completion.chunk", choice, None);
             format!("id: {}\ndata: {}\n\n", event_id(position), json_text(&body))
         }
         RelayEvent::End(call, CallOutcome::Answered(CallReply::Chat { usage, .. })) => {
             let delta = DeltaBody { content: None };
-            let choice = ChoiceBody { index: 0, message: None, delta: Some(delta), finish_reason: Some("stop") };
-            let body = completion_body(model, call, "chat.completion.chunk", choice, Some(UsageBody::from(usage)));
+            let choice = ChoiceBody {
+                index: 0,
+                message: None,
+                delta: Some(delta),
+                finish_reason: Some("stop"),
+            };
+            let body = completion_body(
+                model,
+                call,
+                "chat.completion.chunk",
+                choice,
+                Some(UsageBody::from(usage)),
+            );
             format!("data: {}\n\ndata: [DONE]\n\n", json_text(&body))
         }
         RelayEvent::End(_, CallOutcome::Answered(CallReply::Plain(_))) => {
--- a/components/entry/src/http/operators.rs
+++ b/components/entry/src/http/operators.rs
@@ -1,6 +1,8 @@
 //! What operators see of the fleet and of budgets.
 
-use domain::{FailureDomain, Generation, HostName, HostRole, LoadDigest, MemberTable, MicroUnits, TeamName, TimeMillis};
+use domain::{
+    FailureDomain, Generation, HostName, HostRole, LoadDigest, MemberTable, MicroUnits, TeamName, TimeMillis,
+};
 use errors::CallError;
 use serde::Serialize;
 use tokio::time::Instant;
--- a/components/entry/src/http/programs.rs
+++ b/components/entry/src/http/programs.rs
@@ -53,10 +53,17 @@
     if let Some(parent) = body.parent {
         check_parent(&read_program(context, Some(&team), parent).await?)?;
     }
-    let start = ProgramStart { team, parent: body.parent, urgency: body.urgency, deadline: body.deadline };
+    let start = ProgramStart {
+        team,
+        parent: body.parent,
+        urgency: body.urgency,
+        deadline: body.deadline,
+    };
     let owner = context.owner();
     let starting = tokio::spawn(async move { owner.start_program(start).await });
-    let summary = starting.await.unwrap_or_else(|error| Err(CallError::unknown(error.to_string())))?;
+    let summary = starting
+        .await
+        .unwrap_or_else(|error| Err(CallError::unknown(error.to_string())))?;
     Ok(json_reply(StatusCode::CREATED, &ProgramBody::from(summary)))
 }
 
@@ -64,13 +71,23 @@
     if parent.phase == ProgramPhase::Running {
         return Ok(());
     }
-    Err(CallError::not_run(ResultCode::ProgramEnded, format!("the parent {} has ended", parent.key)))
+    Err(CallError::not_run(
+        ResultCode::ProgramEnded,
+        format!("the parent {} has ended", parent.key),
+    ))
 }
 
 /// Returns a program.
-pub(crate) async fn read(context: &Arc<EntryContext>, team: &TeamName, id: &str) -> Result<HttpReply, CallError> {
+pub(crate) async fn read(
+    context: &Arc<EntryContext>,
+    team: &TeamName,
+    id: &str,
+) -> Result<HttpReply, CallError> {
     let program = read_program(context, Some(team), parse_program(id)?).await?;
-    Ok(json_reply(StatusCode::OK, &ProgramBody::from(summarize(&program))))
+    Ok(json_reply(
+        StatusCode::OK,
+        &ProgramBody::from(summarize(&program)),
+    ))
 }
 
 /// Returns the history of a program; `None` as team stands for an operator.
@@ -80,11 +97,21 @@
     id: &str,
 ) -> Result<HttpReply, CallError> {
     let program = read_program(context, team, parse_program(id)?).await?;
-    Ok(json_reply(StatusCode::OK, &HistoryBody { program: program.key, messages: program.history }))
+    Ok(json_reply(
+        StatusCode::OK,
+        &HistoryBody {
+            program: program.key,
+            messages: program.history,
+        },
+    ))
 }
 
 /// Ends a program.
-pub(crate) async fn end(context: &Arc<EntryContext>, team: &TeamName, id: &str) -> Result<HttpReply, CallError> {
+pub(crate) async fn end(
+    context: &Arc<EntryContext>,
+    team: &TeamName,
+    id: &str,
+) -> Result<HttpReply, CallError> {
     let summary = end_program(context, Some(team), parse_program(id)?).await?;
     Ok(json_reply(StatusCode::OK, &ProgramBody::from(summary)))
 }
@@ -97,7 +124,10 @@
     key: &str,
 ) -> Result<HttpReply, CallError> {
     let program = read_program(context, Some(team), parse_program(id)?).await?;
-    let body = match program.finished_call(key).map(|finished| finished.outcome.clone()) {
+    let body = match program
+        .finished_call(key)
+        .map(|finished| finished.outcome.clone())
+    {
         Some(CallOutcome::Answered(reply)) => CallBody::Answered { reply },
         Some(CallOutcome::Failed(error)) => CallBody::Failed { error },
         None if program.open_intent(key).is_some() => CallBody::Running,
--- a/components/entry/src/http/reply.rs
+++ b/components/entry/src/http/reply.rs
@@ -3,7 +3,9 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
-use domain::{MicroUnits, ProgramKey, ProgramPhase, TeamName, TenureNumber, TimeMillis, TokenUsage, UrgencyClass};
+use domain::{
+    MicroUnits, ProgramKey, ProgramPhase, TeamName, TenureNumber, TimeMillis, TokenUsage, UrgencyClass,
+};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -84,7 +86,9 @@
             prompt_tokens: usage.prompt_tokens,
             completion_tokens: usage.completion_tokens,
             total_tokens: usage.prompt_tokens + usage.completion_tokens,
-            prompt_tokens_details: PromptDetails { cached_tokens: usage.cached_tokens },
+            prompt_tokens_details: PromptDetails {
+                cached_tokens: usage.cached_tokens,
+            },
         }
     }
 }
@@ -99,7 +103,9 @@
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let mut reply = Response::new(full_body(bytes));
     *reply.status_mut() = status;
-    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     reply
 }
 
@@ -109,7 +115,10 @@
     let mut reply = json_reply(status, &ErrorBody { error });
     reply.headers_mut().insert(RUN_HEADER, run_value(error.run));
     if let Some(retry_after_ms) = error.retry_after_ms {
-        reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MILLIS_PER_SECOND)));
+        reply.headers_mut().insert(
+            RETRY_AFTER,
+            HeaderValue::from(retry_after_ms.div_ceil(MILLIS_PER_SECOND)),
+        );
     }
     reply
 }
--- a/components/entry/src/http/request.rs
+++ b/components/entry/src/http/request.rs
@@ -35,17 +35,22 @@
     pub(crate) async fn read(request: Request<Incoming>, limit: usize) -> Result<Self, CallError> {
         let (parts, body) = request.into_parts();
         let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-        let collected = collected.map_err(|_| {
-            CallError::not_run(ResultCode::RequestTimeout, "the body did not arrive in time")
-        })?;
+        let collected = collected
+            .map_err(|_| CallError::not_run(ResultCode::RequestTimeout, "the body did not arrive in time"))?;
         let body = collected.map_err(|error| {
             if error.is::<LengthLimitError>() {
-                CallError::not_run(ResultCode::BodyTooLarge, format!("a body has at most {limit} bytes"))
+                CallError::not_run(
+                    ResultCode::BodyTooLarge,
+                    format!("a body has at most {limit} bytes"),
+                )
             } else {
                 malformed("the body is broken off")
             }
         })?;
-        Ok(Self { parts, body: body.to_bytes() })
+        Ok(Self {
+            parts,
+            body: body.to_bytes(),
+        })
     }
 
     /// Reads the body as JSON.
@@ -54,7 +59,8 @@
     ///
     /// Returns 1001 when the body is not the JSON that is expected.
     pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
-        serde_json::from_slice(&self.body).map_err(|error| malformed(format!("the body is not as expected: {error}")))
+        serde_json::from_slice(&self.body)
+            .map_err(|error| malformed(format!("the body is not as expected: {error}")))
     }
 
     /// Returns the program named in the headers.
@@ -64,7 +70,8 @@
     /// Returns 1009 when the header is missing or malformed.
     pub(crate) fn program(&self) -> Result<ProgramKey, CallError> {
         let text = self.header("azuretide-program")?;
-        text.parse().map_err(|message: String| CallError::not_run(ResultCode::MalformedHeader, message))
+        text.parse()
+            .map_err(|message: String| CallError::not_run(ResultCode::MalformedHeader, message))
     }
 
     /// Returns the idempotency key.
@@ -92,10 +99,16 @@
         }
         let text = self.header("last-event-id")?;
         let position = text.split_once('-').and_then(|(offset, hash)| {
-            Some(StreamPosition { offset: offset.parse().ok()?, hash: u64::from_str_radix(hash, 16).ok()? })
+            Some(StreamPosition {
+                offset: offset.parse().ok()?,
+                hash: u64::from_str_radix(hash, 16).ok()?,
+            })
         });
         let Some(position) = position else {
-            return Err(CallError::not_run(ResultCode::MalformedHeader, "Last-Event-ID is not one of this stream"));
+            return Err(CallError::not_run(
+                ResultCode::MalformedHeader,
+                "Last-Event-ID is not one of this stream",
+            ));
         };
         Ok(Some(position))
     }
@@ -107,14 +120,20 @@
 
     fn header(&self, name: &str) -> Result<&str, CallError> {
         header_text(&self.parts.headers, name).ok_or_else(|| {
-            CallError::not_run(ResultCode::MalformedHeader, format!("the header {name} is missing or malformed"))
+            CallError::not_run(
+                ResultCode::MalformedHeader,
+                format!("the header {name} is missing or malformed"),
+            )
         })
     }
 
     /// Returns a parameter of the query.
     pub(crate) fn query(&self, name: &str) -> Option<&str> {
         let pairs = self.parts.uri.query()?.split('&');
-        pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+        pairs
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
     }
 }
 
--- a/components/entry/src/http/route.rs
+++ b/components/entry/src/http/route.rs
@@ -46,5 +46,8 @@
 
 /// Returns the refusal of a path or method that the interface does not have.
 pub(crate) fn unknown_route() -> CallError {
-    CallError::not_run(ResultCode::UnknownRoute, "the interface has no such path and method")
+    CallError::not_run(
+        ResultCode::UnknownRoute,
+        "the interface has no such path and method",
+    )
 }
--- a/components/entry/src/http/service.rs
+++ b/components/entry/src/http/service.rs
@@ -37,8 +37,17 @@
         content_type: request.optional_header("content-type").to_owned(),
         body: request.body.to_vec(),
     });
-    let call = CallRequest { service: name, idempotency_key: request.idempotency_key()?, payload };
-    let submitted = SubmittedCall { team, program, request: call, delivered: String::new() };
+    let call = CallRequest {
+        service: name,
+        idempotency_key: request.idempotency_key()?,
+        payload,
+    };
+    let submitted = SubmittedCall {
+        team,
+        program,
+        request: call,
+        delivered: String::new(),
+    };
     let (sender, mut events) = mpsc::channel(1);
     tokio::spawn(CallRelay::new(Arc::clone(context), submitted, None).run(sender));
     while let Some(event) = events.recv().await {
@@ -52,7 +61,9 @@
 fn path_behind(request: &WholeRequest, name: &ServiceName) -> String {
     let uri = &request.parts.uri;
     let whole = uri.path_and_query().map_or("/", |path| path.as_str());
-    let rest = whole.strip_prefix("/v1/services/").and_then(|rest| rest.strip_prefix(name.as_str()));
+    let rest = whole
+        .strip_prefix("/v1/services/")
+        .and_then(|rest| rest.strip_prefix(name.as_str()));
     match rest {
         Some(rest) if rest.starts_with('/') => rest.to_owned(),
         Some(rest) => format!("/{rest}"),
@@ -63,9 +74,10 @@
 fn outcome_reply(outcome: CallOutcome) -> Result<HttpReply, CallError> {
     match outcome {
         CallOutcome::Answered(CallReply::Plain(reply)) => Ok(plain_reply(reply)),
-        CallOutcome::Answered(CallReply::Chat { .. }) => {
-            Err(CallError::ran(ResultCode::Internal, "a plain service answered as a model"))
-        }
+        CallOutcome::Answered(CallReply::Chat { .. }) => Err(CallError::ran(
+            ResultCode::Internal,
+            "a plain service answered as a model",
+        )),
         CallOutcome::Failed(error) => Ok(error_reply(&error)),
     }
 }
@@ -86,7 +98,10 @@
 /// # Errors
 ///
 /// Returns 1004 for a service that is not configured.
-pub(crate) fn configured_service(context: &EntryContext, name: &ServiceName) -> Result<ServiceConfig, CallError> {
+pub(crate) fn configured_service(
+    context: &EntryContext,
+    name: &ServiceName,
+) -> Result<ServiceConfig, CallError> {
     let applied = context.board.configuration();
     let service = applied.and_then(|applied| applied.content.service(name).cloned());
     service.ok_or_else(|| unknown_service(name.as_str()))
--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -27,13 +27,22 @@
 pub(crate) async fn read_members(store: &dyn ObjectStore) -> Result<MemberView> {
     match store.read(MEMBERS_KEY).await? {
         Some(object) => decode_members(&object),
-        None => Ok(MemberView { version: Generation(0), table: MemberTable { next: IncarnationId(1), members: vec![] } }),
+        None => Ok(MemberView {
+            version: Generation(0),
+            table: MemberTable {
+                next: IncarnationId(1),
+                members: vec![],
+            },
+        }),
     }
 }
 
 fn decode_members(object: &VersionedObject) -> Result<MemberView> {
     let table = serde_json::from_slice(&object.value).context("the member table cannot be decoded")?;
-    Ok(MemberView { version: Generation(object.version.0), table })
+    Ok(MemberView {
+        version: Generation(object.version.0),
+        table,
+    })
 }
 
 /// Writes the table over the version it was read at; `false` when another entry was faster.
@@ -53,7 +62,11 @@
 /// Joins as a new incarnation; waits while the object API does not answer.
 ///
 /// A lost answer costs an unused incarnation at most: the attempt is recognised by its number when it is read back.
-pub(crate) async fn join_members(options: &EntryOptions, address: std::net::SocketAddr, board: &Blackboard) -> IncarnationId {
+pub(crate) async fn join_members(
+    options: &EntryOptions,
+    address: std::net::SocketAddr,
+    board: &Blackboard,
+) -> IncarnationId {
     loop {
         match try_join(options, address).await {
             Ok(Some((incarnation, view))) => {
@@ -70,7 +83,10 @@
     }
 }
 
-async fn try_join(options: &EntryOptions, address: std::net::SocketAddr) -> Result<Option<(IncarnationId, MemberView)>> {
+async fn try_join(
+    options: &EntryOptions,
+    address: std::net::SocketAddr,
+) -> Result<Option<(IncarnationId, MemberView)>> {
     let store = options.store.as_ref();
     let read = read_members(store).await?;
     let incarnation = read.table.next;
@@ -109,14 +125,23 @@
     let seal = seal_journal(store, incarnation, own, heirs).await?;
     record_seal(context, incarnation, seal.heirs.clone()).await?;
     info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{:?}", seal.heirs));
-    let event = AuditEvent::system(&context.options.host, "seal", incarnation.to_string(), format!("{:?}", seal.heirs));
+    let event = AuditEvent::system(
+        &context.options.host,
+        "seal",
+        incarnation.to_string(),
+        format!("{:?}", seal.heirs),
+    );
     event.write_logged(context).await;
     Ok(())
 }
 
 /// Returns the live members that inherit from an incarnation.
 pub(crate) fn heirs_of(table: &MemberTable, incarnation: IncarnationId) -> Vec<IncarnationId> {
-    table.live().into_iter().filter(|live| *live != incarnation).collect()
+    table
+        .live()
+        .into_iter()
+        .filter(|live| *live != incarnation)
+        .collect()
 }
 
 /// Writes a seal that is in force into the member table.
@@ -133,7 +158,10 @@
     loop {
         let read = read_members(store).await?;
         let mut table = read.table.clone();
-        let Ok(index) = table.members.binary_search_by_key(&incarnation, |member| member.incarnation) else {
+        let Ok(index) = table
+            .members
+            .binary_search_by_key(&incarnation, |member| member.incarnation)
+        else {
             bail!("the member table does not hold {incarnation}");
         };
         if table.members[index].state != MemberState::Live {
@@ -184,15 +212,22 @@
 fn suspects(context: &EntryContext, started: Instant) -> Vec<IncarnationId> {
     let members = context.board.members();
     let own = context.incarnation();
-    let live: Vec<&MemberRecord> =
-        members.table.members.iter().filter(|member| member.state == MemberState::Live).collect();
-    let superseded = live.iter().filter(|member| member.incarnation < own && is_own_address(context, member));
+    let live: Vec<&MemberRecord> = members
+        .table
+        .members
+        .iter()
+        .filter(|member| member.state == MemberState::Live)
+        .collect();
+    let superseded = live
+        .iter()
+        .filter(|member| member.incarnation < own && is_own_address(context, member));
     let mut suspects: Vec<_> = superseded.map(|member| member.incarnation).collect();
     if context.board.is_leaving() {
         return suspects;
     }
     let others: Vec<_> = live.iter().filter(|member| member.incarnation != own).collect();
-    let is_silent = |member: &MemberRecord| silence_of(context, member.incarnation, started) > patience(context);
+    let is_silent =
+        |member: &MemberRecord| silence_of(context, member.incarnation, started) > patience(context);
     let silent: Vec<_> = others.iter().filter(|member| is_silent(member)).collect();
     if hears_most(context, &others, &silent, started) {
         suspects.extend(silent.iter().map(|member| member.incarnation));
@@ -208,7 +243,9 @@
 
 fn silence_of(context: &EntryContext, incarnation: IncarnationId, started: Instant) -> Duration {
     let fleet = context.board.fleet();
-    let heard = fleet.entry(incarnation.0).map_or(started, |peer| peer.heard.max(started));
+    let heard = fleet
+        .entry(incarnation.0)
+        .map_or(started, |peer| peer.heard.max(started));
     Instant::now().duration_since(heard)
 }
 
@@ -240,13 +277,18 @@
     const LAPSE_FACTOR: u32 = 6;
     let listed = context.board.listed();
     let is_listed = |member: &MemberRecord| {
-        listed.iter().any(|row| row.role == HostRole::Entry && row.name == member.host)
+        listed
+            .iter()
+            .any(|row| row.role == HostRole::Entry && row.name == member.host)
     };
     let listed_others = others.iter().filter(|member| is_listed(member)).count();
     let listed_silent = silent.iter().filter(|member| is_listed(member)).count();
     let single = listed_others <= 1;
     let majority = listed_silent * 2 < listed_others;
     let lapse = context.options.suspect_after * LAPSE_FACTOR;
-    let lapsed = !silent.is_empty() && silent.iter().all(|member| silence_of(context, member.incarnation, started) > lapse);
+    let lapsed = !silent.is_empty()
+        && silent
+            .iter()
+            .all(|member| silence_of(context, member.incarnation, started) > lapse);
     single || majority || lapsed
 }
--- a/components/entry/src/owner/attempt.rs
+++ b/components/entry/src/owner/attempt.rs
@@ -66,7 +66,10 @@
             }
         };
         sent = true;
-        match client.dispatch_call(call_context(CALL_TIMEOUT), order.clone()).await {
+        match client
+            .dispatch_call(call_context(CALL_TIMEOUT), order.clone())
+            .await
+        {
             Ok(Ok(_)) => return Handover::Taken,
             Ok(Err(refusal)) => return Handover::Refused(refusal),
             Err(error) => {
@@ -124,7 +127,9 @@
 ) -> Result<OutputChunk, CallError> {
     let client = context.pool.agent(seat.address).await?;
     let wait_ms = u64::try_from(READ_WAIT.as_millis()).unwrap_or(u64::MAX);
-    let read = client.read_attempt(call_context(READ_WAIT + READ_GRACE), attempt, offset, wait_ms).await;
+    let read = client
+        .read_attempt(call_context(READ_WAIT + READ_GRACE), attempt, offset, wait_ms)
+        .await;
     read.map_err(|error| lost_answer(&error))?
 }
 
--- a/components/entry/src/owner/call.rs
+++ b/components/entry/src/owner/call.rs
@@ -48,14 +48,22 @@
             queued_at,
             adopted: None,
             stop: CancellationToken::new(),
-            output: Mutex::new(CallOutput { text: delivered, outcome: None }),
+            output: Mutex::new(CallOutput {
+                text: delivered,
+                outcome: None,
+            }),
             progress: watch::channel(0).0,
         }
     }
 
     /// Creates a call from the intent of an earlier owner.
     pub(crate) fn adopt(intent: IntentRecord, queued_at: TimeMillis) -> Self {
-        let mut call = Self::new(intent.attempt.call, intent.request.clone(), String::new(), queued_at);
+        let mut call = Self::new(
+            intent.attempt.call,
+            intent.request.clone(),
+            String::new(),
+            queued_at,
+        );
         call.adopted = Some(intent);
         call
     }
@@ -110,7 +118,11 @@
             }
             let changed = tokio::time::timeout_at(until, progress.changed()).await;
             if !matches!(changed, Ok(Ok(()))) {
-                return OutputChunk { offset, text: String::new(), outcome: None };
+                return OutputChunk {
+                    offset,
+                    text: String::new(),
+                    outcome: None,
+                };
             }
         }
     }
@@ -123,11 +135,17 @@
         }
         let (text, whole) = cut_text(rest);
         let outcome = if whole { output.outcome.clone() } else { None };
-        Some(OutputChunk { offset, text: text.to_owned(), outcome })
+        Some(OutputChunk {
+            offset,
+            text: text.to_owned(),
+            outcome,
+        })
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, CallOutput> {
-        self.output.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.output
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
@@ -142,7 +160,10 @@
     if text.len() <= MAX_CHUNK_BYTES {
         return (text, true);
     }
-    let end = (0..=MAX_CHUNK_BYTES).rev().find(|end| text.is_char_boundary(*end)).unwrap_or(0);
+    let end = (0..=MAX_CHUNK_BYTES)
+        .rev()
+        .find(|end| text.is_char_boundary(*end))
+        .unwrap_or(0);
     (&text[..end], false)
 }
 
--- a/components/entry/src/owner/cell.rs
+++ b/components/entry/src/owner/cell.rs
@@ -60,12 +60,24 @@
 impl ProgramCell {
     /// Creates a cell from the durable state; open intents become the first calls to settle.
     pub(crate) fn new(program: ProgramState, now: TimeMillis) -> Self {
-        let adopted = program.intents.iter().map(|intent| Arc::new(OpenCall::adopt(intent.clone(), now)));
+        let adopted = program
+            .intents
+            .iter()
+            .map(|intent| Arc::new(OpenCall::adopt(intent.clone(), now)));
         let waiting: VecDeque<_> = adopted.collect();
-        let highest_open = program.intents.iter().map(|intent| intent.attempt.call.sequence + 1).max();
+        let highest_open = program
+            .intents
+            .iter()
+            .map(|intent| intent.attempt.call.sequence + 1)
+            .max();
         let next_call = program.next_call.max(highest_open.unwrap_or(1));
         let holdings = program.held_by.iter();
-        let holdings = holdings.map(|host| CacheHolding { host: host.clone(), tokens: context_tokens(&program) }).collect();
+        let holdings = holdings
+            .map(|host| CacheHolding {
+                host: host.clone(),
+                tokens: context_tokens(&program),
+            })
+            .collect();
         Self {
             key: program.key,
             state: Mutex::new(CellState {
@@ -116,25 +128,40 @@
                 let message = "the idempotency key was used with a different request";
                 return Err(CallError::not_run(ResultCode::KeyReused, message));
             }
-            return Ok(CallIntake::Attached(CallAttachment { call: known.0, attached: true }));
+            return Ok(CallIntake::Attached(CallAttachment {
+                call: known.0,
+                attached: true,
+            }));
         }
         if closing {
             return Err(not_owner());
         }
         if state.program.phase != domain::ProgramPhase::Running {
-            return Err(CallError::not_run(ResultCode::ProgramEnded, "the program has ended"));
+            return Err(CallError::not_run(
+                ResultCode::ProgramEnded,
+                "the program has ended",
+            ));
         }
         if state.waiting.len() >= limit {
             let refusal = CallError::not_run(ResultCode::QueueFull, "too many calls of the program wait");
             return Err(refusal.with_retry_after_ms(1000));
         }
-        let call = CallKey { program: self.key, sequence: state.next_call };
+        let call = CallKey {
+            program: self.key,
+            sequence: state.next_call,
+        };
         state.next_call += 1;
         let open = OpenCall::new(call, submitted.request, submitted.delivered, now);
         state.waiting.push_back(Arc::new(open));
         let start = !state.busy;
         state.busy = true;
-        Ok(CallIntake::Queued { attachment: CallAttachment { call, attached: false }, start })
+        Ok(CallIntake::Queued {
+            attachment: CallAttachment {
+                call,
+                attached: false,
+            },
+            start,
+        })
     }
 
     /// Claims the right to run the program's calls; `false` when there are none or somebody runs them.
@@ -177,7 +204,9 @@
     pub(crate) fn open_call_by_key(&self, idempotency_key: &str) -> Option<Arc<OpenCall>> {
         let state = self.lock();
         let mut calls = state.waiting.iter().chain(&state.running);
-        calls.find(|call| call.request.idempotency_key == idempotency_key).cloned()
+        calls
+            .find(|call| call.request.idempotency_key == idempotency_key)
+            .cloned()
     }
 
     /// Returns the calls that run or wait.
@@ -201,7 +230,10 @@
         let mut state = self.lock();
         match state.holdings.iter_mut().find(|holding| holding.host == *host) {
             Some(holding) => holding.tokens = tokens,
-            None => state.holdings.push(CacheHolding { host: host.clone(), tokens }),
+            None => state.holdings.push(CacheHolding {
+                host: host.clone(),
+                tokens,
+            }),
         }
     }
 
@@ -213,7 +245,12 @@
         if state.recent_requests.len() > REQUESTS_KEPT {
             state.recent_requests.pop_front();
         }
-        let run = state.recent_requests.iter().rev().take_while(|request| **request == fingerprint).count();
+        let run = state
+            .recent_requests
+            .iter()
+            .rev()
+            .take_while(|request| **request == fingerprint)
+            .count();
         u32::try_from(run).unwrap_or(u32::MAX)
     }
 
@@ -238,7 +275,9 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, CellState> {
-        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
@@ -256,10 +295,13 @@
 
 /// Returns the tokens of a program's history as its engine counted them at the last turn.
 pub(crate) fn context_tokens(program: &ProgramState) -> TokenCount {
-    let turns = program.finished.iter().filter_map(|finished| match &finished.outcome {
-        CallOutcome::Answered(CallReply::Chat { usage, .. }) => Some((finished.call.sequence, usage)),
-        CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => None,
-    });
+    let turns = program
+        .finished
+        .iter()
+        .filter_map(|finished| match &finished.outcome {
+            CallOutcome::Answered(CallReply::Chat { usage, .. }) => Some((finished.call.sequence, usage)),
+            CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => None,
+        });
     let last = turns.max_by_key(|(sequence, _)| *sequence);
     last.map_or(0, |(_, usage)| usage.prompt_tokens + usage.completion_tokens)
 }
--- a/components/entry/src/owner/core.rs
+++ b/components/entry/src/owner/core.rs
@@ -5,7 +5,8 @@
 
 use budget::BudgetKeeper;
 use domain::{
-    CallKey, CallOutcome, CallReply, IncarnationId, ProgramKey, ProgramPhase, ProgramState, TeamName, TimeMillis,
+    CallKey, CallOutcome, CallReply, IncarnationId, ProgramKey, ProgramPhase, ProgramState, TeamName,
+    TimeMillis,
 };
 use errors::{CallError, ResultCode};
 use journal::{JournalError, JournalRecord, JournalWriter};
@@ -135,11 +136,16 @@
     pub(crate) async fn start_program(&self, start: ProgramStart) -> Result<ProgramSummary, CallError> {
         let now = TimeMillis::now();
         let sequence = self.next_program.fetch_add(1, Ordering::Relaxed);
-        let key = ProgramKey { incarnation: self.incarnation, sequence };
+        let key = ProgramKey {
+            incarnation: self.incarnation,
+            sequence,
+        };
         let mut program = ProgramState::new(key, start.team, start.urgency, now);
         program.parent = start.parent;
         program.deadline = start.deadline;
-        self.commit(vec![JournalRecord::Started(program.clone())]).await.map_err(journal_refusal)?;
+        self.commit(vec![JournalRecord::Started(program.clone())])
+            .await
+            .map_err(journal_refusal)?;
         let cell = Arc::new(ProgramCell::new(program, now));
         let summary = cell.summary();
         self.table.insert(cell);
@@ -160,7 +166,10 @@
         records.push(JournalRecord::Adopted { from });
         self.commit(records).await?;
         let now = TimeMillis::now();
-        let cells: Vec<_> = programs.into_iter().map(|program| Arc::new(ProgramCell::new(program, now))).collect();
+        let cells: Vec<_> = programs
+            .into_iter()
+            .map(|program| Arc::new(ProgramCell::new(program, now)))
+            .collect();
         for cell in &cells {
             self.table.insert(Arc::clone(cell));
         }
@@ -198,7 +207,10 @@
         };
         let permitted = team.is_none_or(|team| cell.with_program(|program| program.team == *team));
         if !permitted {
-            return Err(CallError::not_run(ResultCode::Forbidden, format!("no program {key}")));
+            return Err(CallError::not_run(
+                ResultCode::Forbidden,
+                format!("no program {key}"),
+            ));
         }
         Ok(cell)
     }
@@ -237,7 +249,11 @@
         if cell.with_program(|program| program.phase) != ProgramPhase::Running {
             return Ok(cell.summary());
         }
-        let record = JournalRecord::Ended { program: key, phase, at: TimeMillis::now() };
+        let record = JournalRecord::Ended {
+            program: key,
+            phase,
+            at: TimeMillis::now(),
+        };
         self.commit(vec![record]).await.map_err(journal_refusal)?;
         for call in cell.take_waiting() {
             call.close(CallOutcome::Failed(cancelled()));
@@ -250,7 +266,9 @@
     }
 
     fn lock_adopted(&self) -> std::sync::MutexGuard<'_, Vec<IncarnationId>> {
-        self.adopted.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.adopted
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
@@ -292,7 +310,11 @@
     };
     let (text, whole) = cut_text(text_behind(text, offset));
     let text = text.to_owned();
-    OutputChunk { offset, text, outcome: if whole { Some(outcome) } else { None } }
+    OutputChunk {
+        offset,
+        text,
+        outcome: if whole { Some(outcome) } else { None },
+    }
 }
 
 /// Closes a call and lets readers see its end.
--- a/components/entry/src/owner/flight.rs
+++ b/components/entry/src/owner/flight.rs
@@ -23,7 +23,12 @@
     /// Records a call handed to a host.
     pub(crate) fn take_off(&self, call: CallKey, host: HostName, tokens: TokenCount) {
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        records.push(FlightRecord { call, host, tokens, sent: Instant::now() });
+        records.push(FlightRecord {
+            call,
+            host,
+            tokens,
+            sent: Instant::now(),
+        });
     }
 
     /// Removes a call.
@@ -35,7 +40,11 @@
     /// Returns the calls and tokens sent to a host since a time.
     pub(crate) fn sent_since(&self, host: &HostName, since: Instant) -> (u32, TokenCount) {
         let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        let sent = records.iter().filter(|record| record.host == *host && record.sent > since);
-        sent.fold((0, 0), |(calls, tokens), record| (calls + 1, tokens + record.tokens))
+        let sent = records
+            .iter()
+            .filter(|record| record.host == *host && record.sent > since);
+        sent.fold((0, 0), |(calls, tokens), record| {
+            (calls + 1, tokens + record.tokens)
+        })
     }
 }
--- a/components/entry/src/owner/limits.rs
+++ b/components/entry/src/owner/limits.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use domain::{
-    CallPayload, ChatMessage, ClusterConfiguration, HostName, MicroUnits, ProgramState, ServiceConfig, ServiceKind,
-    TimeMillis, TokenCount,
+    CallPayload, ChatMessage, ClusterConfiguration, HostName, MicroUnits, ProgramState, ServiceConfig,
+    ServiceKind, TimeMillis, TokenCount,
 };
 use errors::{CallError, ResultCode};
 use policy::{AdmissionFacts, CallShape, ServerChoice, ServerCosts, ServerView, admit_call, choose_server};
@@ -20,7 +20,10 @@
 const MESSAGE_OVERHEAD_TOKENS: TokenCount = 8;
 
 /// Speed of a backend server until it has been observed.
-const DEFAULT_COSTS: ServerCosts = ServerCosts { prefill_us_per_token: 200, decode_us_per_token: 20_000 };
+const DEFAULT_COSTS: ServerCosts = ServerCosts {
+    prefill_us_per_token: 200,
+    decode_us_per_token: 20_000,
+};
 
 /// Share of the worst case that a call is expected to generate, as a divisor.
 const EXPECTED_TOKENS_DIVISOR: TokenCount = 4;
@@ -46,7 +49,11 @@
                 urgency: program.urgency,
             }
         }
-        CallPayload::Plain(_) => CallShape { prompt_tokens: 0, max_tokens: 0, urgency: program.urgency },
+        CallPayload::Plain(_) => CallShape {
+            prompt_tokens: 0,
+            max_tokens: 0,
+            urgency: program.urgency,
+        },
     }
 }
 
@@ -112,7 +119,10 @@
         peers.push(peer);
     }
     let weights = context.board.configuration()?.content.weights;
-    let expected = CallShape { max_tokens: shape.max_tokens / EXPECTED_TOKENS_DIVISOR, ..*shape };
+    let expected = CallShape {
+        max_tokens: shape.max_tokens / EXPECTED_TOKENS_DIVISOR,
+        ..*shape
+    };
     let choice = choose_server(&views, &expected, &DEFAULT_COSTS, &weights, &mut rand::rng())?;
     let peer = peers[usize::try_from(choice.key).unwrap_or(0)].clone();
     Some(ChosenServer { peer, choice })
@@ -140,7 +150,10 @@
             healthy && now.duration_since(peer.heard) <= context.options.suspect_after
         })
     };
-    let down = service.depends.iter().find(|name| configuration.service(name).is_some() && !is_up(name));
+    let down = service
+        .depends
+        .iter()
+        .find(|name| configuration.service(name).is_some() && !is_up(name));
     let repetitions = cell.count_repetition(call.fingerprint).saturating_sub(1);
     let now = TimeMillis::now();
     let facts = cell.with_program(|program| AdmissionFacts {
@@ -148,7 +161,11 @@
         deadline: program.deadline,
         started: program.started,
         turns: program.finished.len() as u64,
-        repetitions: if service.kind == ServiceKind::Model { repetitions } else { 0 },
+        repetitions: if service.kind == ServiceKind::Model {
+            repetitions
+        } else {
+            0
+        },
         dependencies_up: down.is_none(),
         live_servers: u32::from(chosen.is_some()),
         predicted_ms: chosen.map_or(0, |chosen| chosen.choice.predicted_ms),
@@ -165,7 +182,10 @@
     }
     let counted = shape.prompt_tokens + shape.max_tokens;
     if service.kind == ServiceKind::Model && counted > service.limits.context_tokens {
-        let message = format!("the history may reach {counted} of {} tokens", service.limits.context_tokens);
+        let message = format!(
+            "the history may reach {counted} of {} tokens",
+            service.limits.context_tokens
+        );
         return Err(CallError::not_run(ResultCode::TurnLimit, message));
     }
     Ok(())
@@ -185,7 +205,10 @@
         return Err(refusal.with_retry_after_ms(1000));
     };
     let Some(service) = applied.content.service(name).cloned() else {
-        return Err(CallError::not_run(ResultCode::UnknownService, format!("no service {name}")));
+        return Err(CallError::not_run(
+            ResultCode::UnknownService,
+            format!("no service {name}"),
+        ));
     };
     Ok((applied, service))
 }
--- a/components/entry/src/owner/port.rs
+++ b/components/entry/src/owner/port.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use domain::{
-    AppliedConfiguration, CallKey, CallOutcome, ProgramKey, ProgramPhase, ProgramState, TeamName, TenureNumber,
-    TimeMillis,
+    AppliedConfiguration, CallKey, CallOutcome, ProgramKey, ProgramPhase, ProgramState, TeamName,
+    TenureNumber, TimeMillis,
 };
 use errors::{CallError, ResultCode};
 use tarpc::context::Context;
@@ -39,7 +39,11 @@
         if owner.is_fenced() || program.incarnation != owner.incarnation() {
             let adopting = members.table.owner_of(program) == Some(owner.incarnation());
             let settled = adopting && self.has_adopted_all(&owner, program);
-            return Err(if settled { unknown_program(program) } else { not_owner() });
+            return Err(if settled {
+                unknown_program(program)
+            } else {
+                not_owner()
+            });
         }
         Err(unknown_program(program))
     }
@@ -71,16 +75,28 @@
     }
 
     /// Ends a program and releases its cache.
-    pub(crate) async fn end(&self, team: Option<TeamName>, program: ProgramKey) -> Result<ProgramSummary, CallError> {
+    pub(crate) async fn end(
+        &self,
+        team: Option<TeamName>,
+        program: ProgramKey,
+    ) -> Result<ProgramSummary, CallError> {
         let owner = self.owner_of(program)?;
-        let phase = if team.is_some() { ProgramPhase::Ended } else { ProgramPhase::Cancelled };
+        let phase = if team.is_some() {
+            ProgramPhase::Ended
+        } else {
+            ProgramPhase::Cancelled
+        };
         let summary = owner.end_program(team.as_ref(), program, phase).await?;
         tokio::spawn(release_cache(Arc::clone(&self.context), owner, program));
         Ok(summary)
     }
 
     /// Returns the state of a program.
-    pub(crate) fn read(&self, team: Option<&TeamName>, program: ProgramKey) -> Result<ProgramState, CallError> {
+    pub(crate) fn read(
+        &self,
+        team: Option<&TeamName>,
+        program: ProgramKey,
+    ) -> Result<ProgramState, CallError> {
         let owner = self.owner_of(program)?;
         Ok(owner.find_program(team, program)?.program())
     }
@@ -93,7 +109,13 @@
 
     /// Returns the programs of this entry.
     pub(crate) fn list(&self) -> Vec<ProgramSummary> {
-        self.context.owner().table.all().iter().map(|cell| cell.summary()).collect()
+        self.context
+            .owner()
+            .table
+            .all()
+            .iter()
+            .map(|cell| cell.summary())
+            .collect()
     }
 }
 
@@ -122,10 +144,17 @@
         program: ProgramKey,
     ) -> Result<ProgramSummary, CallError> {
         let ending = tokio::spawn(async move { self.end(team, program).await });
-        ending.await.unwrap_or_else(|error| Err(CallError::unknown(error.to_string())))
+        ending
+            .await
+            .unwrap_or_else(|error| Err(CallError::unknown(error.to_string())))
     }
 
-    async fn call_outcome(self, _: Context, team: TeamName, call: CallKey) -> Result<Option<CallOutcome>, CallError> {
+    async fn call_outcome(
+        self,
+        _: Context,
+        team: TeamName,
+        call: CallKey,
+    ) -> Result<Option<CallOutcome>, CallError> {
         let owner = self.owner_of(call.program)?;
         let cell = owner.find_program(Some(&team), call.program)?;
         let open = cell.open_call(call).and_then(|call| call.outcome());
@@ -141,18 +170,27 @@
         _: Context,
         held: Vec<(ProgramKey, TenureNumber)>,
     ) -> Result<Vec<ProgramKey>, CallError> {
-        let released = held.into_iter().map(|(program, _)| program).filter(|program| match self.owner_of(*program) {
-            Ok(owner) => {
-                let cell = owner.table.find(*program);
-                cell.is_none_or(|cell| cell.with_program(|state| state.phase != ProgramPhase::Running))
-            }
-            Err(error) => error.code == ResultCode::UnknownProgram,
-        });
+        let released =
+            held.into_iter()
+                .map(|(program, _)| program)
+                .filter(|program| match self.owner_of(*program) {
+                    Ok(owner) => {
+                        let cell = owner.table.find(*program);
+                        cell.is_none_or(|cell| {
+                            cell.with_program(|state| state.phase != ProgramPhase::Running)
+                        })
+                    }
+                    Err(error) => error.code == ResultCode::UnknownProgram,
+                });
         Ok(released.collect())
     }
 
     async fn fetch_configuration(self, _: Context) -> Result<Option<AppliedConfiguration>, CallError> {
-        Ok(self.context.board.configuration().map(|applied| (*applied).clone()))
+        Ok(self
+            .context
+            .board
+            .configuration()
+            .map(|applied| (*applied).clone()))
     }
 
     async fn drain_host(self, _: Context) -> Result<(), CallError> {
--- a/components/entry/src/owner/release.rs
+++ b/components/entry/src/owner/release.rs
@@ -31,7 +31,12 @@
     }
 }
 
-async fn release_at(context: &EntryContext, host: &HostName, program: ProgramKey, tenure: TenureNumber) -> bool {
+async fn release_at(
+    context: &EntryContext,
+    host: &HostName,
+    program: ProgramKey,
+    tenure: TenureNumber,
+) -> bool {
     let fleet = context.board.fleet();
     let Some(peer) = fleet.peer(host) else {
         return false;
@@ -39,6 +44,8 @@
     let Ok(client) = context.pool.agent(peer.heartbeat.address).await else {
         return false;
     };
-    let released = client.release_program(call_context(CALL_TIMEOUT), program, tenure).await;
+    let released = client
+        .release_program(call_context(CALL_TIMEOUT), program, tenure)
+        .await;
     matches!(released, Ok(Ok(())))
 }
--- a/components/entry/src/owner/resume.rs
+++ b/components/entry/src/owner/resume.rs
@@ -22,10 +22,18 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Starts the calls that adopted programs brought along.
-pub(crate) fn resume_intents(context: &Arc<EntryContext>, owner: &Arc<OwnerCore>, cells: &[Arc<ProgramCell>]) {
+pub(crate) fn resume_intents(
+    context: &Arc<EntryContext>,
+    owner: &Arc<OwnerCore>,
+    cells: &[Arc<ProgramCell>],
+) {
     for cell in cells {
         if cell.claim() {
-            tokio::spawn(run_calls(Arc::clone(context), Arc::clone(owner), Arc::clone(cell)));
+            tokio::spawn(run_calls(
+                Arc::clone(context),
+                Arc::clone(owner),
+                Arc::clone(cell),
+            ));
         }
     }
 }
@@ -49,7 +57,12 @@
             if let Some(seat) = &seat
                 && let Ok(client) = self.context.pool.agent(seat.address).await
             {
-                let asked = client.settle_call(call_context(CALL_TIMEOUT), self.call.key, tenure, intent.agent_start);
+                let asked = client.settle_call(
+                    call_context(CALL_TIMEOUT),
+                    self.call.key,
+                    tenure,
+                    intent.agent_start,
+                );
                 match asked.await {
                     Ok(Ok(settled)) => return Some(settled),
                     Ok(Err(_)) => return None,
@@ -66,7 +79,11 @@
     fn seat(&self, intent: &IntentRecord) -> Option<AgentSeat> {
         let fleet = self.context.board.fleet();
         let peer = fleet.peer(&intent.host)?;
-        Some(AgentSeat { host: intent.host.clone(), address: peer.heartbeat.address, start: peer.heartbeat.start })
+        Some(AgentSeat {
+            host: intent.host.clone(),
+            address: peer.heartbeat.address,
+            start: peer.heartbeat.start,
+        })
     }
 
     async fn follow_adopted(&self, intent: &IntentRecord, attempt: AttemptKey) -> CallOutcome {
@@ -111,7 +128,11 @@
 
     /// Removes the intent of a call that has not run; its caller asks again.
     async fn drop_adopted(&self) -> CallOutcome {
-        if let Err(error) = self.owner.commit(vec![JournalRecord::Dropped(self.call.key)]).await {
+        if let Err(error) = self
+            .owner
+            .commit(vec![JournalRecord::Dropped(self.call.key)])
+            .await
+        {
             return CallOutcome::Failed(journal_refusal(error));
         }
         CallOutcome::Failed(not_owner())
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -4,8 +4,8 @@
 
 use budget::BudgetReservation;
 use domain::{
-    AttemptKey, AttemptNumber, CallOutcome, CallPayload, CallReply, ChatMessage, ChatRole, FinishedCall, HostName,
-    IntentRecord, MicroUnits, ProgramPhase, ServiceConfig, TimeMillis, TokenCount,
+    AttemptKey, AttemptNumber, CallOutcome, CallPayload, CallReply, ChatMessage, ChatRole, FinishedCall,
+    HostName, IntentRecord, MicroUnits, ProgramPhase, ServiceConfig, TimeMillis, TokenCount,
 };
 use errors::{CallError, ResultCode, RunState};
 use journal::{JournalError, JournalRecord};
@@ -18,7 +18,9 @@
 use crate::owner::call::OpenCall;
 use crate::owner::cell::ProgramCell;
 use crate::owner::core::{OwnerCore, cancelled, close_call, journal_refusal, not_owner};
-use crate::owner::limits::{ChosenServer, call_shape, check_admission, choose_agent, find_service, worst_price};
+use crate::owner::limits::{
+    ChosenServer, call_shape, check_admission, choose_agent, find_service, worst_price,
+};
 use crate::pool::{CALL_TIMEOUT, call_context};
 
 /// Attempts at one call before it is given up.
@@ -116,7 +118,11 @@
         CallOutcome::Failed(broken)
     }
 
-    async fn attempt(&self, number: AttemptNumber, excluded: &mut Vec<HostName>) -> Result<NextStep, CallError> {
+    async fn attempt(
+        &self,
+        number: AttemptNumber,
+        excluded: &mut Vec<HostName>,
+    ) -> Result<NextStep, CallError> {
         if self.cell.with_program(|program| program.phase) != ProgramPhase::Running {
             return Err(cancelled());
         }
@@ -124,13 +130,27 @@
         let program = self.cell.program();
         let shape = call_shape(&program, &self.call);
         let chosen = choose_agent(&self.context, &self.owner, &service, &self.cell, &shape, excluded);
-        check_admission(&self.context, &applied.content, &service, &self.cell, &self.call, chosen.as_ref())?;
+        check_admission(
+            &self.context,
+            &applied.content,
+            &service,
+            &self.cell,
+            &self.call,
+            chosen.as_ref(),
+        )?;
         let Some(chosen) = chosen else {
-            return Err(CallError::not_run(ResultCode::NoBackendServer, "no backend server of the service is live"));
+            return Err(CallError::not_run(
+                ResultCode::NoBackendServer,
+                "no backend server of the service is live",
+            ));
         };
         let worst = worst_price(&service, &shape);
         let reservation = self.owner.budget().reserve(&program.team, worst).await?;
-        let key = AttemptKey { call: self.call.key, tenure: program.tenure, attempt: number };
+        let key = AttemptKey {
+            call: self.call.key,
+            tenure: program.tenure,
+            attempt: number,
+        };
         let seat = AgentSeat {
             host: chosen.peer.heartbeat.host.clone(),
             address: chosen.peer.heartbeat.address,
@@ -138,13 +158,20 @@
         };
         excluded.push(seat.host.clone());
         let order = self.order(key, &service, &chosen);
-        let live = LiveAttempt { key, seat, reservation, shape };
+        let live = LiveAttempt {
+            key,
+            seat,
+            reservation,
+            shape,
+        };
         Ok(self.conduct(&live, &service, &order).await)
     }
 
     async fn conduct(&self, live: &LiveAttempt, service: &ServiceConfig, order: &DispatchOrder) -> NextStep {
         let tokens = live.shape.prompt_tokens + live.shape.max_tokens;
-        self.owner.flights.take_off(self.call.key, live.seat.host.clone(), tokens);
+        self.owner
+            .flights
+            .take_off(self.call.key, live.seat.host.clone(), tokens);
         let step = self.hand_out(live, service, order).await;
         self.owner.flights.land(self.call.key);
         step
@@ -160,7 +187,10 @@
             reserved: live.reservation.amount(),
         });
         let (written, handover) = if service.repeatable {
-            tokio::join!(self.owner.commit(vec![intent]), hand_over(&self.context, &live.seat, order))
+            tokio::join!(
+                self.owner.commit(vec![intent]),
+                hand_over(&self.context, &live.seat, order)
+            )
         } else {
             match self.owner.commit(vec![intent]).await {
                 Ok(()) => (Ok(()), hand_over(&self.context, &live.seat, order).await),
@@ -172,7 +202,9 @@
         }
         match handover {
             Handover::Taken => self.follow(live, service).await,
-            Handover::Refused(refusal) if refusal.run == RunState::NotRun => self.drop_intent(live, refusal).await,
+            Handover::Refused(refusal) if refusal.run == RunState::NotRun => {
+                self.drop_intent(live, refusal).await
+            }
             Handover::Refused(refusal) => self.finish(live, service, CallOutcome::Failed(refusal)).await,
             Handover::NeverSent(error) => self.drop_intent(live, error).await,
             Handover::Unanswered => self.lose(live, service).await,
@@ -206,7 +238,10 @@
         }
         self.cancel_attempt(live).await;
         let outcome = if service.repeatable {
-            CallOutcome::Failed(CallError::ran(ResultCode::Cancelled, "the program was ended during the call"))
+            CallOutcome::Failed(CallError::ran(
+                ResultCode::Cancelled,
+                "the program was ended during the call",
+            ))
         } else {
             CallOutcome::Failed(CallError::unknown("the program was ended during the call"))
         };
@@ -220,7 +255,9 @@
             let unknown = CallError::unknown(format!("host {} was lost during the call", live.seat.host));
             return self.finish(live, service, CallOutcome::Failed(unknown)).await;
         }
-        self.owner.budget().settle(&live.reservation, live.reservation.amount());
+        self.owner
+            .budget()
+            .settle(&live.reservation, live.reservation.amount());
         let lost = format!("host {} was lost during the call", live.seat.host);
         NextStep::Again(CallError::ran(ResultCode::StreamBroken, lost).with_retry_after_ms(1000))
     }
@@ -228,7 +265,11 @@
     /// Removes the intent of an attempt that is proven not to have run.
     async fn drop_intent(&self, live: &LiveAttempt, refusal: CallError) -> NextStep {
         self.owner.budget().settle(&live.reservation, MicroUnits::ZERO);
-        if let Err(error) = self.owner.commit(vec![JournalRecord::Dropped(self.call.key)]).await {
+        if let Err(error) = self
+            .owner
+            .commit(vec![JournalRecord::Dropped(self.call.key)])
+            .await
+        {
             return NextStep::Close(CallOutcome::Failed(journal_refusal(error)));
         }
         NextStep::Again(refusal)
@@ -244,13 +285,19 @@
             return NextStep::Close(CallOutcome::Failed(pending_refusal(error)));
         }
         if let CallOutcome::Answered(CallReply::Chat { usage, .. }) = &outcome {
-            self.cell.set_holding(&live.seat.host, usage.prompt_tokens + usage.completion_tokens);
+            self.cell
+                .set_holding(&live.seat.host, usage.prompt_tokens + usage.completion_tokens);
         }
         NextStep::Close(outcome)
     }
 
     /// Returns the record of the final state.
-    pub(crate) fn finished_record(&self, host: &HostName, outcome: CallOutcome, charged: MicroUnits) -> JournalRecord {
+    pub(crate) fn finished_record(
+        &self,
+        host: &HostName,
+        outcome: CallOutcome,
+        charged: MicroUnits,
+    ) -> JournalRecord {
         JournalRecord::Finished {
             new_messages: new_messages(&self.call, &outcome),
             served_tokens: served_tokens(&outcome),
@@ -270,7 +317,9 @@
         let Ok(client) = self.context.pool.agent(live.seat.address).await else {
             return;
         };
-        let cancelled = client.cancel_call(call_context(CALL_TIMEOUT), self.call.key, live.key.tenure).await;
+        let cancelled = client
+            .cancel_call(call_context(CALL_TIMEOUT), self.call.key, live.key.tenure)
+            .await;
         if let Err(error) = cancelled {
             warn!(self.context.options.log, "cancel unanswered"; "call" => %self.call.key, "error" => %error);
         }
@@ -333,7 +382,10 @@
         return Vec::new();
     };
     let mut added = messages.clone();
-    added.push(ChatMessage { role: ChatRole::Assistant, content: text.clone() });
+    added.push(ChatMessage {
+        role: ChatRole::Assistant,
+        content: text.clone(),
+    });
     added
 }
 
--- a/components/entry/src/owner/table.rs
+++ b/components/entry/src/owner/table.rs
@@ -16,7 +16,10 @@
     /// Returns the program with the key.
     pub(crate) fn find(&self, key: ProgramKey) -> Option<Arc<ProgramCell>> {
         let cells = self.cells.read().unwrap_or_else(PoisonError::into_inner);
-        cells.binary_search_by_key(&key, |cell| cell.key).ok().map(|index| Arc::clone(&cells[index]))
+        cells
+            .binary_search_by_key(&key, |cell| cell.key)
+            .ok()
+            .map(|index| Arc::clone(&cells[index]))
     }
 
     /// Adds a program unless it is there.
--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -20,7 +20,9 @@
 
 impl<Client: Clone> LinkList<Client> {
     const fn new() -> Self {
-        Self { links: Mutex::new(Vec::new()) }
+        Self {
+            links: Mutex::new(Vec::new()),
+        }
     }
 
     fn find(&self, address: SocketAddr) -> Option<Client> {
@@ -45,7 +47,9 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Client)>> {
-        self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.links
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
@@ -60,7 +64,11 @@
 impl PeerPool {
     /// Creates an empty pool.
     pub(crate) const fn new(secret: ClusterSecret) -> Self {
-        Self { secret, owners: LinkList::new(), agents: LinkList::new() }
+        Self {
+            secret,
+            owners: LinkList::new(),
+            agents: LinkList::new(),
+        }
     }
 
     /// Returns a connection to an entry, opening one if there is none.
@@ -72,7 +80,9 @@
         if let Some(client) = self.owners.find(address) {
             return Ok(client);
         }
-        let transport = connect_peer(address, &self.secret).await.map_err(|error| unreachable_peer(&error))?;
+        let transport = connect_peer(address, &self.secret)
+            .await
+            .map_err(|error| unreachable_peer(&error))?;
         let client = OwnerPortClient::new(Config::default(), transport).spawn();
         self.owners.insert(address, client.clone());
         Ok(client)
@@ -87,7 +97,9 @@
         if let Some(client) = self.agents.find(address) {
             return Ok(client);
         }
-        let transport = connect_peer(address, &self.secret).await.map_err(|error| unreachable_peer(&error))?;
+        let transport = connect_peer(address, &self.secret)
+            .await
+            .map_err(|error| unreachable_peer(&error))?;
         let client = AgentPortClient::new(Config::default(), transport).spawn();
         self.agents.insert(address, client.clone());
         Ok(client)
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -51,7 +51,9 @@
     ///
     /// Fails when a port cannot be bound.
     pub async fn start(options: EntryOptions) -> Result<Self> {
-        let http = TcpListener::bind(options.http).await.with_context(|| format!("cannot bind {}", options.http))?;
+        let http = TcpListener::bind(options.http)
+            .await
+            .with_context(|| format!("cannot bind {}", options.http))?;
         let listener = PeerListener::bind(options.process, options.secret.clone()).await?;
         let process_address = listener.local_address()?;
         let publisher = HeartbeatPublisher::bind(options.heartbeat, options.secret.clone())?;
@@ -107,8 +109,12 @@
 
 fn new_owner(options: &EntryOptions, incarnation: IncarnationId) -> OwnerCore {
     let store = Arc::clone(&options.store);
-    let journal =
-        JournalWriter::open(Arc::clone(&store), incarnation, options.append_spacing, JOURNAL_BUFFER_BYTES);
+    let journal = JournalWriter::open(
+        Arc::clone(&store),
+        incarnation,
+        options.append_spacing,
+        JOURNAL_BUFFER_BYTES,
+    );
     OwnerCore::new(incarnation, journal, BudgetKeeper::new(store, incarnation))
 }
 
@@ -139,7 +145,9 @@
         let successor = Arc::new(new_owner(&context.options, incarnation));
         if let Some(applied) = context.board.configuration() {
             let live = context.board.members().table.live().len();
-            successor.budget().set_teams(&applied.content.teams, u32::try_from(live).unwrap_or(u32::MAX));
+            successor
+                .budget()
+                .set_teams(&applied.content.teams, u32::try_from(live).unwrap_or(u32::MAX));
         }
         context.replace_owner(successor);
     }
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -45,7 +45,10 @@
 impl StreamPosition {
     /// Returns the position behind a text.
     pub(crate) fn behind(text: &str) -> Self {
-        Self { offset: text.len() as u64, hash: xxh3_64(text.as_bytes()) }
+        Self {
+            offset: text.len() as u64,
+            hash: xxh3_64(text.as_bytes()),
+        }
     }
 }
 
@@ -76,7 +79,14 @@
         submitted: SubmittedCall,
         resume: Option<StreamPosition>,
     ) -> Self {
-        Self { context, submitted, resume, text: String::new(), emitted: 0, sent: false }
+        Self {
+            context,
+            submitted,
+            resume,
+            text: String::new(),
+            emitted: 0,
+            sent: false,
+        }
     }
 
     /// Runs until the call has its final state; a caller that has gone away does not stop the call.
@@ -101,10 +111,16 @@
             }
             if !is_passing(&error) || Instant::now() >= until {
                 let last_word = self.last_word(error);
-                events.send(RelayEvent::End(call, CallOutcome::Failed(last_word))).await.ok();
+                events
+                    .send(RelayEvent::End(call, CallOutcome::Failed(last_word)))
+                    .await
+                    .ok();
                 return;
             }
-            sleep(Duration::from_millis(rand::rng().random_range(SHORTEST_PAUSE_MS..=pause_ms))).await;
+            sleep(Duration::from_millis(
+                rand::rng().random_range(SHORTEST_PAUSE_MS..=pause_ms),
+            ))
+            .await;
             pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
         }
     }
@@ -126,7 +142,9 @@
         &mut self,
         events: &mpsc::Sender<RelayEvent>,
     ) -> Result<(CallKey, CallOutcome), (Option<CallKey>, CallError)> {
-        let link = find_owner(&self.context, self.submitted.program).await.map_err(|error| (None, error))?;
+        let link = find_owner(&self.context, self.submitted.program)
+            .await
+            .map_err(|error| (None, error))?;
         self.submitted.delivered.clone_from(&self.text);
         let submitted = submit(&self.context, &link, self.submitted.clone()).await;
         self.sent |= !matches!(&submitted, Err(error) if error.run == RunState::NotRun);
@@ -153,7 +171,16 @@
         loop {
             let offset = self.text.len() as u64;
             let wait_ms = u64::try_from(READ_WAIT.as_millis()).unwrap_or(u64::MAX);
-            let chunk = read(&self.context, link, OutputRequest { call, offset, wait_ms }).await?;
+            let chunk = read(
+                &self.context,
+                link,
+                OutputRequest {
+                    call,
+                    offset,
+                    wait_ms,
+                },
+            )
+            .await?;
             if !chunk.text.is_empty() {
                 self.take_text(&chunk.text, events).await?;
             }
@@ -171,7 +198,11 @@
     async fn compare_text(&self, link: &OwnerLink, call: CallKey) -> Result<(), CallError> {
         let mut offset = 0;
         while offset < self.text.len() {
-            let request = OutputRequest { call, offset: offset as u64, wait_ms: 1000 };
+            let request = OutputRequest {
+                call,
+                offset: offset as u64,
+                wait_ms: 1000,
+            };
             let chunk = read(&self.context, link, request).await?;
             let shared = chunk.text.len().min(self.text.len() - offset);
             if chunk.text.as_bytes()[..shared] != self.text.as_bytes()[offset..offset + shared] {
@@ -195,7 +226,10 @@
         }
         if let Some(position) = self.resume.take() {
             let held = usize::try_from(position.offset).unwrap_or(usize::MAX);
-            let matches = self.text.get(..held).is_some_and(|held| xxh3_64(held.as_bytes()) == position.hash);
+            let matches = self
+                .text
+                .get(..held)
+                .is_some_and(|held| xxh3_64(held.as_bytes()) == position.hash);
             if !matches {
                 return Err(broken_stream());
             }
@@ -212,19 +246,26 @@
 
     /// Tells whether the text has not yet reached the place from which the caller resumes.
     fn held_back(&self) -> bool {
-        self.resume.is_some_and(|position| position.offset > self.text.len() as u64)
+        self.resume
+            .is_some_and(|position| position.offset > self.text.len() as u64)
     }
 }
 
 fn broken_stream() -> CallError {
-    CallError::ran(ResultCode::StreamBroken, "the stream cannot be continued without mixing two answers")
+    CallError::ran(
+        ResultCode::StreamBroken,
+        "the stream cannot be continued without mixing two answers",
+    )
 }
 
 /// Tells whether an error passes once the program has a reachable owner again.
 fn is_passing(error: &CallError) -> bool {
     matches!(
         error.code,
-        ResultCode::NotOwner | ResultCode::JournalSealed | ResultCode::PeerUnreachable | ResultCode::UnknownCall
+        ResultCode::NotOwner
+            | ResultCode::JournalSealed
+            | ResultCode::PeerUnreachable
+            | ResultCode::UnknownCall
     )
 }
 
@@ -263,11 +304,17 @@
     }
 }
 
-async fn read(context: &EntryContext, link: &OwnerLink, request: OutputRequest) -> Result<OutputChunk, CallError> {
+async fn read(
+    context: &EntryContext,
+    link: &OwnerLink,
+    request: OutputRequest,
+) -> Result<OutputChunk, CallError> {
     match link {
         OwnerLink::Local(server) => server.output(request).await,
         OwnerLink::Remote(client, address) => {
-            let answered = client.read_output(call_context(READ_WAIT + READ_GRACE), request).await;
+            let answered = client
+                .read_output(call_context(READ_WAIT + READ_GRACE), request)
+                .await;
             unwrap_answer(context, *address, answered)
         }
     }
@@ -347,7 +394,11 @@
 
 async fn list_remote(context: &EntryContext, incarnation: IncarnationId) -> Vec<ProgramSummary> {
     let members = context.board.members();
-    let Some(member) = members.table.member(incarnation).filter(|_| incarnation != context.incarnation()) else {
+    let Some(member) = members
+        .table
+        .member(incarnation)
+        .filter(|_| incarnation != context.incarnation())
+    else {
         return Vec::new();
     };
     let Ok(client) = context.pool.owner(member.address).await else {
--- a/components/entry/src/upkeep.rs
+++ b/components/entry/src/upkeep.rs
@@ -54,7 +54,11 @@
 async fn end_idle_programs(context: &Arc<EntryContext>, owner: &Arc<OwnerCore>) {
     for program in idle_programs(context, owner) {
         info!(context.options.log, "idle program ended"; "program" => %program);
-        if owner.end_program(None, program, ProgramPhase::Ended).await.is_ok() {
+        if owner
+            .end_program(None, program, ProgramPhase::Ended)
+            .await
+            .is_ok()
+        {
             tokio::spawn(release_cache(Arc::clone(context), Arc::clone(owner), program));
         }
     }
@@ -72,7 +76,11 @@
         return Vec::new();
     };
     let now = TimeMillis::now();
-    let cells = owner.table.all().into_iter().filter(|cell| cell.open_calls().is_empty());
+    let cells = owner
+        .table
+        .all()
+        .into_iter()
+        .filter(|cell| cell.open_calls().is_empty());
     let idle = cells.filter(|cell| {
         cell.with_program(|program| {
             let is_idle = now.since(program.touched) > idle_s * MILLIS_PER_SECOND;
