--- a/components/journal/src/commit.rs
+++ b/components/journal/src/commit.rs
@@ -143,8 +143,9 @@
         self.append_segment(SegmentBody::Fold(manifest)).await?;
         let mut recent = self.state.recent();
         recent.last_segment = self.next - 1;
-        recent.covers = covers;
-        recent.groups.retain(|(segment, _)| *segment > covers);
+        recent.covered_before = std::mem::replace(&mut recent.covers, covers);
+        let covered_before = recent.covered_before;
+        recent.groups.retain(|(segment, _)| *segment > covered_before);
         Ok(())
     }
 
@@ -173,7 +174,12 @@
         let segment = Segment::new(self.state.incarnation, self.next, body);
         let value = encode_segment(&segment)?;
         let store = PatientStore::new(self.state.store.as_ref(), RetryPatience::Endless);
-        match store.create(&segment.key(), &value).await? {
+        let created = store
+            .reporting(&self.state.stall)
+            .create(&segment.key(), &value)
+            .await;
+        self.state.stall.send_replace(None);
+        match created? {
             CreateResult::Created => {
                 self.next += 1;
                 Ok(())
--- a/components/journal/src/record.rs
+++ b/components/journal/src/record.rs
@@ -109,6 +109,9 @@
             served_tokens,
             at,
         } => {
+            if let Some(host) = host {
+                state.insert_holder(host);
+            }
             if is_finished(state, finished.call, &finished.idempotency_key) {
                 return;
             }
@@ -120,9 +123,6 @@
             state.charged = state.charged.saturating_add(finished.charged);
             state.served_tokens = state.served_tokens.saturating_add(*served_tokens);
             state.touched = state.touched.max(*at);
-            if let Some(host) = host {
-                state.insert_holder(host);
-            }
             state.insert_finished(finished.clone());
         }
         JournalRecord::Ended { phase, at, .. } if state.phase == ProgramPhase::Running => {
@@ -145,11 +145,12 @@
 
 fn apply_intent(state: &mut ProgramState, intent: &IntentRecord) {
     let call = intent.attempt.call;
+    // Also of a finished call: an earlier `Released` that is applied again has removed the host.
+    state.insert_holder(&intent.host);
     if is_finished(state, call, &intent.request.idempotency_key) {
         return;
     }
     state.next_call = state.next_call.max(call.sequence + 1);
-    state.insert_holder(&intent.host);
     let found = state
         .intents
         .binary_search_by_key(&call, |present| present.attempt.call);
--- a/components/journal/src/retry.rs
+++ b/components/journal/src/retry.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use platform::{ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use rand::RngExt;
+use tokio::sync::watch;
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
@@ -73,18 +74,38 @@
 pub(crate) struct PatientStore<'a> {
     store: &'a dyn ObjectStore,
     patience: RetryPatience,
+    failure: Option<&'a watch::Sender<Option<PlatformError>>>,
 }
 
 impl<'a> PatientStore<'a> {
     pub(crate) const fn new(store: &'a dyn ObjectStore, patience: RetryPatience) -> Self {
-        Self { store, patience }
+        Self {
+            store,
+            patience,
+            failure: None,
+        }
+    }
+
+    /// Publishes the failures after which a call is repeated.
+    pub(crate) const fn reporting(self, failure: &'a watch::Sender<Option<PlatformError>>) -> Self {
+        Self {
+            failure: Some(failure),
+            ..self
+        }
+    }
+
+    fn may_repeat(&self, backoff: &mut RetryBackoff, error: &PlatformError) -> bool {
+        if let Some(failure) = self.failure {
+            failure.send_replace(Some(error.clone()));
+        }
+        backoff.may_repeat(error)
     }
 
     pub(crate) async fn read(&self, key: &str) -> StoreResult<Option<VersionedObject>> {
         let mut backoff = RetryBackoff::new(self.patience);
         loop {
             match self.store.read(key).await {
-                Err(error) if backoff.may_repeat(&error) => backoff.wait().await,
+                Err(error) if self.may_repeat(&mut backoff, &error) => backoff.wait().await,
                 settled => return settled,
             }
         }
@@ -94,7 +115,7 @@
         let mut backoff = RetryBackoff::new(self.patience);
         loop {
             match self.store.list(prefix).await {
-                Err(error) if backoff.may_repeat(&error) => backoff.wait().await,
+                Err(error) if self.may_repeat(&mut backoff, &error) => backoff.wait().await,
                 settled => return settled,
             }
         }
@@ -104,7 +125,7 @@
         let mut backoff = RetryBackoff::new(self.patience);
         loop {
             match self.store.delete(key, version).await {
-                Err(error) if backoff.may_repeat(&error) => backoff.wait().await,
+                Err(error) if self.may_repeat(&mut backoff, &error) => backoff.wait().await,
                 settled => return settled,
             }
         }
@@ -125,7 +146,7 @@
                     // Somebody deleted the object between the two calls.
                     None => backoff.wait().await,
                 },
-                Err(error) if backoff.may_repeat(&error) => backoff.wait().await,
+                Err(error) if self.may_repeat(&mut backoff, &error) => backoff.wait().await,
                 Err(error) => return Err(error),
             }
         }
--- a/components/journal/src/writer.rs
+++ b/components/journal/src/writer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use domain::{IncarnationId, ProgramState};
-use platform::ObjectStore;
+use platform::{ObjectStore, PlatformError};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::commit::{CommitTask, QueueItem};
@@ -16,14 +16,16 @@
 use crate::seal::JournalSeal;
 use crate::segment::{FoldManifest, SegmentNumber, encode_records};
 
-/// Groups of records that stand in the journal behind the last snapshot.
+/// What the owner remembers of its journal's end.
 #[derive(Debug, Default)]
 pub(crate) struct RecentGroups {
     /// Last segment of the last whole group.
     pub(crate) last_segment: SegmentNumber,
     /// Last segment that the snapshot in force covers.
     pub(crate) covers: SegmentNumber,
-    /// Encoded records of each group, with the group's last segment.
+    /// Last segment that the snapshot before it covered.
+    pub(crate) covered_before: SegmentNumber,
+    /// Encoded records of each group since the snapshot before, with the group's last segment.
     pub(crate) groups: Vec<(SegmentNumber, Vec<u8>)>,
 }
 
@@ -39,6 +41,8 @@
     buffered_bytes: AtomicUsize,
     recent: Mutex<RecentGroups>,
     end: watch::Sender<Option<JournalError>>,
+    /// Failure by which the append in flight waits for its next try.
+    pub(crate) stall: watch::Sender<Option<PlatformError>>,
 }
 
 impl WriterState {
@@ -104,6 +108,7 @@
             buffered_bytes: AtomicUsize::new(0),
             recent: Mutex::default(),
             end: watch::Sender::new(None),
+            stall: watch::Sender::new(None),
         });
         let (queue, items) = mpsc::unbounded_channel();
         tokio::spawn(CommitTask::new(Arc::clone(&state), items).run());
@@ -151,6 +156,11 @@
         }
     }
 
+    /// Returns the failure of the object API for which the records wait.
+    pub fn stall(&self) -> Option<PlatformError> {
+        self.state.stall.borrow().clone()
+    }
+
     /// Returns the number of segments that a recovery reads besides the snapshot.
     pub fn segments_since_fold(&self) -> u64 {
         let recent = self.state.recent();
@@ -159,8 +169,8 @@
 
     /// Writes a snapshot and deletes the segments and the snapshot that it replaces.
     ///
-    /// The states may lag behind the journal: records since the last snapshot are applied to them again. While a
-    /// snapshot is under way, another call returns at once.
+    /// The states hold at least every record whose append returned before the last but one call took effect: records
+    /// since then are applied to them again. While a snapshot is under way, another call returns at once.
     ///
     /// # Errors
     ///
--- a/components/journal/tests/append.rs
+++ b/components/journal/tests/append.rs
@@ -1,13 +1,15 @@
-//! Appending, group commit and reading back.
+//! Appending, group commit, outages and lost answers.
 
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use googletest::prelude::*;
-use journal::{JournalRecord, replay_journal};
-use platform::MemoryStore;
+use journal::{JournalError, JournalRecord, JournalWriter};
+use platform::{MemoryFaults, MemoryStore};
 use support::*;
+use tokio::time::Instant;
 
 #[gtest]
 #[tokio::test(start_paused = true)]
@@ -19,7 +21,7 @@
         .await
         .expect("append");
     writer.append(vec![finished(1, 1)]).await.expect("append");
-    let replayed = replay_journal(store.as_ref(), OWNER).await.expect("replay");
+    let replayed = replay(&store).await;
     let program = replayed.ledger.program(program_key(1)).expect("program");
     expect_that!(contents(program), elements_are![eq(&"answer 1")]);
     expect_that!(program.intents.as_slice(), is_empty());
@@ -42,29 +44,134 @@
     expect_that!(store.call_counts().1, eq(2));
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn spaces_appends_and_lets_a_lone_record_wait_for_nothing() {
+    let store = Arc::new(MemoryStore::new());
+    let writer = open(&store);
+    let mut waits = Vec::new();
+    for pause in [Duration::ZERO, Duration::ZERO, SPACING] {
+        tokio::time::sleep(pause).await;
+        let start = Instant::now();
+        writer.append(vec![started(1)]).await.expect("append");
+        waits.push(start.elapsed());
+    }
+    expect_that!(
+        waits,
+        elements_are![eq(&Duration::ZERO), eq(&SPACING), eq(&Duration::ZERO)]
+    );
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn keeps_a_program_larger_than_one_object() {
     let store = Arc::new(MemoryStore::new());
     let writer = open(&store);
+    let large = finished_with(1, 1, "x".repeat(4_000_000));
+    writer.append(vec![started(1), large]).await.expect("append");
+    let program = replay(&store).await.ledger.programs()[0].clone();
+    expect_that!(program.history[0].content.len(), eq(4_000_000));
     writer
-        .append(vec![started(1), finished_with(1, 1, "x".repeat(4_000_000))])
+        .append(vec![JournalRecord::Started(program.clone())])
         .await
         .expect("append");
-    let large = replay_journal(store.as_ref(), OWNER)
-        .await
-        .expect("replay")
-        .ledger
-        .programs()[0]
-        .clone();
     writer
-        .append(vec![JournalRecord::Started(large.clone())])
+        .fold(std::slice::from_ref(&program), &[], &[])
         .await
-        .expect("append");
-    writer.fold(&[large], &[], &[]).await.expect("fold");
-    let replayed = replay_journal(store.as_ref(), OWNER).await.expect("replay");
+        .expect("fold");
     expect_that!(
-        replayed.ledger.programs()[0].history[0].content.len(),
-        eq(4_000_000)
+        replay(&store).await.ledger.programs(),
+        elements_are![eq(&program)]
+    );
+}
+
+struct LossCase {
+    lose_answers: u32,
+    lose_requests: u32,
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn settles_writes_without_an_answer() {
+    for LossCase {
+        lose_answers,
+        lose_requests,
+    } in [
+        LossCase {
+            lose_answers: 1,
+            lose_requests: 0,
+        },
+        LossCase {
+            lose_answers: 0,
+            lose_requests: 1,
+        },
+        LossCase {
+            lose_answers: 3,
+            lose_requests: 0,
+        },
+        LossCase {
+            lose_answers: 2,
+            lose_requests: 3,
+        },
+    ] {
+        let store = Arc::new(MemoryStore::new());
+        let writer = open(&store);
+        writer.append(vec![started(1)]).await.expect("append");
+        store.set_faults(MemoryFaults {
+            outage: false,
+            lose_answers,
+            lose_requests,
+        });
+        for call in 1..=3 {
+            writer.append(vec![finished(1, call)]).await.expect("append");
+        }
+        expect_that!(
+            histories(&replay(&store).await),
+            elements_are![eq(&["answer 1", "answer 2", "answer 3"])]
+        );
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn waits_an_outage_out_with_few_calls_and_a_bounded_buffer() {
+    const OUTAGE_S: u64 = 600;
+    let store = Arc::new(MemoryStore::new());
+    let writer = JournalWriter::open(Arc::<MemoryStore>::clone(&store), OWNER, SPACING, 1000);
+    writer.append(vec![started(1)]).await.expect("append");
+    let before = store.call_counts().1;
+    store.set_faults(MemoryFaults {
+        outage: true,
+        ..MemoryFaults::default()
+    });
+    let mut taken = Vec::new();
+    let mut refused = 0;
+    for call in 1..=100 {
+        let writer = writer.clone();
+        let append = tokio::spawn(async move { writer.append(vec![finished(1, call)]).await });
+        tokio::time::sleep(Duration::from_secs(OUTAGE_S / 100)).await;
+        if append.is_finished() {
+            let result = append.await.expect("task");
+            expect_that!(result, err(matches_pattern!(JournalError::Unavailable { .. })));
+            refused += 1;
+        } else {
+            taken.push(append);
+        }
+    }
+    let during = store.call_counts().1 - before;
+    expect_that!(refused, gt(0));
+    expect_that!(during, le(OUTAGE_S));
+    expect_that!(writer.stall(), some(anything()));
+    store.set_faults(MemoryFaults::default());
+    let kept = taken.len();
+    for append in taken {
+        append.await.expect("task").expect("append");
+    }
+    let after = store.call_counts().1 - before - during;
+    println!(
+        "writes: {before} before, {during} during {OUTAGE_S} s, {after} after; {kept} kept, {refused} refused"
     );
+    expect_that!(after, le(2));
+    expect_that!(replay(&store).await.ledger.programs()[0].history.len(), eq(kept));
+    expect_that!(writer.stall(), none());
 }
--- a/components/journal/tests/support/mod.rs
+++ b/components/journal/tests/support/mod.rs
@@ -2,11 +2,15 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use async_trait::async_trait;
+use bytes::Bytes;
 use domain::*;
-use journal::{JournalRecord, JournalWriter};
-use platform::{MemoryStore, ObjectStore};
+use journal::{JournalRecord, JournalWriter, ReplayedJournal, replay_journal};
+use platform::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
+use tokio::sync::Semaphore;
 
 pub const OWNER: IncarnationId = IncarnationId(7);
 pub const HEIR: IncarnationId = IncarnationId(8);
@@ -88,12 +92,8 @@
     }
 }
 
-pub fn open(store: &Arc<MemoryStore>) -> JournalWriter {
-    let store: Arc<dyn ObjectStore> = Arc::clone(store) as Arc<dyn ObjectStore>;
-    open_on(store)
-}
-
-pub fn open_on(store: Arc<dyn ObjectStore>) -> JournalWriter {
+pub fn open<S: ObjectStore + 'static>(store: &Arc<S>) -> JournalWriter {
+    let store: Arc<dyn ObjectStore> = Arc::<S>::clone(store);
     JournalWriter::open(store, OWNER, SPACING, BUFFER_BYTES)
 }
 
@@ -105,3 +105,97 @@
         .map(|message| message.content.as_str())
         .collect()
 }
+
+/// Moment of a call at which its process stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopPoint {
+    BeforeEffect,
+    AfterEffect,
+}
+
+/// Store that holds one call up, as if the process that makes it were paused or killed there.
+#[derive(Debug)]
+pub struct StoppingStore {
+    pub inner: Arc<MemoryStore>,
+    calls: AtomicU64,
+    stop_at: u64,
+    point: StopPoint,
+    stopped: Semaphore,
+    resumed: Semaphore,
+}
+
+impl StoppingStore {
+    /// Stops at the call with the number, counted from 1.
+    pub fn new(inner: &Arc<MemoryStore>, stop_at: u64, point: StopPoint) -> Arc<Self> {
+        Arc::new(Self {
+            inner: Arc::clone(inner),
+            calls: AtomicU64::new(0),
+            stop_at,
+            point,
+            stopped: Semaphore::new(0),
+            resumed: Semaphore::new(0),
+        })
+    }
+
+    pub async fn wait_stopped(&self) {
+        self.stopped.acquire().await.expect("semaphore").forget();
+    }
+
+    pub fn resume(&self) {
+        self.resumed.add_permits(1);
+    }
+
+    async fn pass<T>(&self, call: impl Future<Output = T> + Send) -> T {
+        let is_stop = self.calls.fetch_add(1, Ordering::SeqCst) + 1 == self.stop_at;
+        if is_stop && self.point == StopPoint::BeforeEffect {
+            self.stop().await;
+        }
+        let answer = call.await;
+        if is_stop && self.point == StopPoint::AfterEffect {
+            self.stop().await;
+        }
+        answer
+    }
+
+    async fn stop(&self) {
+        self.stopped.add_permits(1);
+        self.resumed.acquire().await.expect("semaphore").forget();
+    }
+}
+
+#[async_trait]
+impl ObjectStore for StoppingStore {
+    async fn read(&self, key: &str) -> StoreResult<Option<VersionedObject>> {
+        self.pass(self.inner.read(key)).await
+    }
+
+    async fn write(&self, key: &str, value: Bytes, condition: WriteCondition) -> StoreResult<ObjectVersion> {
+        self.pass(self.inner.write(key, value, condition)).await
+    }
+
+    async fn delete(&self, key: &str, version: ObjectVersion) -> StoreResult<()> {
+        self.pass(self.inner.delete(key, version)).await
+    }
+
+    async fn list(&self, prefix: &str) -> StoreResult<Vec<(String, ObjectVersion)>> {
+        self.pass(self.inner.list(prefix)).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        seen: Option<ObjectVersion>,
+        wait: Duration,
+    ) -> StoreResult<Option<VersionedObject>> {
+        self.inner.watch(key, seen, wait).await
+    }
+}
+
+pub async fn replay(store: &MemoryStore) -> ReplayedJournal {
+    replay_journal(store, OWNER).await.expect("replay")
+}
+
+/// Histories of all programs, in their order.
+pub fn histories(replayed: &ReplayedJournal) -> Vec<Vec<&str>> {
+    replayed.ledger.programs().iter().map(contents).collect()
+}
