--- a/components/daemon/src/log.rs
+++ b/components/daemon/src/log.rs
@@ -1,7 +1,10 @@
 //! The log: one line of key=value pairs an event, on standard error.
 
+use std::io::Write;
+
 use config::{DaemonSettings, LogLevel};
-use slog::{Drain as _, Level, Logger, o};
+use domain::TimeMillis;
+use slog::{Drain as _, Level, Logger, Record, o};
 use slog_async::AsyncGuard;
 use slog_logfmt::Logfmt;
 
@@ -10,7 +13,12 @@
 
 /// Opens the log of a process; the guard writes the last lines when it is dropped.
 pub(crate) fn open_log(settings: &DaemonSettings) -> (Logger, AsyncGuard) {
-    let drain = Logfmt::new(std::io::stderr()).build().fuse();
+    let drain = Logfmt::new(std::io::stderr())
+        .set_prefix(write_time)
+        .print_level(true)
+        .print_msg(true)
+        .build()
+        .fuse();
     let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(LINES_BUFFERED)
         .build_with_guard();
@@ -19,6 +27,12 @@
     (log, guard)
 }
 
+/// Writes the time of an event in milliseconds since the Unix epoch.
+fn write_time(out: &mut dyn Write, _: &Record) -> slog::Result {
+    write!(out, "time={}\t", TimeMillis::now().0)?;
+    Ok(())
+}
+
 const fn level_of(level: LogLevel) -> Level {
     match level {
         LogLevel::Error => Level::Error,
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -12,7 +12,7 @@
 use crate::context::EntryContext;
 
 const HOST_LIST_INTERVAL: Duration = Duration::from_secs(1);
-const FORGET_AFTER: Duration = Duration::from_secs(600);
+const FORGET_AFTER: Duration = Duration::from_mins(10);
 
 /// The latest heartbeat of one process.
 #[derive(Debug, Clone)]
--- a/components/entry/src/http/request.rs
+++ b/components/entry/src/http/request.rs
@@ -35,8 +35,9 @@
     pub(crate) async fn read(request: Request<Incoming>, limit: usize) -> Result<Self, CallError> {
         let (parts, body) = request.into_parts();
         let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-        let collected = collected
-            .map_err(|_| CallError::not_run(ResultCode::RequestTimeout, "the body did not arrive in time"))?;
+        let collected = collected.map_err(|_elapsed| {
+            CallError::not_run(ResultCode::RequestTimeout, "the body did not arrive in time")
+        })?;
         let body = collected.map_err(|error| {
             if error.is::<LengthLimitError>() {
                 CallError::not_run(
--- a/components/entry/src/http/server.rs
+++ b/components/entry/src/http/server.rs
@@ -40,7 +40,9 @@
             debug!(context.options.log, "connection refused"; "reason" => "limit");
             continue;
         };
-        stream.set_nodelay(true).ok();
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!(context.options.log, "delay not switched off"; "error" => %error);
+        }
         let serving = Arc::clone(&context);
         let service = service_fn(move |request| answer(Arc::clone(&serving), request));
         let connection = http1::Builder::new()
@@ -49,7 +51,7 @@
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            watched.await.ok();
+            let _ = watched.await;
             drop(permit);
         });
     }
--- a/components/entry/src/http/service.rs
+++ b/components/entry/src/http/service.rs
@@ -24,7 +24,7 @@
     team: TeamName,
     name: &str,
 ) -> Result<HttpReply, CallError> {
-    let name: ServiceName = name.parse().map_err(|_| unknown_service(name))?;
+    let name: ServiceName = name.parse().map_err(|_fault| unknown_service(name))?;
     let service = configured_service(context, &name)?;
     if service.kind == ServiceKind::Model {
         let message = format!("{name} is a model; its turns go to /v1/chat/completions");
--- a/components/entry/src/owner/core.rs
+++ b/components/entry/src/owner/core.rs
@@ -313,7 +313,7 @@
     OutputChunk {
         offset,
         text,
-        outcome: if whole { Some(outcome) } else { None },
+        outcome: whole.then_some(outcome),
     }
 }
 
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -100,7 +100,7 @@
         }
         let handed_on = leave(&self.context).await;
         serving.cancel();
-        timeout(self.context.options.stop_grace, server).await.ok();
+        let _ = timeout(self.context.options.stop_grace, server).await;
         self.tasks.shutdown().await;
         info!(self.context.options.log, "stopped"; "incarnation" => self.context.incarnation().0);
         handed_on
@@ -179,7 +179,7 @@
     sleep(options.heartbeat_interval * LEAVING_NOTICE_BEATS).await;
     let owner = context.owner();
     owner.begin_closing();
-    timeout(options.stop_grace, wait_idle(&owner)).await.ok();
+    let _ = timeout(options.stop_grace, wait_idle(&owner)).await;
     let heirs = staying_heirs(context);
     if heirs.is_empty() {
         warn!(options.log, "no heir"; "programs" => owner.table.all().len());
@@ -188,8 +188,11 @@
     }
     let sealed = owner.journal().seal_own(heirs.clone()).await;
     owner.fence();
-    owner.budget().close().await.ok();
+    let returned = owner.budget().close().await;
     sealed?;
+    if let Err(error) = returned {
+        warn!(options.log, "budget not returned"; "error" => %error);
+    }
     record_seal(context, owner.incarnation(), heirs).await
 }
 
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -97,7 +97,7 @@
             let progress = self.text.len();
             let (call, error) = match self.pass_once(&events).await {
                 Ok((call, outcome)) => {
-                    events.send(RelayEvent::End(Some(call), outcome)).await.ok();
+                    let _ = events.send(RelayEvent::End(Some(call), outcome)).await;
                     return;
                 }
                 Err(failure) => failure,
@@ -111,10 +111,9 @@
             }
             if !is_passing(&error) || Instant::now() >= until {
                 let last_word = self.last_word(error);
-                events
+                let _ = events
                     .send(RelayEvent::End(call, CallOutcome::Failed(last_word)))
-                    .await
-                    .ok();
+                    .await;
                 return;
             }
             let jittered_ms = rand::rng().random_range(SHORTEST_PAUSE_MS..=pause_ms);
@@ -237,7 +236,7 @@
         self.emitted = self.text.len();
         if !fresh.is_empty() {
             let event = RelayEvent::Text(fresh, StreamPosition::behind(&self.text));
-            events.send(event).await.ok();
+            let _ = events.send(event).await;
         }
         Ok(())
     }
--- a/components/standins/src/caller.rs
+++ b/components/standins/src/caller.rs
@@ -196,7 +196,7 @@
 
     async fn read_stream(&self, turn: &TurnRequest, answer: &mut StreamedAnswer) -> anyhow::Result<()> {
         let url = format!("{}/v1/chat/completions", self.entries[self.preferred]);
-        let held = answer.text.len().to_string();
+        let held = answer.event_id.clone();
         let mut headers = vec![
             ("authorization", self.bearer.as_str()),
             ("azuretide-program", turn.program.as_str()),
@@ -276,6 +276,7 @@
 #[derive(Debug, Default)]
 struct StreamedAnswer {
     text: String,
+    event_id: String,
     usage: Value,
     done: bool,
     broken: bool,
@@ -298,14 +299,16 @@
         if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
             self.text.push_str(text);
         }
-        if let Some(offset) = field("id: ")
-            && offset != self.text.len().to_string()
-        {
-            self.broken = true;
-            bail!(
-                "the event's id is {offset}, but {} bytes were received",
-                self.text.len()
-            );
+        if let Some(event_id) = field("id: ") {
+            event_id.clone_into(&mut self.event_id);
+            let offset = event_id.split('-').next().unwrap_or_default();
+            if offset != self.text.len().to_string() {
+                self.broken = true;
+                bail!(
+                    "the event's id is {event_id}, but {} bytes were received",
+                    self.text.len()
+                );
+            }
         }
         if !chunk["usage"].is_null() {
             self.usage = chunk["usage"].clone();
