--- a/components/standins/src/caller.rs
+++ b/components/standins/src/caller.rs
@@ -10,7 +10,7 @@
 use crate::client::{HttpReply, open_request, send_request};
 use crate::engine::PromptMessage;
 
-/// Longest time that a caller goes on with one request.
+/// Time that a caller goes on with one request unless told otherwise.
 const PATIENCE: Duration = Duration::from_secs(40);
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest silence of a stream before the caller opens it again.
@@ -55,6 +55,7 @@
     entries: Vec<String>,
     preferred: usize,
     bearer: String,
+    patience: Duration,
 }
 
 impl TeamCaller {
@@ -64,9 +65,17 @@
             entries,
             preferred,
             bearer: format!("Bearer {team_key}"),
+            patience: PATIENCE,
         }
     }
 
+    /// Returns the caller with another time, in milliseconds, for which it goes on with one request.
+    #[must_use]
+    pub const fn with_patience_ms(mut self, patience_ms: u64) -> Self {
+        self.patience = Duration::from_millis(patience_ms);
+        self
+    }
+
     /// Starts a program and returns its id.
     ///
     /// # Errors
@@ -170,7 +179,7 @@
     ///
     /// Fails when the turn is refused for good, breaks or does not end in time.
     pub async fn stream_turn(&mut self, turn: &TurnRequest) -> anyhow::Result<TurnAnswer> {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience;
         let mut answer = StreamedAnswer::default();
         let mut retried = false;
         loop {
@@ -236,7 +245,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no entry has given one within 40 s, with the last failure.
+    /// Fails when no entry has given one within the caller's patience, with the last failure.
     pub async fn request(
         &mut self,
         method: &str,
@@ -244,7 +253,7 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> anyhow::Result<(HttpReply, bool)> {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience;
         let mut retried = false;
         loop {
             let url = format!("{}{path}", self.entries[self.preferred]);
--- a/components/standins/src/demo/report.rs
+++ b/components/standins/src/demo/report.rs
@@ -5,8 +5,6 @@
 use comfy_table::{Table, presets};
 use serde_json::Value;
 
-use crate::client::send_json;
-use crate::engine::RequestRecord;
 use crate::service::ServiceCall;
 use crate::session::SessionTally;
 use crate::testbed::Testbed;
@@ -90,8 +88,7 @@
     pub(super) async fn collect(testbed: &Testbed, rows: Vec<ProgramRow>) -> anyhow::Result<Self> {
         let mut calls = Vec::new();
         for service in SERVICES {
-            let url = format!("{}/control/calls", testbed.standin_url(service));
-            calls.extend(send_json("GET", &url, "").await?.decode::<Vec<ServiceCall>>()?);
+            calls.extend(testbed.service_calls(service).await?);
         }
         let mut over_budget = 0;
         for (kind, engines) in TEAM_ENGINES {
@@ -168,8 +165,7 @@
 async fn engine_price(testbed: &Testbed, engines: [&str; 2]) -> anyhow::Result<u64> {
     let mut price = 0;
     for engine in engines {
-        let url = format!("{}/control/records", testbed.standin_url(engine));
-        let records: Vec<RequestRecord> = send_json("GET", &url, "").await?.decode()?;
+        let records = testbed.engine_records(engine).await?;
         let prices = records.iter().map(|record| {
             record.prompt_tokens * PROMPT_TOKEN_PRICE + record.completion_tokens * COMPLETION_TOKEN_PRICE
         });
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -14,7 +14,6 @@
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::http::{
@@ -121,31 +120,6 @@
     load_lag: Duration,
 }
 
-/// A running engine; it ends when the handle is dropped.
-#[derive(Debug)]
-pub struct EngineHandle {
-    server: ServerHandle,
-    worker: JoinHandle<()>,
-}
-
-impl EngineHandle {
-    /// Returns the address on which the engine listens.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Waits until the engine's server ends.
-    pub async fn join(mut self) {
-        self.server.ended().await;
-    }
-}
-
-impl Drop for EngineHandle {
-    fn drop(&mut self) {
-        self.worker.abort();
-    }
-}
-
 #[derive(Debug, Deserialize)]
 struct CacheOrder {
     program: String,
@@ -153,19 +127,13 @@
     handle: String,
 }
 
-#[derive(Debug, Serialize)]
-struct ExportedCache {
-    handle: String,
-    tokens: u64,
-}
-
 impl ModelEngine {
     /// Starts the stand-in.
     ///
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub async fn start(listen: SocketAddr, settings: EngineSettings) -> anyhow::Result<EngineHandle> {
+    pub async fn start(listen: SocketAddr, settings: EngineSettings) -> anyhow::Result<ServerHandle> {
         let engine = Arc::new(Self {
             load_lag: Duration::from_millis(settings.load_lag_ms),
             state: Mutex::new(EngineState {
@@ -182,7 +150,7 @@
             async move { engine.answer(request).await }
         })
         .await?;
-        Ok(EngineHandle { server, worker })
+        Ok(server.with_worker(worker))
     }
 
     fn lock(&self) -> MutexGuard<'_, EngineState> {
@@ -220,7 +188,7 @@
             _ => self.wait_thawed().await,
         }
         Ok(match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/v1/chat/completions") => self.complete(&request),
+            ("POST", "/v1/chat/completions") => request.apply(|completion| self.complete(completion)),
             ("GET", "/load") => json_reply(&self.lock().lagging_load(self.load_lag)),
             ("GET", "/cache") => json_reply(&self.lock().batch.cache.list()),
             ("GET", "/cache/events") => json_reply(
@@ -230,11 +198,10 @@
                     .cache
                     .events_after(request.number("after").unwrap_or(0)),
             ),
-            ("POST", "/cache/release" | "/cache/export" | "/cache/import") => self.order_cache(&request),
-            ("POST", "/orders") => match request.decode() {
-                Ok(order) => self.lock().orders.follow(&order),
-                Err(refusal) => *refusal,
-            },
+            ("POST", "/cache/release" | "/cache/export" | "/cache/import") => {
+                request.apply(|order| self.order_cache(&request.path, &order))
+            }
+            ("POST", "/orders") => request.apply(|order| self.lock().orders.follow(&order)),
             ("GET", "/models") => json_reply(&self.lock().orders.loaded()),
             _ => self.answer_request(&request),
         })
@@ -252,36 +219,26 @@
     }
 
     fn set_faults(&self, request: &WholeRequest) -> Reply {
-        match request.decode() {
-            Ok(faults) => {
-                self.lock().faults = faults;
-                self.changed.notify_waiters();
-                empty_reply(StatusCode::NO_CONTENT)
-            }
-            Err(refusal) => *refusal,
-        }
+        request.apply(|faults| {
+            self.lock().faults = faults;
+            self.changed.notify_waiters();
+            empty_reply(StatusCode::NO_CONTENT)
+        })
     }
 
-    fn complete(self: &Arc<Self>, request: &WholeRequest) -> Reply {
-        let request: CompletionRequest = match request.decode() {
-            Ok(request) => request,
-            Err(refusal) => return *refusal,
-        };
+    fn complete(self: &Arc<Self>, request: CompletionRequest) -> Reply {
         let id = request.request_id.clone();
-        let silent = {
-            let mut state = self.lock();
-            if state.faults.fail_next > 0 {
-                state.faults.fail_next -= 1;
-                return text_reply(StatusCode::INTERNAL_SERVER_ERROR, "ordered failure");
-            }
-            if !state.orders.serves(&request.model) {
-                return text_reply(StatusCode::NOT_FOUND, "the model is not loaded");
-            }
-            state.batch.submit(request);
-            let silent = state.faults.silent_next > 0;
-            state.faults.silent_next -= u32::from(silent);
-            silent
-        };
+        let mut state = self.lock();
+        if state.faults.fail_next > 0 {
+            state.faults.fail_next -= 1;
+            return text_reply(StatusCode::INTERNAL_SERVER_ERROR, "ordered failure");
+        }
+        if !state.orders.serves(&request.model) {
+            return text_reply(StatusCode::NOT_FOUND, "the model is not loaded");
+        }
+        state.batch.submit(request);
+        let silent = state.faults.silent_next > 0;
+        state.faults.silent_next -= u32::from(silent);
         self.changed.notify_waiters();
         if silent {
             stream::silent_reply()
@@ -315,25 +272,19 @@
         }
     }
 
-    fn order_cache(&self, request: &WholeRequest) -> Reply {
-        let order: CacheOrder = match request.decode() {
-            Ok(order) => order,
-            Err(refusal) => return *refusal,
-        };
+    fn order_cache(&self, path: &str, order: &CacheOrder) -> Reply {
         let cache = &mut self.lock().batch.cache;
-        match request.path.as_str() {
-            "/cache/release" => cache.release(&order.program),
-            "/cache/export" => {
-                return match cache.export(&order.program) {
-                    Some((handle, tokens)) => json_reply(&ExportedCache { handle, tokens }),
-                    None => empty_reply(StatusCode::NOT_FOUND),
-                };
-            }
-            _ => {
-                if !cache.import(&order.program, &order.handle) {
-                    return text_reply(StatusCode::BAD_REQUEST, "the handle is not valid");
-                }
-            }
+        if path == "/cache/export" {
+            let exported = cache.export(&order.program);
+            return exported.map_or_else(
+                || empty_reply(StatusCode::NOT_FOUND),
+                |exported| json_reply(&exported),
+            );
+        }
+        if path == "/cache/release" {
+            cache.release(&order.program);
+        } else if !cache.import(&order.program, &order.handle) {
+            return text_reply(StatusCode::BAD_REQUEST, "the handle is not valid");
         }
         empty_reply(StatusCode::NO_CONTENT)
     }
@@ -357,19 +308,12 @@
 }
 
 fn percent_decode(text: &str) -> String {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.as_bytes();
-    while let [first, tail @ ..] = rest {
-        rest = tail;
-        let escaped = tail
-            .get(..2)
-            .filter(|_| *first == b'%')
-            .and_then(|digits| std::str::from_utf8(digits).ok())
-            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        if escaped.is_some() {
-            rest = &tail[2..];
-        }
-        bytes.push(escaped.unwrap_or(*first));
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (digits, rest) = part.split_at_checked(2).unwrap_or((part, ""));
+        bytes.push(u8::from_str_radix(digits, 16).unwrap_or(b'%'));
+        bytes.extend(rest.as_bytes());
     }
     String::from_utf8_lossy(&bytes).into_owned()
 }
--- a/components/standins/src/engine/cache.rs
+++ b/components/standins/src/engine/cache.rs
@@ -45,6 +45,13 @@
     pub tokens: u64,
 }
 
+/// A prefix that another engine can import.
+#[derive(Debug, Serialize)]
+pub(crate) struct ExportedCache {
+    handle: String,
+    tokens: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CacheEntry {
     tokens: u64,
@@ -133,9 +140,10 @@
     }
 
     /// Returns the portable handle of a program's prefix and its tokens.
-    pub(crate) fn export(&self, program: &str) -> Option<(String, u64)> {
-        let entry = self.entries.get(program)?;
-        Some((format!("kv:{}:{:016x}", entry.tokens, entry.digest), entry.tokens))
+    pub(crate) fn export(&self, program: &str) -> Option<ExportedCache> {
+        let CacheEntry { tokens, digest, .. } = *self.entries.get(program)?;
+        let handle = format!("kv:{tokens}:{digest:016x}");
+        Some(ExportedCache { handle, tokens })
     }
 
     /// Stores the prefix of a handle; returns whether the handle is valid.
--- a/components/standins/src/engine/stream.rs
+++ b/components/standins/src/engine/stream.rs
@@ -7,13 +7,13 @@
 use futures::stream::{self, Stream};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Response, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::ModelEngine;
 use super::batch::RequestPhase;
-use crate::http::{Reply, ReplyBody};
+use crate::http::{Reply, typed_reply};
+
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// Place of a reader in a request's output.
 struct OutputReader {
@@ -25,7 +25,7 @@
 
 /// Creates an answer whose body never gets a byte.
 pub(super) fn silent_reply() -> Reply {
-    event_reply(StreamBody::new(stream::pending()).boxed())
+    typed_reply(EVENT_STREAM, StreamBody::new(stream::pending()).boxed())
 }
 
 /// Creates an answer with the output of a known request from a byte offset on.
@@ -36,15 +36,7 @@
         offset,
         closed: false,
     };
-    event_reply(StreamBody::new(read_events(reader)).boxed())
-}
-
-fn event_reply(body: ReplyBody) -> Reply {
-    let mut reply = Response::new(body);
-    *reply.status_mut() = StatusCode::OK;
-    let kind = HeaderValue::from_static("text/event-stream");
-    reply.headers_mut().insert(CONTENT_TYPE, kind);
-    reply
+    typed_reply(EVENT_STREAM, StreamBody::new(read_events(reader)).boxed())
 }
 
 fn read_events(reader: OutputReader) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
@@ -113,13 +105,7 @@
         events
     }
 
-    fn event(
-        &self,
-        model: &str,
-        delta: &serde_json::Value,
-        finish: &serde_json::Value,
-        usage: &serde_json::Value,
-    ) -> String {
+    fn event(&self, model: &str, delta: &Value, finish: &Value, usage: &Value) -> String {
         let mut data = json!({
             "id": self.id,
             "object": "chat.completion.chunk",
--- a/components/standins/src/hosts.rs
+++ b/components/standins/src/hosts.rs
@@ -72,14 +72,11 @@
     }
 
     fn change(&self, request: &WholeRequest) -> Reply {
-        match request.decode() {
-            Ok(hosts) => {
-                let visible = Instant::now() + self.lag;
-                self.lock().push(ListChange { visible, hosts });
-                empty_reply(StatusCode::NO_CONTENT)
-            }
-            Err(refusal) => *refusal,
-        }
+        request.apply(|hosts| {
+            let visible = Instant::now() + self.lag;
+            self.lock().push(ListChange { visible, hosts });
+            empty_reply(StatusCode::NO_CONTENT)
+        })
     }
 
     fn list(&self) -> Reply {
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -9,7 +9,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -80,10 +80,12 @@
         self.parameter(name).and_then(|text| text.parse().ok())
     }
 
-    /// Decodes the body, or gives the refusal to answer with.
-    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, Box<Reply>> {
-        serde_json::from_slice(&self.body)
-            .map_err(|error| Box::new(text_reply(StatusCode::BAD_REQUEST, &error.to_string())))
+    /// Hands the decoded body to `apply`, or answers that it is malformed.
+    pub(crate) fn apply<T: DeserializeOwned>(&self, apply: impl FnOnce(T) -> Reply) -> Reply {
+        match serde_json::from_slice(&self.body) {
+            Ok(value) => apply(value),
+            Err(error) => text_reply(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
     }
 
     /// Returns whether the request carries the key; every request does when there is none.
@@ -114,21 +116,25 @@
 /// Creates an answer with a JSON body.
 pub(crate) fn json_reply<T: Serialize>(value: &T) -> Reply {
     match serde_json::to_vec(value) {
-        Ok(body) => {
-            let mut reply = bytes_reply(StatusCode::OK, Bytes::from(body));
-            let json = hyper::header::HeaderValue::from_static("application/json");
-            reply.headers_mut().insert(CONTENT_TYPE, json);
-            reply
-        }
+        Ok(body) => typed_reply("application/json", Full::new(Bytes::from(body)).boxed()),
         Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
 
+/// Creates an answer with a body of a content type.
+pub(crate) fn typed_reply(content_type: &'static str, body: ReplyBody) -> Reply {
+    let mut reply = Response::new(body);
+    let content_type = HeaderValue::from_static(content_type);
+    reply.headers_mut().insert(CONTENT_TYPE, content_type);
+    reply
+}
+
 /// A running server; it and its connections end when the handle is dropped.
 #[derive(Debug)]
 pub struct ServerHandle {
     address: SocketAddr,
     acceptor: JoinHandle<()>,
+    worker: Option<JoinHandle<()>>,
 }
 
 impl ServerHandle {
@@ -139,18 +145,25 @@
 
     /// Waits until the server ends.
     pub async fn join(mut self) {
-        self.ended().await;
-    }
-
-    pub(crate) async fn ended(&mut self) {
         // The task ends only by a panic, which has been printed by then.
         let _ended = (&mut self.acceptor).await;
     }
 }
 
+impl ServerHandle {
+    /// Adds a task that ends with the server.
+    pub(crate) fn with_worker(mut self, worker: JoinHandle<()>) -> Self {
+        self.worker = Some(worker);
+        self
+    }
+}
+
 impl Drop for ServerHandle {
     fn drop(&mut self) {
         self.acceptor.abort();
+        if let Some(worker) = &self.worker {
+            worker.abort();
+        }
     }
 }
 
@@ -179,7 +192,11 @@
             while connections.try_join_next().is_some() {}
         }
     });
-    Ok(ServerHandle { address, acceptor })
+    Ok(ServerHandle {
+        address,
+        acceptor,
+        worker: None,
+    })
 }
 
 async fn serve_connection<H, F>(stream: TcpStream, handler: Arc<H>)
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -17,8 +17,8 @@
 pub use client::{HttpReply, open_request, send_json, send_request};
 pub use demo::run_demo;
 pub use engine::{
-    CacheChange, CacheEvent, CachedProgram, EngineFaults, EngineHandle, EngineSettings, LoadReport,
-    ModelEngine, PromptMessage, RequestRecord, count_tokens, expected_answer, prompt_hash,
+    CacheChange, CacheEvent, CachedProgram, EngineFaults, EngineSettings, LoadReport, ModelEngine,
+    PromptMessage, RequestRecord, count_tokens, expected_answer, prompt_hash,
 };
 pub use hosts::{HostList, HostListSettings};
 pub use http::ServerHandle;
--- a/components/standins/src/object.rs
+++ b/components/standins/src/object.rs
@@ -120,14 +120,11 @@
     }
 
     fn set_faults(&self, request: &WholeRequest) -> Reply {
-        match request.decode() {
-            Ok(faults) => {
-                self.lock().faults = faults;
-                self.changed.notify_waiters();
-                empty_reply(StatusCode::NO_CONTENT)
-            }
-            Err(refusal) => *refusal,
-        }
+        request.apply(|faults| {
+            self.lock().faults = faults;
+            self.changed.notify_waiters();
+            empty_reply(StatusCode::NO_CONTENT)
+        })
     }
 
     fn refuses_call(&self) -> bool {
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -68,15 +68,6 @@
     calls: Vec<ServiceCall>,
 }
 
-/// What becomes of a call.
-#[derive(Debug, Clone, Copy)]
-enum CallFate {
-    Answered,
-    Silent,
-    Failed,
-    Hung,
-}
-
 /// Stand-in for a tool or a plain service.
 #[derive(Debug, Default)]
 pub struct PlainService {
@@ -110,54 +101,49 @@
             ("GET", "/control/calls") => return Ok(json_reply(&self.lock().calls)),
             _ => {}
         }
-        let (fate, delay) = self.lock().draw_fate();
-        match fate {
-            CallFate::Hung => std::future::pending().await,
-            CallFate::Failed => Ok(text_reply(StatusCode::INTERNAL_SERVER_ERROR, "ordered failure")),
-            CallFate::Silent => {
-                self.run(&request, delay).await;
-                std::future::pending().await
-            }
-            CallFate::Answered => Ok(json_reply(&self.run(&request, delay).await)),
+        if self.draws(|faults| &mut faults.hang_next) {
+            return std::future::pending().await;
         }
+        if self.draws(|faults| &mut faults.fail_next) {
+            return Ok(text_reply(StatusCode::INTERNAL_SERVER_ERROR, "ordered failure"));
+        }
+        let silent = self.draws(|faults| &mut faults.silent_next);
+        let answer = self.run(&request).await;
+        if silent {
+            std::future::pending().await
+        } else {
+            Ok(json_reply(&answer))
+        }
+    }
+
+    // Counts an ordered fault down and returns whether there was one.
+    fn draws(&self, count: impl Fn(&mut ServiceFaults) -> &mut u32) -> bool {
+        let mut state = self.lock();
+        let left = count(&mut state.faults);
+        let drawn = *left > 0;
+        *left -= u32::from(drawn);
+        drawn
     }
 
     fn set_faults(&self, request: &WholeRequest) -> Reply {
-        match request.decode() {
-            Ok(faults) => {
-                self.lock().faults = faults;
-                empty_reply(StatusCode::NO_CONTENT)
-            }
-            Err(refusal) => *refusal,
-        }
+        request.apply(|faults| {
+            self.lock().faults = faults;
+            empty_reply(StatusCode::NO_CONTENT)
+        })
     }
 
     // The run is counted before the delay, so that a caller who hangs up in between is counted as well.
-    async fn run(&self, request: &WholeRequest, delay: Duration) -> ServiceAnswer {
-        let answer = self.lock().record(request);
-        tokio::time::sleep(delay).await;
+    async fn run(&self, request: &WholeRequest) -> ServiceAnswer {
+        let (answer, delay_ms) = {
+            let mut state = self.lock();
+            (state.record(request), state.faults.delay_ms)
+        };
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         answer
     }
 }
 
 impl ServiceState {
-    fn draw_fate(&mut self) -> (CallFate, Duration) {
-        let faults = &mut self.faults;
-        let fate = if faults.hang_next > 0 {
-            faults.hang_next -= 1;
-            CallFate::Hung
-        } else if faults.fail_next > 0 {
-            faults.fail_next -= 1;
-            CallFate::Failed
-        } else if faults.silent_next > 0 {
-            faults.silent_next -= 1;
-            CallFate::Silent
-        } else {
-            CallFate::Answered
-        };
-        (fate, Duration::from_millis(faults.delay_ms))
-    }
-
     fn record(&mut self, request: &WholeRequest) -> ServiceAnswer {
         let key = request.header("idempotency-key").unwrap_or_default().to_owned();
         let runs = self.runs.entry(key.clone()).or_default();
--- a/components/standins/src/testbed.rs
+++ b/components/standins/src/testbed.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod process;
+mod records;
 mod settings;
 mod start;
 
--- a/components/standins/src/testbed/deployment.rs
+++ b/components/standins/src/testbed/deployment.rs
@@ -135,6 +135,24 @@
             .build()
     }
 
+    /// Returns the deployment with the time of every engine's step in microseconds.
+    #[must_use]
+    pub fn with_step_us(mut self, step_us: u64) -> Self {
+        for backend in &mut self.backends {
+            if let BackendKind::Engine(settings) = &mut backend.kind {
+                settings.step_us = step_us;
+            }
+        }
+        self
+    }
+
+    /// Returns the deployment with the configuration's `from` replaced by `to`.
+    #[must_use]
+    pub fn with_configured(mut self, from: &str, to: &str) -> Self {
+        self.configuration = self.configuration.replace(from, to);
+        self
+    }
+
     /// Returns the demo's deployment: both teams, two entries, four engines, a tool and a plain service.
     pub fn demo() -> Self {
         let engine = |check_fencing| {
--- a/components/standins/tests/engine.rs
+++ b/components/standins/tests/engine.rs
@@ -3,11 +3,11 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use standins::{
-    CachedProgram, EngineHandle, EngineSettings, LoadReport, ModelEngine, PromptMessage, RequestRecord,
+    CachedProgram, EngineSettings, LoadReport, ModelEngine, PromptMessage, RequestRecord, ServerHandle,
     expected_answer, prompt_hash, send_json,
 };
 
-async fn start(settings: EngineSettings) -> (EngineHandle, String) {
+async fn start(settings: EngineSettings) -> (ServerHandle, String) {
     let engine = ModelEngine::start("127.0.0.1:0".parse().unwrap(), settings)
         .await
         .unwrap();
