Resume streams by the event's whole id and give the testbed long keys

Cause: azuretided refuses keys under 16 bytes, and its event ids are OFFSET-HASH where interfaces.md says OFFSET, so that the demo's callers gave up their streams (first run: finished=12 of 18, lost=6). Change: the caller repeats the id as it came and checks only its offset; the testbed's keys are longer.

--- a/components/standins/src/caller.rs
+++ b/components/standins/src/caller.rs
@@ -205,14 +205,14 @@
 
     async fn read_stream(&self, turn: &TurnRequest, answer: &mut StreamedAnswer) -> anyhow::Result<()> {
         let url = format!("{}/v1/chat/completions", self.entries[self.preferred]);
-        let held = answer.text.len().to_string();
         let mut headers = vec![
             ("authorization", self.bearer.as_str()),
             ("azuretide-program", turn.program.as_str()),
             ("idempotency-key", turn.key.as_str()),
         ];
-        if !answer.text.is_empty() {
-            headers.push(("last-event-id", held.as_str()));
+        let last_id = answer.last_id.clone();
+        if !last_id.is_empty() {
+            headers.push(("last-event-id", last_id.as_str()));
         }
         let body = turn.body(true);
         let opened = open_request("POST", &url, &headers, &body);
@@ -285,6 +285,7 @@
 #[derive(Debug, Default)]
 struct StreamedAnswer {
     text: String,
+    last_id: String,
     usage: Value,
     done: bool,
     broken: bool,
@@ -307,14 +308,17 @@
         if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
             self.text.push_str(text);
         }
-        if let Some(offset) = field("id: ")
-            && offset != self.text.len().to_string()
-        {
-            self.broken = true;
-            bail!(
-                "the event's id is {offset}, but {} bytes were received",
-                self.text.len()
-            );
+        if let Some(id) = field("id: ") {
+            // An id begins with the byte offset; the rest is the entry's own.
+            let offset = id.split_once('-').map_or(id, |(offset, _)| offset);
+            if offset != self.text.len().to_string() {
+                self.broken = true;
+                bail!(
+                    "the event's id is {id}, but {} bytes were received",
+                    self.text.len()
+                );
+            }
+            id.clone_into(&mut self.last_id);
         }
         if !chunk["usage"].is_null() {
             self.usage = chunk["usage"].clone();
--- a/components/standins/src/testbed.rs
+++ b/components/standins/src/testbed.rs
@@ -26,7 +26,7 @@
 /// Longest wait for a process to become ready or to end.
 const PATIENCE: Duration = Duration::from_secs(45);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const OPERATOR_KEY: &str = "operator-key";
+const OPERATOR_KEY: &str = "operator-key-of-a-testbed";
 
 /// One process of a testbed.
 #[derive(Debug)]
@@ -78,7 +78,7 @@
             folder,
         };
         for key in ["platform", "cluster", "operator"] {
-            testbed.write_file(&format!("{key}.key"), &format!("{key}-key\n"))?;
+            testbed.write_file(&format!("{key}.key"), &format!("{key}-key-of-a-testbed\n"))?;
         }
         testbed.start_platform().await?;
         testbed.start_backends().await?;
