--- a/components/standins/src/caller.rs
+++ b/components/standins/src/caller.rs
@@ -10,7 +10,7 @@
 use crate::client::{HttpReply, open_request, send_request};
 use crate::engine::PromptMessage;
 
-/// Longest time that a caller goes on with one request.
+/// Time that a caller goes on with one request unless told otherwise.
 const PATIENCE: Duration = Duration::from_secs(40);
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest silence of a stream before the caller opens it again.
@@ -55,6 +55,7 @@
     entries: Vec<String>,
     preferred: usize,
     bearer: String,
+    patience: Duration,
 }
 
 impl TeamCaller {
@@ -64,9 +65,17 @@
             entries,
             preferred,
             bearer: format!("Bearer {team_key}"),
+            patience: PATIENCE,
         }
     }
 
+    /// Returns the caller with another time, in milliseconds, for which it goes on with one request.
+    #[must_use]
+    pub const fn with_patience_ms(mut self, patience_ms: u64) -> Self {
+        self.patience = Duration::from_millis(patience_ms);
+        self
+    }
+
     /// Starts a program and returns its id.
     ///
     /// # Errors
@@ -170,7 +179,7 @@
     ///
     /// Fails when the turn is refused for good, breaks or does not end in time.
     pub async fn stream_turn(&mut self, turn: &TurnRequest) -> anyhow::Result<TurnAnswer> {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience;
         let mut answer = StreamedAnswer::default();
         let mut retried = false;
         loop {
@@ -196,14 +205,14 @@
 
     async fn read_stream(&self, turn: &TurnRequest, answer: &mut StreamedAnswer) -> anyhow::Result<()> {
         let url = format!("{}/v1/chat/completions", self.entries[self.preferred]);
-        let held = answer.event_id.clone();
         let mut headers = vec![
             ("authorization", self.bearer.as_str()),
             ("azuretide-program", turn.program.as_str()),
             ("idempotency-key", turn.key.as_str()),
         ];
-        if !answer.text.is_empty() {
-            headers.push(("last-event-id", held.as_str()));
+        let last_id = answer.last_id.clone();
+        if !last_id.is_empty() {
+            headers.push(("last-event-id", last_id.as_str()));
         }
         let body = turn.body(true);
         let opened = open_request("POST", &url, &headers, &body);
@@ -236,7 +245,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no entry has given one within 40 s, with the last failure.
+    /// Fails when no entry has given one within the caller's patience, with the last failure.
     pub async fn request(
         &mut self,
         method: &str,
@@ -244,7 +253,7 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> anyhow::Result<(HttpReply, bool)> {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + self.patience;
         let mut retried = false;
         loop {
             let url = format!("{}{path}", self.entries[self.preferred]);
@@ -276,7 +285,7 @@
 #[derive(Debug, Default)]
 struct StreamedAnswer {
     text: String,
-    event_id: String,
+    last_id: String,
     usage: Value,
     done: bool,
     broken: bool,
@@ -299,16 +308,17 @@
         if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
             self.text.push_str(text);
         }
-        if let Some(event_id) = field("id: ") {
-            event_id.clone_into(&mut self.event_id);
-            let offset = event_id.split('-').next().unwrap_or_default();
+        if let Some(id) = field("id: ") {
+            // An id begins with the byte offset; the rest is the entry's own.
+            let offset = id.split_once('-').map_or(id, |(offset, _)| offset);
             if offset != self.text.len().to_string() {
                 self.broken = true;
                 bail!(
-                    "the event's id is {event_id}, but {} bytes were received",
+                    "the event's id is {id}, but {} bytes were received",
                     self.text.len()
                 );
             }
+            id.clone_into(&mut self.last_id);
         }
         if !chunk["usage"].is_null() {
             self.usage = chunk["usage"].clone();
