Add the operators' tool with its ten subcommands

Control characters of answers do not reach the terminal. Exit status: 0 done, 1 refused, 2 usage, 3 faults, 4 conflict, 5 no entry answered. tests/cli runs the tool against a fake entry with faults on request.

--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,48 @@
+//! One module for each subcommand.
+
+mod apply;
+mod audit;
+mod cancel;
+mod check;
+mod drain;
+mod history;
+mod programs;
+mod show;
+mod status;
+mod usage;
+
+use domain::Generation;
+
+use crate::cli::{EntryOptions, ToolCommand};
+use crate::client::{AdminClient, AdminRequest, EntryAnswer};
+use crate::error::ToolError;
+
+/// Runs a command and returns what it prints.
+pub(crate) async fn run(command: ToolCommand) -> Result<String, ToolError> {
+    match command {
+        ToolCommand::Check { json, file } => check::run(json, &file),
+        ToolCommand::Apply { options, base, file } => apply::run(&options, Generation(base), &file).await,
+        ToolCommand::Show { options } => show::run(&options).await,
+        ToolCommand::Status { options } => status::run(&options).await,
+        ToolCommand::Audit { options, after } => audit::run(&options, after).await,
+        ToolCommand::Usage { options, team } => usage::run(&options, &team).await,
+        ToolCommand::Programs { options } => programs::run(&options).await,
+        ToolCommand::History { options, program } => history::run(&options, program).await,
+        ToolCommand::Drain { options, host } => drain::run(&options, &host).await,
+        ToolCommand::Cancel { options, program } => cancel::run(&options, program).await,
+    }
+}
+
+/// Sends a request and returns the body as it came for scripts, or a text for people.
+async fn print_answer(
+    options: &EntryOptions,
+    request: AdminRequest,
+    print: impl FnOnce(&EntryAnswer) -> Result<String, ToolError>,
+) -> Result<String, ToolError> {
+    let answer = AdminClient::new(options)?.call(&request).await?;
+    if options.json {
+        Ok(format!("{}\n", answer.text()))
+    } else {
+        print(&answer)
+    }
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,105 @@
+//! `azuretide status`: shows processes, queues, programs and budgets.
+
+use domain::{MemberState, ProgramPhase};
+
+use crate::answer::{BudgetRow, HostRow, ProgramRow, StatusAnswer};
+use crate::cli::EntryOptions;
+use crate::client::{AdminClient, AdminRequest};
+use crate::error::ToolError;
+use crate::output::{or_dash, table, word};
+
+/// Shows the system as one entry sees it.
+pub(crate) async fn run(options: &EntryOptions) -> Result<String, ToolError> {
+    let client = AdminClient::new(options)?;
+    let answer = client.call(&AdminRequest::get("status")).await?;
+    if options.json {
+        return Ok(format!("{}\n", answer.text()));
+    }
+    let status: StatusAnswer = answer.decode()?;
+    let programs: Vec<ProgramRow> = client.call(&AdminRequest::get("programs")).await?.decode()?;
+    Ok(format!(
+        "{}\n{}\n{}",
+        summary(&status, &programs),
+        host_table(&status.hosts),
+        budget_table(&status.budgets)
+    ))
+}
+
+fn summary(status: &StatusAnswer, programs: &[ProgramRow]) -> String {
+    let behind = status
+        .hosts
+        .iter()
+        .filter(|host| host.generation < status.generation)
+        .count();
+    let owners = status.members.live().len();
+    let is_sealed = |state: &MemberState| matches!(state, MemberState::Sealed { .. });
+    let sealed = status
+        .members
+        .members
+        .iter()
+        .filter(|member| is_sealed(&member.state))
+        .count();
+    let running = programs
+        .iter()
+        .filter(|program| program.phase == ProgramPhase::Running)
+        .count();
+    let open: u64 = programs.iter().map(|program| program.open_calls).sum();
+    format!(
+        "generation {} ({behind} of {} processes behind)\n\
+         owners of programs: {owners} live, {sealed} sealed\n\
+         programs: {running} running, {open} calls open\n",
+        status.generation,
+        status.hosts.len(),
+    )
+}
+
+fn host_table(hosts: &[HostRow]) -> String {
+    let header = [
+        "HOST",
+        "ROLE",
+        "FAILURE DOMAIN",
+        "GENERATION",
+        "STATE",
+        "HEARD",
+        "SERVICE",
+        "QUEUED",
+        "RUNNING",
+        "CACHE",
+    ];
+    let rows = hosts.iter().map(|host| {
+        let load = host.load.as_ref();
+        [
+            host.name.to_string(),
+            word(&host.role),
+            host.failure_domain.to_string(),
+            host.generation.to_string(),
+            state_of(host).to_owned(),
+            format!("{} ms ago", host.heard_ms),
+            or_dash(load.map(|load| &load.service)),
+            or_dash(load.map(|load| load.queued)),
+            or_dash(load.map(|load| format!("{}/{}", load.running, load.capacity))),
+            or_dash(load.map(|load| format!("{}/{}", load.cache_used, load.cache_size))),
+        ]
+    });
+    table(header, rows)
+}
+
+fn state_of(host: &HostRow) -> &'static str {
+    match &host.load {
+        _ if host.leaving => "leaving",
+        Some(load) if !load.healthy => "unhealthy",
+        _ => "live",
+    }
+}
+
+fn budget_table(budgets: &[BudgetRow]) -> String {
+    let rows = budgets.iter().map(|budget| {
+        [
+            budget.team.to_string(),
+            budget.limit.to_string(),
+            budget.spent.to_string(),
+            budget.left.to_string(),
+        ]
+    });
+    table(["TEAM", "LIMIT", "SPENT", "LEFT"], rows)
+}
--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! The command-line tool against a fake entry.
+
+mod apply;
+mod fake_entry;
+mod tool;
