--- /dev/null
+++ b/components/engine/tests/engine/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the client against scripted backend servers.
+
+mod chat;
+mod control;
+mod plain;
+mod support;
