Give calls a final answer in an outage, and never dispatch twice across an agent's restart

Cause: reading the thin path found four holes. (1) An append that waits for the object API held its caller for ever. (2) A Finished record refused by a full buffer lost the outcome, and a retry would have run the call again. (3) A lost answer of a dispatch was repeated to whatever process listened at the address, so an agent that restarted in between would run a call twice. (4) A fresh heir took agents that it had not heard yet for lost.

--- a/components/agent/src/ledger/dispatch.rs
+++ b/components/agent/src/ledger/dispatch.rs
@@ -44,6 +44,15 @@
             let run = self.run_state(attempt.call);
             return Err(error_with(ResultCode::ProgramEnded, run, "the program has ended"));
         }
+        if let DispatchOrder::Plain {
+            repeatable: false,
+            agent_start,
+            ..
+        } = &order
+            && *agent_start != self.start
+        {
+            return Err(restarted());
+        }
         match self.admit(&order) {
             Admission::Known => {}
             Admission::Attach => {
@@ -178,6 +187,14 @@
     )
 }
 
+/// Refuses a call whose intent names an earlier start: that start may have run it.
+fn restarted() -> CallError {
+    CallError::not_run(
+        ResultCode::AgentRestarted,
+        "the agent has restarted since it was chosen",
+    )
+}
+
 pub(super) fn forgotten() -> CallError {
     CallError::unknown("the call ran and its outcome is no longer kept")
 }
--- a/components/agent/tests/ledger/support.rs
+++ b/components/agent/tests/ledger/support.rs
@@ -85,6 +85,7 @@
         },
         idempotency_key: "key".to_owned(),
         repeatable: kind == OrderKind::Repeatable,
+        agent_start: START,
         priority,
         start_before,
         timeout_ms: 1_000,
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -7,6 +7,7 @@
 use budget::BudgetKeeper;
 use domain::{Generation, Heartbeat, HostRole, IncarnationId};
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use crate::blackboard::Blackboard;
 use crate::options::EntryOptions;
@@ -26,6 +27,7 @@
     pub(crate) pool: PeerPool,
     /// Wakes the planned stop.
     pub(crate) drain: Notify,
+    started: Instant,
     newer_configuration: watch::Sender<Option<(Generation, SocketAddr)>>,
     newer_members: watch::Sender<Generation>,
     owner: ArcSwap<OwnerCore>,
@@ -46,6 +48,7 @@
             board,
             pool,
             drain: Notify::new(),
+            started: Instant::now(),
             newer_configuration: watch::channel(None).0,
             newer_members: watch::channel(Generation(0)).0,
             owner: ArcSwap::new(owner),
@@ -62,6 +65,11 @@
         self.owner.store(owner);
     }
 
+    /// Tells whether the entry has run long enough to have heard every process that is alive.
+    pub(crate) fn has_heard_all(&self) -> bool {
+        self.started.elapsed() > self.options.suspect_after * 2
+    }
+
     /// Returns the present incarnation.
     pub(crate) fn incarnation(&self) -> IncarnationId {
         self.owner.load().incarnation()
--- a/components/entry/src/owner/attempt.rs
+++ b/components/entry/src/owner/attempt.rs
@@ -54,26 +54,29 @@
 
 /// Hands an order to an agent; a silent connection is replaced by a fresh one.
 pub(crate) async fn hand_over(context: &EntryContext, seat: &AgentSeat, order: &DispatchOrder) -> Handover {
-    let mut sent = false;
+    let mut unanswered = false;
     loop {
         let client = match context.pool.agent(seat.address).await {
             Ok(client) => client,
-            Err(error) if !sent => return Handover::NeverSent(error),
+            Err(error) if !unanswered => return Handover::NeverSent(error),
             Err(_) if is_lost(context, seat) => return Handover::Unanswered,
             Err(_) => {
                 sleep(RETRY_PAUSE).await;
                 continue;
             }
         };
-        sent = true;
         match client
             .dispatch_call(call_context(CALL_TIMEOUT), order.clone())
             .await
         {
             Ok(Ok(_)) => return Handover::Taken,
+            Ok(Err(refusal)) if refusal.code == ResultCode::AgentRestarted && unanswered => {
+                return Handover::Unanswered;
+            }
             Ok(Err(refusal)) => return Handover::Refused(refusal),
             Err(error) => {
                 debug!(context.options.log, "dispatch unanswered"; "host" => %seat.host, "error" => %error);
+                unanswered = true;
                 context.pool.forget(seat.address);
                 if is_lost(context, seat) {
                     return Handover::Unanswered;
@@ -96,6 +99,7 @@
         let read = tokio::select! {
             read = read_attempt(context, seat, attempt, offset) => read,
             () = call.stop.cancelled() => return AttemptEnd::Stopped,
+            () = wait_lost(context, seat) => return AttemptEnd::Lost,
         };
         match read {
             Ok(chunk) => {
@@ -119,6 +123,13 @@
     }
 }
 
+/// Waits until the agent is lost; a frozen one keeps its connection open.
+async fn wait_lost(context: &EntryContext, seat: &AgentSeat) {
+    while !is_lost(context, seat) {
+        sleep(context.options.heartbeat_interval).await;
+    }
+}
+
 async fn read_attempt(
     context: &EntryContext,
     seat: &AgentSeat,
@@ -137,7 +148,7 @@
 pub(crate) fn is_lost(context: &EntryContext, seat: &AgentSeat) -> bool {
     let fleet = context.board.fleet();
     let Some(peer) = fleet.peer(&seat.host) else {
-        return true;
+        return context.has_heard_all();
     };
     let silence = Instant::now().duration_since(peer.heard);
     peer.heartbeat.start != seat.start || silence > context.options.suspect_after
--- a/components/entry/src/owner/call.rs
+++ b/components/entry/src/owner/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use domain::{CallKey, CallOutcome, CallRequest, IntentRecord, TimeMillis};
+use errors::CallError;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use wire::OutputChunk;
@@ -16,6 +17,8 @@
 struct CallOutput {
     text: String,
     outcome: Option<CallOutcome>,
+    /// Answer for readers while the final state waits for the journal.
+    interim: Option<CallError>,
 }
 
 /// A call under way, or one that has ended a short time ago.
@@ -51,6 +54,7 @@
             output: Mutex::new(CallOutput {
                 text: delivered,
                 outcome: None,
+                interim: None,
             }),
             progress: watch::channel(0).0,
         }
@@ -107,6 +111,12 @@
         self.progress.send_modify(|count| *count += 1);
     }
 
+    /// Gives readers an answer while the final state waits for the journal; the call itself goes on.
+    pub(crate) fn set_interim(&self, error: CallError) {
+        self.lock().interim = Some(error);
+        self.progress.send_modify(|count| *count += 1);
+    }
+
     /// Returns output behind the offset and waits until there is some or `wait` has passed.
     pub(crate) async fn read(&self, offset: u64, wait: Duration) -> OutputChunk {
         let until = tokio::time::Instant::now() + wait;
@@ -129,12 +139,14 @@
 
     fn ready_chunk(&self, offset: u64) -> Option<OutputChunk> {
         let output = self.lock();
+        let interim = output.interim.clone().map(CallOutcome::Failed);
+        let end = output.outcome.clone().or(interim);
         let rest = text_behind(&output.text, offset);
-        if rest.is_empty() && output.outcome.is_none() {
+        if rest.is_empty() && end.is_none() {
             return None;
         }
         let (text, whole) = cut_text(rest);
-        let outcome = if whole { output.outcome.clone() } else { None };
+        let outcome = if whole { end } else { None };
         Some(OutputChunk {
             offset,
             text: text.to_owned(),
--- a/components/entry/src/owner/core.rs
+++ b/components/entry/src/owner/core.rs
@@ -8,13 +8,13 @@
     CallKey, CallOutcome, CallReply, IncarnationId, ProgramKey, ProgramPhase, ProgramState, TeamName,
     TimeMillis,
 };
-use errors::{CallError, ResultCode};
+use errors::{CallError, ResultCode, RunState};
 use journal::{JournalError, JournalRecord, JournalWriter};
-use tokio::sync::RwLock;
 use wire::{OutputChunk, OutputRequest, ProgramStart, ProgramSummary};
 
 use crate::owner::call::{OpenCall, cut_text, text_behind};
 use crate::owner::cell::ProgramCell;
+use crate::owner::commit::CommitGate;
 use crate::owner::flight::FlightTable;
 use crate::owner::table::ProgramTable;
 
@@ -31,7 +31,7 @@
     pub(crate) table: ProgramTable,
     /// Calls in flight.
     pub(crate) flights: FlightTable,
-    fold_gate: RwLock<()>,
+    gate: CommitGate,
     next_program: AtomicU64,
     fenced: AtomicBool,
     closing: AtomicBool,
@@ -47,7 +47,7 @@
             budget,
             table: ProgramTable::default(),
             flights: FlightTable::default(),
-            fold_gate: RwLock::new(()),
+            gate: CommitGate::new(),
             next_program: AtomicU64::new(1),
             fenced: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -60,6 +60,11 @@
         self.incarnation
     }
 
+    /// Returns the commits under way.
+    pub(crate) const fn gate(&self) -> &CommitGate {
+        &self.gate
+    }
+
     /// Returns the journal.
     pub(crate) const fn journal(&self) -> &JournalWriter {
         &self.journal
@@ -101,39 +106,15 @@
         }
     }
 
-    /// Makes records durable, then applies them to the programs.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the journal is sealed or the object API does not answer.
-    pub(crate) async fn commit(&self, records: Vec<JournalRecord>) -> Result<(), JournalError> {
-        let _gate = self.fold_gate.read().await;
-        self.journal.append(records.clone()).await?;
-        for record in &records {
-            if let Some(cell) = record.program().and_then(|key| self.table.find(key)) {
-                cell.apply(record);
-            }
-        }
-        Ok(())
-    }
-
-    /// Writes a snapshot of all programs and trims the journal.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the journal is sealed or the object API does not answer.
-    pub(crate) async fn fold(&self) -> Result<(), JournalError> {
-        let _gate = self.fold_gate.write().await;
-        let states: Vec<ProgramState> = self.table.all().iter().map(|cell| cell.program()).collect();
-        self.journal.fold(&states, &self.adopted(), &[]).await
-    }
-
     /// Starts a program.
     ///
     /// # Errors
     ///
     /// Returns 3011 or 3012, not run, when the journal does not take the record.
-    pub(crate) async fn start_program(&self, start: ProgramStart) -> Result<ProgramSummary, CallError> {
+    pub(crate) async fn start_program(
+        self: &Arc<Self>,
+        start: ProgramStart,
+    ) -> Result<ProgramSummary, CallError> {
         let now = TimeMillis::now();
         let sequence = self.next_program.fetch_add(1, Ordering::Relaxed);
         let key = ProgramKey {
@@ -143,9 +124,13 @@
         let mut program = ProgramState::new(key, start.team, start.urgency, now);
         program.parent = start.parent;
         program.deadline = start.deadline;
-        self.commit(vec![JournalRecord::Started(program.clone())])
-            .await
-            .map_err(journal_refusal)?;
+        let undo = JournalRecord::Ended {
+            program: key,
+            phase: ProgramPhase::Cancelled,
+            at: now,
+        };
+        self.commit_or_undo(vec![JournalRecord::Started(program.clone())], vec![undo])
+            .await?;
         let cell = Arc::new(ProgramCell::new(program, now));
         let summary = cell.summary();
         self.table.insert(cell);
@@ -158,13 +143,13 @@
     ///
     /// Fails when the own journal is sealed or the object API does not answer.
     pub(crate) async fn adopt(
-        &self,
+        self: &Arc<Self>,
         from: IncarnationId,
         programs: Vec<ProgramState>,
     ) -> Result<Vec<Arc<ProgramCell>>, JournalError> {
         let mut records: Vec<_> = programs.iter().cloned().map(JournalRecord::Started).collect();
         records.push(JournalRecord::Adopted { from });
-        self.commit(records).await?;
+        self.commit(records).await.unwrap_or(Err(JournalError::Closed))?;
         let now = TimeMillis::now();
         let cells: Vec<_> = programs
             .into_iter()
@@ -240,7 +225,7 @@
     ///
     /// Fails as [`Self::find_program`] does, or when the journal does not take the record.
     pub(crate) async fn end_program(
-        &self,
+        self: &Arc<Self>,
         team: Option<&TeamName>,
         key: ProgramKey,
         phase: ProgramPhase,
@@ -254,7 +239,9 @@
             phase,
             at: TimeMillis::now(),
         };
-        self.commit(vec![record]).await.map_err(journal_refusal)?;
+        self.commit_or_undo(vec![record], Vec::new())
+            .await
+            .map_err(late_end)?;
         for call in cell.take_waiting() {
             call.close(CallOutcome::Failed(cancelled()));
             cell.retire_call(&call);
@@ -287,6 +274,14 @@
     CallError::not_run(ResultCode::Cancelled, "the program was ended")
 }
 
+/// Corrects the refusal of a program's end that may still become durable.
+fn late_end(mut refusal: CallError) -> CallError {
+    if refusal.code == ResultCode::PlatformUnavailable {
+        refusal.run = RunState::OutcomeUnknown;
+    }
+    refusal
+}
+
 /// Turns a failed append into a refusal of a request that did not run.
 pub(crate) fn journal_refusal(error: JournalError) -> CallError {
     match error {
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 mod cell;
+mod commit;
 mod core;
 mod flight;
 mod limits;
--- a/components/entry/src/owner/release.rs
+++ b/components/entry/src/owner/release.rs
@@ -25,7 +25,7 @@
         }
     }
     if !released.is_empty()
-        && let Err(error) = owner.commit(released).await
+        && let Ok(Err(error)) = owner.commit(released).await
     {
         debug!(context.options.log, "release not recorded"; "program" => %program, "error" => %error);
     }
--- a/components/entry/src/owner/resume.rs
+++ b/components/entry/src/owner/resume.rs
@@ -16,7 +16,7 @@
 use crate::owner::cell::ProgramCell;
 use crate::owner::core::{OwnerCore, journal_refusal, not_owner};
 use crate::owner::limits::find_service;
-use crate::owner::run::{CallRunner, run_calls};
+use crate::owner::run::{CallRunner, run_calls, waiting_answer};
 use crate::pool::{CALL_TIMEOUT, call_context};
 
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -69,7 +69,11 @@
                     Err(_) => self.context.pool.forget(seat.address),
                 }
             }
-            if self.owner.is_fenced() || seat.is_none_or(|seat| is_lost(&self.context, &seat)) {
+            let lost = seat.map_or_else(
+                || self.context.has_heard_all(),
+                |seat| is_lost(&self.context, &seat),
+            );
+            if self.owner.is_fenced() || lost {
                 return None;
             }
             sleep(RETRY_PAUSE).await;
@@ -110,7 +114,7 @@
         }
         let charged = self.adopted_charge(intent, &outcome);
         let record = self.finished_record(&intent.host, outcome.clone(), charged);
-        if let Err(error) = self.owner.commit(vec![record]).await {
+        if let Err(error) = self.commit_surely(record, &waiting_answer(&outcome)).await {
             return CallOutcome::Failed(journal_refusal(error));
         }
         outcome
@@ -129,8 +133,7 @@
     /// Removes the intent of a call that has not run; its caller asks again.
     async fn drop_adopted(&self) -> CallOutcome {
         if let Err(error) = self
-            .owner
-            .commit(vec![JournalRecord::Dropped(self.call.key)])
+            .commit_surely(JournalRecord::Dropped(self.call.key), &not_owner())
             .await
         {
             return CallOutcome::Failed(journal_refusal(error));
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -23,6 +23,9 @@
 };
 use crate::pool::{CALL_TIMEOUT, call_context};
 
+/// Time after which an answer that waits for the object API may be asked for again, in milliseconds.
+const PLATFORM_RETRY_MS: u64 = 2000;
+
 /// Attempts at one call before it is given up.
 const MAX_ATTEMPTS: u64 = 6;
 
@@ -186,15 +189,14 @@
             agent_start: live.seat.start,
             reserved: live.reservation.amount(),
         });
-        let (written, handover) = if service.repeatable {
-            tokio::join!(
-                self.owner.commit(vec![intent]),
-                hand_over(&self.context, &live.seat, order)
-            )
+        let dropped = JournalRecord::Dropped(self.call.key);
+        let written = self.owner.commit_or_undo(vec![intent], vec![dropped]);
+        let (written, handover) = if service.repeatable && !self.owner.is_journal_slow() {
+            tokio::join!(written, hand_over(&self.context, &live.seat, order))
         } else {
-            match self.owner.commit(vec![intent]).await {
+            match written.await {
                 Ok(()) => (Ok(()), hand_over(&self.context, &live.seat, order).await),
-                Err(error) => (Err(error), Handover::NeverSent(not_owner())),
+                Err(error) => (Err(error.clone()), Handover::NeverSent(error)),
             }
         };
         if let Err(error) = written {
@@ -212,12 +214,21 @@
     }
 
     /// Leaves an attempt whose intent is not in the journal: nothing of it may become visible.
-    async fn abandon(&self, live: &LiveAttempt, error: JournalError, handover: &Handover) -> NextStep {
-        self.owner.budget().settle(&live.reservation, MicroUnits::ZERO);
-        if matches!(handover, Handover::Taken | Handover::Unanswered) {
-            self.cancel_attempt(live).await;
+    async fn abandon(&self, live: &LiveAttempt, refusal: CallError, handover: &Handover) -> NextStep {
+        if !matches!(handover, Handover::Taken | Handover::Unanswered) {
+            self.owner.budget().settle(&live.reservation, MicroUnits::ZERO);
+            return NextStep::Close(CallOutcome::Failed(refusal));
+        }
+        self.cancel_attempt(live).await;
+        self.owner
+            .budget()
+            .settle(&live.reservation, live.reservation.amount());
+        if refusal.code == ResultCode::NotOwner {
+            return NextStep::Close(CallOutcome::Failed(refusal));
         }
-        NextStep::Close(CallOutcome::Failed(journal_refusal(error)))
+        let mut unknown = CallError::unknown(refusal.message);
+        unknown.retry_after_ms = refusal.retry_after_ms;
+        NextStep::Close(CallOutcome::Failed(unknown))
     }
 
     async fn follow(&self, live: &LiveAttempt, service: &ServiceConfig) -> NextStep {
@@ -265,24 +276,23 @@
     /// Removes the intent of an attempt that is proven not to have run.
     async fn drop_intent(&self, live: &LiveAttempt, refusal: CallError) -> NextStep {
         self.owner.budget().settle(&live.reservation, MicroUnits::ZERO);
-        if let Err(error) = self
-            .owner
-            .commit(vec![JournalRecord::Dropped(self.call.key)])
+        match self
+            .commit_surely(JournalRecord::Dropped(self.call.key), &refusal)
             .await
         {
-            return NextStep::Close(CallOutcome::Failed(journal_refusal(error)));
+            Ok(()) => NextStep::Again(refusal),
+            Err(error) => NextStep::Close(CallOutcome::Failed(journal_refusal(error))),
         }
-        NextStep::Again(refusal)
     }
 
     /// Makes the final state durable; it becomes visible only afterwards.
     async fn finish(&self, live: &LiveAttempt, service: &ServiceConfig, outcome: CallOutcome) -> NextStep {
         let charged = charge(service, &live.reservation, &outcome);
         let record = self.finished_record(&live.seat.host, outcome.clone(), charged);
-        let written = self.owner.commit(vec![record]).await;
+        let written = self.commit_surely(record, &waiting_answer(&outcome)).await;
         self.owner.budget().settle(&live.reservation, charged);
         if let Err(error) = written {
-            return NextStep::Close(CallOutcome::Failed(pending_refusal(error)));
+            return NextStep::Close(CallOutcome::Failed(journal_refusal(error)));
         }
         if let CallOutcome::Answered(CallReply::Chat { usage, .. }) = &outcome {
             self.cell
@@ -291,6 +301,16 @@
         NextStep::Close(outcome)
     }
 
+    /// Commits the record of something that has happened; readers get `interim` when that takes long.
+    pub(crate) async fn commit_surely(
+        &self,
+        record: JournalRecord,
+        interim: &CallError,
+    ) -> Result<(), JournalError> {
+        let on_delay = || self.call.set_interim(interim.clone());
+        self.owner.commit_surely(record, on_delay).await
+    }
+
     /// Returns the record of the final state.
     pub(crate) fn finished_record(
         &self,
@@ -358,6 +378,7 @@
                 request: request.clone(),
                 idempotency_key: format!("{}-{}", self.call.key.program, self.call.request.idempotency_key),
                 repeatable: service.repeatable,
+                agent_start: chosen.peer.heartbeat.start,
                 priority,
                 start_before: program.deadline,
                 timeout_ms,
@@ -389,23 +410,21 @@
     added
 }
 
+/// Returns the answer for readers while a final state waits for the journal.
+pub(crate) fn waiting_answer(outcome: &CallOutcome) -> CallError {
+    let mut waiting = CallError::ran(
+        ResultCode::PlatformUnavailable,
+        "the answer waits for the object API",
+    );
+    if let CallOutcome::Failed(error) = outcome {
+        waiting.run = error.run;
+    }
+    waiting.with_retry_after_ms(PLATFORM_RETRY_MS)
+}
+
 const fn served_tokens(outcome: &CallOutcome) -> TokenCount {
     match outcome {
         CallOutcome::Answered(CallReply::Chat { usage, .. }) => usage.prompt_tokens + usage.completion_tokens,
         CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => 0,
     }
 }
-
-/// Turns a failed append behind a call that ran into an error that does not say "not run", except that a
-/// sealed owner sends the caller on to the heir, which settles the call.
-fn pending_refusal(error: JournalError) -> CallError {
-    match error {
-        JournalError::Sealed { .. } => not_owner(),
-        other => {
-            let refusal = CallError::from(other);
-            let mut unknown = CallError::unknown(refusal.message);
-            unknown.retry_after_ms = refusal.retry_after_ms;
-            unknown
-        }
-    }
-}
--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -98,6 +98,8 @@
     StaleTenure = 3015, 409;
     /// The agent has promised never to run the call.
     CallRefused = 3016, 409;
+    /// The agent has restarted since the owner chose it and cannot tell what its earlier start ran.
+    AgentRestarted = 3017, 503;
     /// The call may have run; its outcome is not known.
     OutcomeUnknown = 4001, 504;
     /// The stream cannot be continued without mixing two answers.
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -132,6 +132,9 @@
         idempotency_key: String,
         /// Whether the call may run more than once.
         repeatable: bool,
+        /// Start of the agent for which the intent was written; another start refuses a call that may not be
+        /// repeated.
+        agent_start: u64,
         /// Place in the order of waiting calls; smaller goes first.
         priority: u64,
         /// Time after which the call is not started any more.
