--- a/components/budget/src/keeper.rs
+++ b/components/budget/src/keeper.rs
@@ -7,7 +7,6 @@
 use domain::{IncarnationId, MicroUnits, TeamConfig, TeamName, TimeMillis};
 use errors::{CallError, ResultCode};
 use platform::ObjectStore;
-use rand::RngExt as _;
 use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
 
@@ -184,7 +183,13 @@
                 // Smaller calls were faster and used the new slice up.
                 Ok(Ok(None)) => {}
                 Ok(Err(refusal)) => return Err(refusal),
-                Err(error) => return Err(refuse_for_a_while(budget, error)),
+                Err(error) => {
+                    let retry_ms = self
+                        .shared
+                        .store
+                        .draw_ms(OUTAGE_RECHECK_MS..=2 * OUTAGE_RECHECK_MS);
+                    return Err(refuse_for_a_while(budget, error, retry_ms));
+                }
             }
         }
         let message = "smaller calls use each new slice of the budget up";
@@ -276,8 +281,7 @@
 }
 
 /// Refuses every amount that the held slice does not cover until the object API is worth another call.
-fn refuse_for_a_while(budget: &TeamBudget, error: CallError) -> CallError {
-    let retry_ms = rand::rng().random_range(OUTAGE_RECHECK_MS..=2 * OUTAGE_RECHECK_MS);
+fn refuse_for_a_while(budget: &TeamBudget, error: CallError, retry_ms: u64) -> CallError {
     let error = error.with_retry_after_ms(retry_ms);
     budget.ledger().refusal = Some(StandingRefusal {
         until: Instant::now() + Duration::from_millis(retry_ms),
--- a/components/budget/src/store.rs
+++ b/components/budget/src/store.rs
@@ -1,13 +1,15 @@
 //! Reads and conditional updates of budget objects.
 
-use std::sync::{Arc, PoisonError};
+use std::ops::RangeInclusive;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use domain::{IncarnationId, TimeMillis};
 use errors::{CallError, ResultCode};
 use platform::{ObjectStore, ObjectVersion, PlatformError, WriteCondition};
-use rand::RngExt as _;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
 
 use crate::account::BudgetObject;
 use crate::ledger::TeamLedger;
@@ -32,11 +34,18 @@
 pub(crate) struct BudgetStore {
     store: Arc<dyn ObjectStore>,
     incarnation: IncarnationId,
+    /// Seeded by the incarnation, so that no two entries pause alike.
+    jitter: Mutex<StdRng>,
 }
 
 impl BudgetStore {
     pub(crate) fn new(store: Arc<dyn ObjectStore>, incarnation: IncarnationId) -> Self {
-        Self { store, incarnation }
+        let jitter = StdRng::seed_from_u64(incarnation.0);
+        Self {
+            store,
+            incarnation,
+            jitter: Mutex::new(jitter),
+        }
     }
 
     /// Changes a team's object conditionally until the change stands, and brings the ledger in line with it.
@@ -68,7 +77,7 @@
                     ledger.synchronise(&object, incarnation);
                     return Ok(commit(&mut ledger, outcome));
                 }
-                Err(PlatformError::Conflict) => pause_after_conflict(attempt).await,
+                Err(PlatformError::Conflict) => self.pause_after_conflict(attempt).await,
                 Err(PlatformError::NoAnswer(_)) => budget.set_unresolved(Some(read.version)),
                 Err(error) => {
                     if is_settled {
@@ -109,6 +118,18 @@
         Err(CallError::not_run(ResultCode::PlatformUnavailable, message))
     }
 
+    /// Draws a number of milliseconds at random.
+    pub(crate) fn draw_ms(&self, range: RangeInclusive<u64>) -> u64 {
+        let mut jitter = self.jitter.lock().unwrap_or_else(PoisonError::into_inner);
+        jitter.random_range(range)
+    }
+
+    async fn pause_after_conflict(&self, attempt: u32) {
+        let longest = CONFLICT_PAUSE_MS << attempt.min(MAX_PAUSE_DOUBLINGS);
+        let pause = self.draw_ms(0..=longest);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
     async fn write(
         &self,
         budget: &TeamBudget,
@@ -137,12 +158,6 @@
     }
 }
 
-async fn pause_after_conflict(attempt: u32) {
-    let longest = CONFLICT_PAUSE_MS << attempt.min(MAX_PAUSE_DOUBLINGS);
-    let pause = rand::rng().random_range(0..=longest);
-    tokio::time::sleep(Duration::from_millis(pause)).await;
-}
-
 fn encode(object: &BudgetObject) -> Result<Bytes, CallError> {
     let encoded = serde_json::to_vec(object);
     encoded
--- /dev/null
+++ b/components/budget/tests/limits.rs
@@ -0,0 +1,186 @@
+//! Windows, limits, outages and settlement.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{MicroUnits, TeamConfig, TimeMillis};
+use errors::{CallError, RunState};
+use googletest::prelude::*;
+use platform::{MemoryFaults, MemoryStore};
+use support::{LIMIT, OUTAGE, WINDOW_S, keeper, team, team_name};
+
+const WINDOW_MS: u64 = WINDOW_S * 1_000;
+
+fn code_and_retry(error: &CallError) -> (u16, Option<u64>) {
+    (error.code.number(), error.retry_after_ms)
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn windows_turn_by_the_date_of_the_object_api_and_never_back() {
+    let store = Arc::new(MemoryStore::new());
+    store.set_date(TimeMillis(10 * WINDOW_MS + 5_000));
+    let keeper = keeper(&store, 1, 1);
+    let old = keeper
+        .reserve(&team_name(), MicroUnits(LIMIT))
+        .await
+        .expect("the budget is fresh");
+    expect_that!(old.window_start(), eq(TimeMillis(10 * WINDOW_MS)));
+    let refusal = keeper
+        .reserve(&team_name(), MicroUnits(1))
+        .await
+        .expect_err("nothing is left");
+    expect_that!(code_and_retry(&refusal), eq((3002, Some(WINDOW_MS - 5_000))));
+    expect_that!(refusal.run, eq(RunState::NotRun));
+
+    tokio::time::advance(Duration::from_secs(2)).await;
+    store.set_date(TimeMillis(11 * WINDOW_MS));
+    let new = keeper
+        .reserve(&team_name(), MicroUnits(LIMIT))
+        .await
+        .expect("the window has turned");
+    expect_that!(new.window_start(), eq(TimeMillis(11 * WINDOW_MS)));
+    keeper.settle(&old, MicroUnits(7));
+    keeper.settle(&new, MicroUnits(LIMIT));
+    keeper.flush().await.expect("the object API answers");
+
+    store.set_date(TimeMillis(10 * WINDOW_MS + 6_000));
+    let report = keeper.report(&team_name()).await.expect("the object API answers");
+    expect_that!(
+        (report.window_start, report.spent.0, report.left.0),
+        eq((new.window_start(), LIMIT, 0))
+    );
+    tokio::time::advance(Duration::from_secs(2)).await;
+    let refusal = keeper
+        .reserve(&team_name(), MicroUnits(1))
+        .await
+        .expect_err("the window stays");
+    expect_that!(refusal.code.number(), eq(3002));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_limit_lowered_below_what_is_spent_stops_held_slices_too() {
+    let store = Arc::new(MemoryStore::new());
+    let keepers = [keeper(&store, 1, 2), keeper(&store, 2, 2)];
+    for keeper in &keepers {
+        let reservation = keeper
+            .reserve(&team_name(), MicroUnits(1_000))
+            .await
+            .expect("the budget suffices");
+        keeper.settle(&reservation, MicroUnits(1_000));
+    }
+    for keeper in &keepers {
+        keeper.set_teams(&[team(1_500)], 2);
+        let refusal = keeper
+            .reserve(&team_name(), MicroUnits(1))
+            .await
+            .expect_err("2,000 are spent");
+        expect_that!(refusal.code.number(), eq(3002));
+    }
+    for keeper in &keepers {
+        keeper.set_teams(&[team(2_100)], 2);
+    }
+    let raised = keepers[0].reserve(&team_name(), MicroUnits(60)).await;
+    expect_that!(
+        raised,
+        ok(anything()),
+        "what the lowered limit took away is free again"
+    );
+    let refusal = keepers[1]
+        .reserve(&team_name(), MicroUnits(60))
+        .await
+        .expect_err("40 are left");
+    expect_that!(refusal.code.number(), eq(3002));
+    let none: [TeamConfig; 0] = [];
+    keepers[0].set_teams(&none, 2);
+    expect_that!(
+        keepers[0].reserve(&team_name(), MicroUnits(1)).await,
+        err(anything())
+    );
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_outage_leaves_held_slices_in_use_and_causes_no_storm() {
+    let store = Arc::new(MemoryStore::new());
+    let keeper = keeper(&store, 1, 4);
+    keeper
+        .reserve(&team_name(), MicroUnits(1))
+        .await
+        .expect("the budget suffices");
+    let held = keeper
+        .report(&team_name())
+        .await
+        .expect("the object API answers")
+        .reserved
+        .0;
+    store.set_faults(OUTAGE);
+    let (reads, _) = store.call_counts();
+    expect_that!(
+        keeper.reserve(&team_name(), MicroUnits(held - 1)).await,
+        ok(anything())
+    );
+    for _ in 0..10_000 {
+        let refusal = keeper
+            .reserve(&team_name(), MicroUnits(1))
+            .await
+            .expect_err("the slice is used up");
+        expect_that!(code_and_retry(&refusal), (eq(3012), some(all!(ge(250), le(500)))));
+        tokio::time::advance(Duration::from_millis(1)).await;
+    }
+    let calls = store.call_counts().0 - reads;
+    expect_that!(calls, le(10_000 / 250 + 1));
+    store.set_faults(MemoryFaults::default());
+    tokio::time::advance(Duration::from_millis(500)).await;
+    expect_that!(keeper.reserve(&team_name(), MicroUnits(1)).await, ok(anything()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_exhausted_budget_is_looked_at_once_a_second() {
+    let store = Arc::new(MemoryStore::new());
+    let keeper = keeper(&store, 1, 4);
+    let refusal = keeper
+        .reserve(&team_name(), MicroUnits(LIMIT + 1))
+        .await
+        .expect_err("it is too dear");
+    expect_that!(
+        code_and_retry(&refusal),
+        eq((3002, None)),
+        "no later window helps"
+    );
+    let (reads, _) = store.call_counts();
+    for _ in 0..1_000 {
+        expect_that!(
+            keeper.reserve(&team_name(), MicroUnits(LIMIT + 1)).await,
+            err(anything())
+        );
+    }
+    expect_that!(store.call_counts().0, eq(reads));
+    expect_that!(
+        keeper.reserve(&team_name(), MicroUnits(LIMIT)).await,
+        ok(anything())
+    );
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn settles_exactly_reports_an_excess_and_returns_idle_slices() {
+    let store = Arc::new(MemoryStore::new());
+    let (first, second) = (keeper(&store, 1, 2), keeper(&store, 2, 2));
+    let reservation = first
+        .reserve(&team_name(), MicroUnits(1_000))
+        .await
+        .expect("the budget suffices");
+    first.settle(&reservation, MicroUnits(1_200));
+    first.flush().await.expect("the object API answers");
+    first.flush().await.expect("the object API answers");
+    let report = first.report(&team_name()).await.expect("the object API answers");
+    let parts = (report.spent.0, report.excess.0, report.reserved.0, report.left.0);
+    expect_that!(parts, eq((1_200, 200, 0, LIMIT - 1_200)));
+    let rest = second.reserve(&team_name(), MicroUnits(LIMIT - 1_200)).await;
+    expect_that!(rest, ok(anything()), "idle slices come back");
+}
