Settle calls of unknown outcome once their agent is heard again

Cause: an agent that was cut off for longer than the suspicion time left its non-idempotent call at 'outcome unknown' for ever, although the agent knew. Change: the finished record names the agent and its start; the owner asks again every second while that same start is heard, and replaces the record by the proven outcome, or removes it when the agent promises that the call never ran. GET /v1/programs/ID/calls/KEY and a repeated request see the result.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -21,5 +21,5 @@
 };
 pub use key::{AttemptKey, AttemptNumber, CallKey, Generation, IncarnationId, ProgramKey, TenureNumber};
 pub use name::{FailureDomain, HostName, ServiceName, TeamName};
-pub use program::{FinishedCall, IntentRecord, ProgramPhase, ProgramState, UrgencyClass};
+pub use program::{FinishedCall, IntentRecord, ProgramPhase, ProgramState, UnsettledAttempt, UrgencyClass};
 pub use quantity::{MicroUnits, TimeMillis, TokenCount};
--- a/components/domain/src/program.rs
+++ b/components/domain/src/program.rs
@@ -64,6 +64,18 @@
     pub outcome: CallOutcome,
     /// Exact price.
     pub charged: MicroUnits,
+    /// Agent that may still prove the outcome, when it is not known.
+    pub unsettled: Option<UnsettledAttempt>,
+}
+
+/// Agent that was lost during a call which may run only once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UnsettledAttempt {
+    /// Host of the agent.
+    pub host: HostName,
+    /// Start of the agent; another start can prove nothing.
+    pub agent_start: u64,
 }
 
 /// Everything that an owner knows of one program and the journal keeps.
@@ -156,6 +168,18 @@
         }
     }
 
+    /// Removes a finished call whose outcome is not known, and its price.
+    pub fn remove_unsettled(&mut self, call: CallKey) {
+        let found = self
+            .finished
+            .iter()
+            .position(|finished| finished.call == call && finished.unsettled.is_some());
+        if let Some(index) = found {
+            let removed = self.finished.remove(index);
+            self.charged = self.charged.saturating_sub(removed.charged);
+        }
+    }
+
     /// Adds a host to those whose engines may hold cache of the program.
     pub fn insert_holder(&mut self, host: &HostName) {
         if let Err(index) = self.held_by.binary_search(host) {
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -11,9 +11,11 @@
 mod release;
 mod resume;
 mod run;
+mod settle;
 mod table;
 
 pub(crate) use core::{OwnerCore, unknown_program};
 pub(crate) use port::OwnerServer;
 pub(crate) use release::release_cache;
 pub(crate) use resume::resume_intents;
+pub(crate) use settle::settle_unknown_calls;
--- a/components/entry/src/owner/resume.rs
+++ b/components/entry/src/owner/resume.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use domain::{AttemptKey, CallOutcome, CallReply, IntentRecord, MicroUnits};
-use errors::{CallError, ResultCode, RunState};
+use domain::{AttemptKey, CallOutcome, CallReply, IntentRecord, MicroUnits, UnsettledAttempt};
+use errors::{CallError, RunState};
 use journal::JournalRecord;
 use policy::exact_price;
 use slog::info;
@@ -112,8 +112,17 @@
         {
             return self.drop_adopted().await;
         }
+        self.close_adopted(intent, outcome, None).await
+    }
+
+    async fn close_adopted(
+        &self,
+        intent: &IntentRecord,
+        outcome: CallOutcome,
+        unsettled: Option<UnsettledAttempt>,
+    ) -> CallOutcome {
         let charged = self.adopted_charge(intent, &outcome);
-        let record = self.finished_record(&intent.host, outcome.clone(), charged);
+        let record = self.finished_record(&intent.host, outcome.clone(), charged, unsettled);
         if let Err(error) = self.commit_surely(record, &waiting_answer(&outcome)).await {
             return CallOutcome::Failed(journal_refusal(error));
         }
@@ -150,8 +159,12 @@
         if service.is_ok_and(|(_, service)| service.repeatable) {
             return self.drop_adopted().await;
         }
-        let mut unknown = CallError::unknown("the owner and the agent of the call were lost");
-        unknown.code = ResultCode::OutcomeUnknown;
-        self.finish_adopted(intent, CallOutcome::Failed(unknown)).await
+        let unknown = CallError::unknown("the owner and the agent of the call were lost");
+        let unsettled = UnsettledAttempt {
+            host: intent.host.clone(),
+            agent_start: intent.agent_start,
+        };
+        self.close_adopted(intent, CallOutcome::Failed(unknown), Some(unsettled))
+            .await
     }
 }
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -6,6 +6,7 @@
 use domain::{
     AttemptKey, AttemptNumber, CallOutcome, CallPayload, CallReply, ChatMessage, ChatRole, FinishedCall,
     HostName, IntentRecord, MicroUnits, ProgramPhase, ServiceConfig, TimeMillis, TokenCount,
+    UnsettledAttempt,
 };
 use errors::{CallError, ResultCode, RunState};
 use journal::{JournalError, JournalRecord};
@@ -264,7 +265,13 @@
         warn!(self.context.options.log, "attempt lost"; "attempt" => %live.key, "host" => %live.seat.host);
         if !service.repeatable {
             let unknown = CallError::unknown(format!("host {} was lost during the call", live.seat.host));
-            return self.finish(live, service, CallOutcome::Failed(unknown)).await;
+            let unsettled = UnsettledAttempt {
+                host: live.seat.host.clone(),
+                agent_start: live.seat.start,
+            };
+            return self
+                .close_with(live, service, CallOutcome::Failed(unknown), Some(unsettled))
+                .await;
         }
         self.owner
             .budget()
@@ -287,8 +294,18 @@
 
     /// Makes the final state durable; it becomes visible only afterwards.
     async fn finish(&self, live: &LiveAttempt, service: &ServiceConfig, outcome: CallOutcome) -> NextStep {
+        self.close_with(live, service, outcome, None).await
+    }
+
+    async fn close_with(
+        &self,
+        live: &LiveAttempt,
+        service: &ServiceConfig,
+        outcome: CallOutcome,
+        unsettled: Option<UnsettledAttempt>,
+    ) -> NextStep {
         let charged = charge(service, &live.reservation, &outcome);
-        let record = self.finished_record(&live.seat.host, outcome.clone(), charged);
+        let record = self.finished_record(&live.seat.host, outcome.clone(), charged, unsettled);
         let written = self.commit_surely(record, &waiting_answer(&outcome)).await;
         self.owner.budget().settle(&live.reservation, charged);
         if let Err(error) = written {
@@ -317,6 +334,7 @@
         host: &HostName,
         outcome: CallOutcome,
         charged: MicroUnits,
+        unsettled: Option<UnsettledAttempt>,
     ) -> JournalRecord {
         JournalRecord::Finished {
             new_messages: new_messages(&self.call, &outcome),
@@ -327,6 +345,7 @@
                 fingerprint: self.call.fingerprint,
                 outcome,
                 charged,
+                unsettled,
             },
             host: Some(host.clone()),
             at: TimeMillis::now(),
--- a/components/entry/src/upkeep.rs
+++ b/components/entry/src/upkeep.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::context::EntryContext;
-use crate::owner::{OwnerCore, release_cache};
+use crate::owner::{OwnerCore, release_cache, settle_unknown_calls};
 
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 const MILLIS_PER_SECOND: u64 = 1000;
@@ -32,6 +32,7 @@
         }
         end_idle_programs(&context, &owner).await;
         forget_ended_programs(&owner);
+        settle_unknown_calls(&context, &owner).await;
         fold_journal(&context, &owner).await;
         if let Err(error) = owner.budget().flush().await {
             debug!(context.options.log, "budget not flushed"; "error" => %error);
--- a/components/journal/src/record.rs
+++ b/components/journal/src/record.rs
@@ -28,7 +28,7 @@
     Started(ProgramState),
     /// A call was handed out.
     Intent(IntentRecord),
-    /// An intent was proven not to have run.
+    /// An intent, or a call of unknown outcome, was proven not to have run.
     Dropped(CallKey),
     /// A call has its outcome.
     Finished {
@@ -101,7 +101,10 @@
     match record {
         JournalRecord::Started(started) if started.tenure > state.tenure => *state = started.clone(),
         JournalRecord::Intent(intent) => apply_intent(state, intent),
-        JournalRecord::Dropped(call) => state.intents.retain(|intent| intent.attempt.call != *call),
+        JournalRecord::Dropped(call) => {
+            state.intents.retain(|intent| intent.attempt.call != *call);
+            state.remove_unsettled(*call);
+        }
         JournalRecord::Finished {
             finished,
             new_messages,
@@ -112,6 +115,9 @@
             if let Some(host) = host {
                 state.insert_holder(host);
             }
+            if finished.unsettled.is_none() {
+                state.remove_unsettled(finished.call);
+            }
             if is_finished(state, finished.call, &finished.idempotency_key) {
                 return;
             }
--- a/components/journal/tests/support/mod.rs
+++ b/components/journal/tests/support/mod.rs
@@ -73,6 +73,7 @@
 pub fn finished_with(program: u64, call: u64, content: String) -> JournalRecord {
     JournalRecord::Finished {
         finished: FinishedCall {
+            unsettled: None,
             call: call_key(program, call),
             idempotency_key: format!("key-{call}"),
             fingerprint: call,
