--- a/components/standins/src/testbed.rs
+++ b/components/standins/src/testbed.rs
@@ -28,6 +28,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const OPERATOR_KEY: &str = "operator-key-of-a-testbed";
 
+/// Environment variable that keeps the folders of testbeds, for reading their logs.
+const KEEP_VARIABLE: &str = "TESTBED_KEEP";
+
 /// One process of a testbed.
 #[derive(Debug)]
 struct TestbedProcess {
@@ -70,7 +73,8 @@
     ///
     /// Fails when a binary is missing or a stand-in does not answer in time.
     pub async fn prepare(deployment: Deployment) -> anyhow::Result<Self> {
-        let folder = TempDir::with_prefix("azuretide-testbed-").context("creating a folder")?;
+        let mut folder = TempDir::with_prefix("azuretide-testbed-").context("creating a folder")?;
+        folder.disable_cleanup(std::env::var_os(KEEP_VARIABLE).is_some());
         let mut testbed = Self {
             deployment,
             processes: Vec::new(),
--- a/components/standins/src/testbed/records.rs
+++ b/components/standins/src/testbed/records.rs
@@ -101,6 +101,23 @@
         Ok(())
     }
 
+    /// Waits until an engine holds no program's prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it still holds one after 45 s.
+    pub async fn wait_cache_empty(&self, host: &str) -> anyhow::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let held = self.engine_cache(host).await?;
+            if held.is_empty() {
+                return Ok(());
+            }
+            anyhow::ensure!(Instant::now() < until, "{host} still holds {held:?}");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Waits until the object API has refused so many calls in an outage.
     ///
     /// # Errors
