--- a/tests/rollout/main.rs
+++ b/tests/rollout/main.rs
@@ -318,3 +318,33 @@
     }
     rollout.expect_no_step_back();
 }
+
+#[gtest]
+#[tokio::test]
+async fn an_entry_refuses_hostile_texts_and_changes_nothing() {
+    let rollout = Rollout::start(&[]).await;
+    let path = format!("/admin/configuration?base={}", rollout.testbed.generation());
+    let noise: String = ('\u{0}'..'\u{d7ff}').step_by(7).collect();
+    let cases = [
+        (
+            400,
+            "\"code\":6007",
+            format!("{}{}", rollout.text, "; x\n".repeat(70_000)),
+        ),
+        (400, "\"code\":6002", "[".repeat(200_000)),
+        (400, "\"code\":6008", format!("{}[cluster]\n", rollout.text)),
+        (400, "\"code\":6002", noise),
+        (413, "\"code\":1002", "x".repeat(3 * 1024 * 1024)),
+    ];
+    for (status, code, text) in cases {
+        let reply = rollout
+            .testbed
+            .operate("entry-1", "PUT", &path, &text)
+            .await
+            .expect("an answer");
+        expect_that!(reply.status, eq(status), "{code}");
+        expect_that!(reply.text(), contains_substring(code));
+    }
+    expect_that!(rollout.present_text("entry-2").await, eq(&rollout.text));
+    rollout.expect_no_step_back();
+}
