Let the member table decide the heirs, so that seals cannot form a cycle

Cause: with all entries killed at once and restarted, each new entry sealed the earlier incarnation at its own address and named the other dead one as an heir: 1 -> [2,3], 2 -> [1,3,4]. Following the heirs never ended (stack overflow in the adoption, seen in the log of the failing test). Ruled out: limiting the depth of the recursion, which would lose programs; heirs of later incarnations only, which leaves none when the youngest dies. A fenced owner completes a seal that its sealer did not live to record. Following a chain stops at the table's length.

--- a/components/domain/src/host.rs
+++ b/components/domain/src/host.rs
@@ -163,17 +163,23 @@
     /// Returns `None` when the birth incarnation is unknown or a seal names no heir.
     pub fn owner_of(&self, program: ProgramKey) -> Option<IncarnationId> {
         let mut member = self.member(program.incarnation)?;
-        while let MemberState::Sealed { heirs } = &member.state {
-            let heir = heir_of(program, heirs)?;
-            member = self.member(heir)?;
+        // A chain of seals is never longer than the table.
+        for _ in &self.members {
+            let MemberState::Sealed { heirs } = &member.state else {
+                return Some(member.incarnation);
+            };
+            member = self.member(heir_of(program, heirs)?)?;
         }
-        Some(member.incarnation)
+        None
     }
 
     /// Returns the sealed incarnation from which `owner` inherited the program, if it did.
     pub fn last_seal_before(&self, program: ProgramKey, owner: IncarnationId) -> Option<IncarnationId> {
         let mut member = self.member(program.incarnation)?;
-        while let MemberState::Sealed { heirs } = &member.state {
+        for _ in &self.members {
+            let MemberState::Sealed { heirs } = &member.state else {
+                return None;
+            };
             let heir = heir_of(program, heirs)?;
             if heir == owner {
                 return Some(member.incarnation);
--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -117,19 +117,18 @@
 /// Fails when the object API does not answer; the seal itself may be in force then and a later try completes it.
 pub(crate) async fn seal_member(context: &EntryContext, incarnation: IncarnationId) -> Result<()> {
     let store = context.options.store.as_ref();
-    let own = context.incarnation();
-    let heirs = heirs_of(&context.board.members().table, incarnation);
-    if heirs.is_empty() {
+    let proposed = heirs_of(&context.board.members().table, incarnation);
+    if proposed.is_empty() {
         bail!("no live member is left to inherit from {incarnation}");
     }
-    let seal = seal_journal(store, incarnation, own, heirs).await?;
-    record_seal(context, incarnation, seal.heirs.clone()).await?;
-    info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{:?}", seal.heirs));
+    seal_journal(store, incarnation, context.incarnation(), proposed).await?;
+    let heirs = record_seal(context, incarnation).await?;
+    info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{heirs:?}"));
     let event = AuditEvent::system(
         &context.options.host,
         "seal",
         incarnation.to_string(),
-        format!("{:?}", seal.heirs),
+        format!("{heirs:?}"),
     );
     event.write_logged(context).await;
     Ok(())
@@ -144,38 +143,66 @@
         .collect()
 }
 
-/// Writes a seal that is in force into the member table.
+/// Writes a seal that is in force into the member table and returns the heirs.
+///
+/// The table decides the heirs: its versions order all seals, so an heir is live when it is named, and no two
+/// incarnations can inherit from each other.
 ///
 /// # Errors
 ///
-/// Fails when the object API does not answer.
+/// Fails when the object API does not answer or no live member is left.
 pub(crate) async fn record_seal(
     context: &EntryContext,
     incarnation: IncarnationId,
-    heirs: Vec<IncarnationId>,
-) -> Result<()> {
+) -> Result<Vec<IncarnationId>> {
     let store = context.options.store.as_ref();
     loop {
         let read = read_members(store).await?;
         let mut table = read.table.clone();
-        let Ok(index) = table
+        let found = table
             .members
-            .binary_search_by_key(&incarnation, |member| member.incarnation)
-        else {
+            .binary_search_by_key(&incarnation, |member| member.incarnation);
+        let Ok(index) = found else {
             bail!("the member table does not hold {incarnation}");
         };
-        if table.members[index].state != MemberState::Live {
+        if let MemberState::Sealed { heirs } = &table.members[index].state {
+            let heirs = heirs.clone();
             context.board.raise_members(read);
-            return Ok(());
+            return Ok(heirs);
+        }
+        let heirs = present_heirs(context, &table, incarnation);
+        if heirs.is_empty() {
+            bail!("no live member is left to inherit from {incarnation}");
         }
         table.members[index].state = MemberState::Sealed { heirs: heirs.clone() };
         if write_members(store, &read, &table).await? {
             context.board.raise_members(read_members(store).await?);
-            return Ok(());
+            return Ok(heirs);
         }
     }
 }
 
+/// Returns the heirs that are neither silent nor leaving, or all live members when there are none such.
+fn present_heirs(
+    context: &EntryContext,
+    table: &MemberTable,
+    incarnation: IncarnationId,
+) -> Vec<IncarnationId> {
+    let fleet = context.board.fleet();
+    let heirs = heirs_of(table, incarnation);
+    let is_present = |heir: &IncarnationId| {
+        if *heir == context.incarnation() {
+            return !context.board.is_leaving();
+        }
+        let peer = fleet.entry(heir.0);
+        peer.is_some_and(|peer| {
+            !peer.heartbeat.leaving && peer.heard.elapsed() <= context.options.suspect_after
+        })
+    };
+    let present: Vec<_> = heirs.iter().copied().filter(is_present).collect();
+    if present.is_empty() { heirs } else { present }
+}
+
 /// Reads the member table whenever a peer announces a later version.
 pub(crate) async fn follow_members(context: Arc<EntryContext>) {
     let mut announced = context.watch_announced_members();
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -32,6 +32,7 @@
 
 /// Time between leaving and the first look at running calls, for the others to hear of it.
 const LEAVING_NOTICE_BEATS: u32 = 2;
+const SEAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A started entry.
@@ -141,6 +142,14 @@
         }
         warn!(context.options.log, "fenced"; "incarnation" => owner.incarnation().0);
         owner.fence();
+        // The sealer may have died between the seal and the member table.
+        while let Err(error) = record_seal(&context, owner.incarnation()).await {
+            warn!(context.options.log, "seal not recorded"; "error" => format!("{error:#}"));
+            sleep(SEAL_RETRY_PAUSE).await;
+            if context.board.members().table.live() == [owner.incarnation()] {
+                break;
+            }
+        }
         let incarnation = join_members(&context.options, context.process_address, &context.board).await;
         let successor = Arc::new(new_owner(&context.options, incarnation));
         if let Some(applied) = context.board.configuration() {
@@ -193,7 +202,8 @@
     if let Err(error) = returned {
         warn!(options.log, "budget not returned"; "error" => %error);
     }
-    record_seal(context, owner.incarnation(), heirs).await
+    record_seal(context, owner.incarnation()).await?;
+    Ok(())
 }
 
 async fn wait_idle(owner: &OwnerCore) {
