--- a/components/journal/tests/corrupt.rs
+++ b/components/journal/tests/corrupt.rs
@@ -23,6 +23,13 @@
 }
 
 const DAMAGES: &[DamageCase] = &[
+    DamageCase {
+        name: "one bit",
+        damage: |value| {
+            let (last, front) = value.split_last()?;
+            Some([front, &[last ^ 1]].concat())
+        },
+    },
     DamageCase {
         name: "deleted",
         damage: |_| None,
@@ -110,6 +117,34 @@
     }
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn reports_segments_that_stand_in_the_wrong_place() {
+    let (whole, keys) = write_journal().await;
+    // A segment in another's place, and a segment of another copy behind the seal.
+    for (from, to, is_sealed) in [(2, 3, false), (4, 4, true)] {
+        let (store, _) = write_journal().await;
+        damage_object(&store, &keys[to], |_| None).await;
+        if is_sealed {
+            damage_object(&store, &keys[to - 1], |_| None).await;
+            seal_journal(store.as_ref(), OWNER, HEIR, vec![HEIR])
+                .await
+                .expect("seal");
+        }
+        let object = whole.read(&keys[from]).await.expect("read").expect("object");
+        store
+            .write(&keys[to], object.value, WriteCondition::Absent)
+            .await
+            .expect("write");
+        let result = replay_journal(store.as_ref(), OWNER).await;
+        let Err(JournalError::Corrupt { segment, reason }) = result else {
+            panic!("{result:?}");
+        };
+        expect_that!(segment, eq(&keys[to]));
+        expect_that!(reason, not(eq("it is absent")));
+    }
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn reports_a_damaged_end_to_the_sealer() {
--- a/components/journal/tests/property.rs
+++ b/components/journal/tests/property.rs
@@ -186,3 +186,21 @@
         }
     }
 }
+
+#[gtest]
+fn only_a_start_of_a_larger_tenure_replaces_a_program() {
+    for (tenure, is_replaced) in [(1, false), (2, false), (3, true)] {
+        let start = |tenure| {
+            let tenure = TenureNumber(tenure);
+            JournalRecord::Started(ProgramState {
+                tenure,
+                ..new_program(1)
+            })
+        };
+        let mut ledger = ProgramLedger::default();
+        for record in [start(2), finished(1, 1), start(tenure)] {
+            ledger.apply(&record);
+        }
+        expect_that!(ledger.programs()[0].history.is_empty(), eq(is_replaced));
+    }
+}
