Keep every program's latest state when heirs die or two members are sealed at once

And two entries that sealed two members at once could name each member as the other's heir: following the seals never ended. Following seals looks at each member once. A planned stop goes the same way.

--- a/components/domain/src/host.rs
+++ b/components/domain/src/host.rs
@@ -160,27 +160,31 @@
 
     /// Returns the incarnation that owns the program now, following seals to the heirs.
     ///
-    /// Returns `None` when the birth incarnation is unknown or a seal names no heir.
+    /// Returns `None` when the birth incarnation is unknown, a seal names no heir or seals name each other.
     pub fn owner_of(&self, program: ProgramKey) -> Option<IncarnationId> {
-        let mut member = self.member(program.incarnation)?;
-        while let MemberState::Sealed { heirs } = &member.state {
-            let heir = heir_of(program, heirs)?;
-            member = self.member(heir)?;
-        }
-        Some(member.incarnation)
+        let mut line = self.line_of(program);
+        let owner = line.find(|member| member.state == MemberState::Live)?;
+        Some(owner.incarnation)
     }
 
     /// Returns the sealed incarnation from which `owner` inherited the program, if it did.
     pub fn last_seal_before(&self, program: ProgramKey, owner: IncarnationId) -> Option<IncarnationId> {
-        let mut member = self.member(program.incarnation)?;
-        while let MemberState::Sealed { heirs } = &member.state {
-            let heir = heir_of(program, heirs)?;
-            if heir == owner {
-                return Some(member.incarnation);
-            }
-            member = self.member(heir)?;
-        }
-        None
+        let mut line = self.line_of(program);
+        let last = line.find(|member| match &member.state {
+            MemberState::Sealed { heirs } => heir_of(program, heirs) == Some(owner),
+            MemberState::Live => false,
+        })?;
+        Some(last.incarnation)
+    }
+
+    /// Returns the owners of a program, from its birth incarnation on; at most every member once.
+    fn line_of(&self, program: ProgramKey) -> impl Iterator<Item = &MemberRecord> {
+        let birth = self.member(program.incarnation);
+        let line = std::iter::successors(birth, move |member| match &member.state {
+            MemberState::Sealed { heirs } => self.member(heir_of(program, heirs)?),
+            MemberState::Live => None,
+        });
+        line.take(self.members.len())
     }
 }
 
--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -6,7 +6,7 @@
 use anyhow::Result;
 use budget::BudgetKeeper;
 use domain::{IncarnationId, MemberState, MemberTable, ProgramState, heir_of};
-use journal::{ProgramLedger, replay_journal};
+use journal::{ProgramLedger, replay_journal, seal_journal};
 use platform::ObjectStore;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -60,12 +60,19 @@
     table: &MemberTable,
     from: IncarnationId,
 ) -> Result<usize> {
-    let store = context.options.store.as_ref();
-    let ledger = replay_journal(store, from).await?.ledger;
-    let estate = estate_of(store, table, from, &ledger).await?;
-    let mine = estate
+    let own = owner.incarnation();
+    let reader = EstateReader {
+        store: context.options.store.as_ref(),
+        table,
+        own,
+    };
+    let heirs = reader.heirs_of(from).unwrap_or_default();
+    // What fell to another heir comes from that heir's journal once it is sealed in its turn.
+    let mine = reader
+        .read_estate(from)
+        .await?
         .into_iter()
-        .filter(|program| table.owner_of(program.key) == Some(owner.incarnation()));
+        .filter(|program| heir_of(program.key, heirs) == Some(own));
     let programs: Vec<_> = mine.map(|program| inherit(program, from)).collect();
     let count = programs.len();
     let cells = owner.adopt(from, programs).await?;
@@ -81,31 +88,50 @@
     }
 }
 
-/// Returns the programs that an incarnation owned when it was sealed, those included that it had not adopted yet.
-async fn estate_of(
-    store: &dyn ObjectStore,
-    table: &MemberTable,
-    from: IncarnationId,
-    ledger: &ProgramLedger,
-) -> Result<Vec<ProgramState>> {
-    let mut estate: Vec<ProgramState> = ledger.programs().to_vec();
-    for member in &table.members {
-        let MemberState::Sealed { heirs } = &member.state else {
-            continue;
-        };
-        if !heirs.contains(&from) || ledger.has_adopted(member.incarnation) {
-            continue;
+/// Reads what sealed incarnations left.
+#[derive(Debug, Clone, Copy)]
+struct EstateReader<'a> {
+    store: &'a dyn ObjectStore,
+    table: &'a MemberTable,
+    own: IncarnationId,
+}
+
+impl<'a> EstateReader<'a> {
+    fn heirs_of(&self, from: IncarnationId) -> Option<&'a [IncarnationId]> {
+        match &self.table.member(from)?.state {
+            MemberState::Sealed { heirs } => Some(heirs),
+            MemberState::Live => None,
         }
-        let earlier = replay_journal(store, member.incarnation).await?.ledger;
-        let unadopted = Box::pin(estate_of(store, table, member.incarnation, &earlier)).await?;
-        let fallen = unadopted
-            .into_iter()
-            .filter(|program| heir_of(program.key, heirs) == Some(from));
-        for program in fallen {
-            insert_latest(&mut estate, program);
+    }
+
+    /// Returns the programs that an incarnation owned when it was sealed, those included that it had not adopted yet.
+    async fn read_estate(&self, from: IncarnationId) -> Result<Vec<ProgramState>> {
+        let ledger = self.replay_sealed(from).await?;
+        let mut estate = ledger.programs().to_vec();
+        for member in &self.table.members {
+            let MemberState::Sealed { heirs } = &member.state else {
+                continue;
+            };
+            if !heirs.contains(&from) || ledger.has_adopted(member.incarnation) {
+                continue;
+            }
+            let unadopted = Box::pin(self.read_estate(member.incarnation)).await?;
+            let fallen = unadopted
+                .into_iter()
+                .filter(|program| heir_of(program.key, heirs) == Some(from));
+            for program in fallen {
+                insert_latest(&mut estate, program);
+            }
         }
+        Ok(estate)
+    }
+
+    /// Reads a journal behind its seal, which is put in first where the sealer has died before.
+    async fn replay_sealed(&self, from: IncarnationId) -> Result<ProgramLedger> {
+        let heirs = self.heirs_of(from).unwrap_or_default().to_vec();
+        seal_journal(self.store, from, self.own, heirs).await?;
+        Ok(replay_journal(self.store, from).await?.ledger)
     }
-    Ok(estate)
 }
 
 fn insert_latest(estate: &mut Vec<ProgramState>, program: ProgramState) {
--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -110,20 +110,19 @@
     Ok(Some((incarnation, view)))
 }
 
-/// Seals a member's journal and writes the seal into the member table.
+/// Names the heirs of a member in the member table, then seals its journal.
+///
+/// The table comes first, because its conditional update gives the seals of all members one order: no two members
+/// are named as each other's heirs.
 ///
 /// # Errors
 ///
-/// Fails when the object API does not answer; the seal itself may be in force then and a later try completes it.
+/// Fails when the object API does not answer; the heirs seal a journal that is still open before they read it.
 pub(crate) async fn seal_member(context: &EntryContext, incarnation: IncarnationId) -> Result<()> {
     let store = context.options.store.as_ref();
     let own = context.incarnation();
-    let heirs = heirs_of(&context.board.members().table, incarnation);
-    if heirs.is_empty() {
-        bail!("no live member is left to inherit from {incarnation}");
-    }
+    let heirs = record_seal(context, incarnation, |table| heirs_of(table, incarnation)).await?;
     let seal = seal_journal(store, incarnation, own, heirs).await?;
-    record_seal(context, incarnation, seal.heirs.clone()).await?;
     info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{:?}", seal.heirs));
     let event = AuditEvent::system(
         &context.options.host,
@@ -144,16 +143,16 @@
         .collect()
 }
 
-/// Writes a seal that is in force into the member table.
+/// Names the heirs of a member in the member table and returns those in force, which may be another entry's choice.
 ///
 /// # Errors
 ///
-/// Fails when the object API does not answer.
+/// Fails when the object API does not answer or no heir is left.
 pub(crate) async fn record_seal(
     context: &EntryContext,
     incarnation: IncarnationId,
-    heirs: Vec<IncarnationId>,
-) -> Result<()> {
+    choose_heirs: impl Fn(&MemberTable) -> Vec<IncarnationId>,
+) -> Result<Vec<IncarnationId>> {
     let store = context.options.store.as_ref();
     loop {
         let read = read_members(store).await?;
@@ -164,14 +163,19 @@
         else {
             bail!("the member table does not hold {incarnation}");
         };
-        if table.members[index].state != MemberState::Live {
+        if let MemberState::Sealed { heirs } = &table.members[index].state {
+            let heirs = heirs.clone();
             context.board.raise_members(read);
-            return Ok(());
+            return Ok(heirs);
+        }
+        let heirs = choose_heirs(&table);
+        if heirs.is_empty() {
+            bail!("no live member is left to inherit from {incarnation}");
         }
         table.members[index].state = MemberState::Sealed { heirs: heirs.clone() };
         if write_members(store, &read, &table).await? {
             context.board.raise_members(read_members(store).await?);
-            return Ok(());
+            return Ok(heirs);
         }
     }
 }
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -5,9 +5,9 @@
 
 use anyhow::{Context as _, Result};
 use budget::BudgetKeeper;
-use domain::{HostRole, IncarnationId};
+use domain::{HostRole, IncarnationId, MemberTable};
 use futures::StreamExt as _;
-use journal::JournalWriter;
+use journal::{JournalError, JournalWriter};
 use slog::{info, warn};
 use tarpc::server::{BaseChannel, Channel as _};
 use tokio::net::TcpListener;
@@ -180,20 +180,22 @@
     let owner = context.owner();
     owner.begin_closing();
     let _ = timeout(options.stop_grace, wait_idle(&owner)).await;
-    let heirs = staying_heirs(context);
-    if heirs.is_empty() {
+    let own = owner.incarnation();
+    if staying_heirs(context, &context.board.members().table).is_empty() {
         warn!(options.log, "no heir"; "programs" => owner.table.all().len());
         owner.fence();
         return owner.budget().close().await.map_err(Into::into);
     }
-    let sealed = owner.journal().seal_own(heirs.clone()).await;
     owner.fence();
-    let returned = owner.budget().close().await;
-    sealed?;
-    if let Err(error) = returned {
+    if let Err(error) = owner.budget().close().await {
         warn!(options.log, "budget not returned"; "error" => %error);
     }
-    record_seal(context, owner.incarnation(), heirs).await
+    let heirs = record_seal(context, own, |table| staying_heirs(context, table)).await?;
+    match owner.journal().seal_own(heirs).await {
+        // An heir that was faster has sealed the journal before it read it.
+        Ok(()) | Err(JournalError::Sealed { .. }) => Ok(()),
+        Err(error) => Err(error.into()),
+    }
 }
 
 async fn wait_idle(owner: &OwnerCore) {
@@ -203,10 +205,9 @@
 }
 
 /// Returns the heirs that are not leaving themselves.
-fn staying_heirs(context: &EntryContext) -> Vec<IncarnationId> {
-    let members = context.board.members();
+fn staying_heirs(context: &EntryContext, table: &MemberTable) -> Vec<IncarnationId> {
     let fleet = context.board.fleet();
-    let heirs = heirs_of(&members.table, context.incarnation());
+    let heirs = heirs_of(table, context.incarnation());
     let stays = |heir: &IncarnationId| {
         let peer = fleet.entry(heir.0);
         peer.is_some_and(|peer| {
--- /dev/null
+++ b/components/entry/tests/support/mod.rs
@@ -0,0 +1,177 @@
+//! An entry inside the test's process, and journals of incarnations that are no longer there.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cadence::{NopMetricSink, StatsdClient};
+use domain::{
+    CallKey, CallOutcome, CallReply, ChatMessage, ChatRole, FinishedCall, IncarnationId, MemberRecord,
+    MemberState, MemberTable, MicroUnits, ProgramKey, ProgramState, TimeMillis, TokenUsage, UrgencyClass,
+};
+use entry::{EntryOptions, EntryProcess};
+use journal::{JournalRecord, JournalWriter};
+use platform::{HostDirectory, ObjectStore, WriteCondition};
+use sha2::{Digest, Sha256};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use wire::ClusterSecret;
+
+const OPERATOR_KEY: &str = "operator-key-of-the-tests";
+const LOOPBACK: &str = "127.0.0.1:0";
+const SPACING: Duration = Duration::from_millis(1);
+const BUFFER_BYTES: usize = 1 << 20;
+
+/// An entry that is stopped when it is dropped.
+#[derive(Debug)]
+pub struct RunningEntry {
+    http: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl Drop for RunningEntry {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl RunningEntry {
+    /// Starts an entry whose process port has the address and that hears nobody.
+    pub async fn start(store: Arc<dyn ObjectStore>, process: SocketAddr, suspect_after: Duration) -> Self {
+        let options = EntryOptions::builder()
+            .host("entry-test".parse().expect("host"))
+            .failure_domain("east".parse().expect("failure domain"))
+            .http(LOOPBACK.parse().expect("address"))
+            .process(process)
+            .heartbeat(LOOPBACK.parse().expect("address"))
+            .secret(ClusterSecret::from_bytes(&[7; 32]).expect("secret"))
+            .operator_key_sha256(hex::encode(Sha256::digest(OPERATOR_KEY)))
+            .store(store)
+            .hosts(HostDirectory::new("http://127.0.0.1:1", "unused"))
+            .heartbeat_interval(Duration::from_millis(50))
+            .suspect_after(suspect_after)
+            .append_spacing(SPACING)
+            .stop_grace(Duration::from_millis(100))
+            .body_bytes(1 << 20)
+            .connections(16)
+            .header_timeout(Duration::from_secs(5))
+            .metrics(Arc::new(StatsdClient::from_sink("", NopMetricSink)))
+            .log(slog::Logger::root(slog::Discard, slog::o!()))
+            .build();
+        let process = EntryProcess::start(options).await.expect("start");
+        let http = process.http_address().expect("address");
+        let stop = CancellationToken::new();
+        tokio::spawn(process.run(stop.clone()));
+        Self { http, stop }
+    }
+
+    /// Returns the contents of a program's history as an operator reads it, or the body of the refusal.
+    pub async fn history(&self, program: ProgramKey) -> Result<Vec<String>, String> {
+        let path = format!("/admin/programs/{program}/history");
+        let mut connection = TcpStream::connect(self.http).await.expect("connect");
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nAuthorization: Bearer {OPERATOR_KEY}\r\n\r\n"
+        );
+        connection.write_all(request.as_bytes()).await.expect("request");
+        let mut answer = String::new();
+        connection.read_to_string(&mut answer).await.expect("answer");
+        let (head, body) = answer.split_once("\r\n\r\n").expect("head");
+        if !head.starts_with("HTTP/1.1 200") {
+            return Err(body.to_owned());
+        }
+        let body: serde_json::Value = serde_json::from_str(body).expect("body");
+        let messages = body["messages"].as_array().expect("messages").iter();
+        let contents = messages.map(|message| message["content"].as_str().expect("content").to_owned());
+        Ok(contents.collect())
+    }
+}
+
+/// Returns a loopback address that nobody uses.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(LOOPBACK).expect("bind");
+    listener.local_addr().expect("address")
+}
+
+/// Returns a member that nobody hears.
+pub fn member(incarnation: u64, address: SocketAddr, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        incarnation: IncarnationId(incarnation),
+        host: format!("entry-{incarnation}").parse().expect("host"),
+        failure_domain: "east".parse().expect("failure domain"),
+        address,
+        joined: TimeMillis(1),
+        state,
+    }
+}
+
+pub fn sealed_for(heirs: &[u64]) -> MemberState {
+    MemberState::Sealed {
+        heirs: heirs.iter().copied().map(IncarnationId).collect(),
+    }
+}
+
+pub async fn read_members(store: &dyn ObjectStore) -> MemberTable {
+    let object = store.read("members").await.expect("read").expect("members");
+    serde_json::from_slice(&object.value).expect("table")
+}
+
+/// Writes the member table; the next entry joins as `next`.
+pub async fn write_members(store: &dyn ObjectStore, next: u64, members: Vec<MemberRecord>) {
+    let next = IncarnationId(next);
+    let table = serde_json::to_vec(&MemberTable { next, members }).expect("table");
+    let condition = match store.read("members").await.expect("read") {
+        Some(object) => WriteCondition::Version(object.version),
+        None => WriteCondition::Absent,
+    };
+    store
+        .write("members", Bytes::from(table), condition)
+        .await
+        .expect("write");
+}
+
+pub fn open_journal(store: &Arc<dyn ObjectStore>, incarnation: u64) -> JournalWriter {
+    JournalWriter::open(
+        Arc::clone(store),
+        IncarnationId(incarnation),
+        SPACING,
+        BUFFER_BYTES,
+    )
+}
+
+pub fn program_key(incarnation: u64, sequence: u64) -> ProgramKey {
+    let incarnation = IncarnationId(incarnation);
+    ProgramKey {
+        incarnation,
+        sequence,
+    }
+}
+
+pub fn new_program(key: ProgramKey) -> ProgramState {
+    let team = "hulls".parse().expect("team");
+    ProgramState::new(key, team, UrgencyClass::Ordinary, TimeMillis::now())
+}
+
+/// A turn whose answer is the call's number.
+pub fn turn(program: ProgramKey, sequence: u64) -> JournalRecord {
+    let usage = TokenUsage::default();
+    let text = sequence.to_string();
+    JournalRecord::Finished {
+        new_messages: vec![ChatMessage {
+            role: ChatRole::Assistant,
+            content: text.clone(),
+        }],
+        finished: FinishedCall {
+            call: CallKey { program, sequence },
+            idempotency_key: format!("key-{sequence}"),
+            fingerprint: sequence,
+            outcome: CallOutcome::Answered(CallReply::Chat { text, usage }),
+            charged: MicroUnits::ZERO,
+            unsettled: None,
+        },
+        host: None,
+        served_tokens: 0,
+        at: TimeMillis::now(),
+    }
+}
--- /dev/null
+++ b/components/entry/tests/takeover.rs
@@ -0,0 +1,256 @@
+//! Take-over: earlier incarnations, false suspicion, heirs that die while adopting, sealers at once.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use domain::{IncarnationId, MemberState, ProgramKey, TenureNumber, heir_of};
+use googletest::prelude::*;
+use journal::{JournalError, JournalRecord, apply_to_program, seal_journal};
+use platform::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
+use support::*;
+
+/// Longer than any test runs.
+const NO_SUSPICION: Duration = Duration::from_mins(10);
+
+fn memory_store() -> Arc<dyn ObjectStore> {
+    Arc::new(MemoryStore::new())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_takes_over_from_an_earlier_incarnation_of_its_address() {
+    let store = memory_store();
+    let address = free_address();
+    write_members(store.as_ref(), 2, vec![member(1, address, MemberState::Live)]).await;
+    let earlier = open_journal(&store, 1);
+    let program = program_key(1, 1);
+    let records = vec![JournalRecord::Started(new_program(program)), turn(program, 1)];
+    earlier.append(records).await.expect("append");
+    let entry = RunningEntry::start(Arc::clone(&store), address, NO_SUSPICION).await;
+    expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
+    // The earlier process was only paused and wakes up.
+    let late = earlier.append(vec![turn(program, 2)]).await;
+    expect_that!(
+        late,
+        err(eq(&JournalError::Sealed {
+            heirs: vec![IncarnationId(2)]
+        }))
+    );
+    expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn falsely_suspected_owner_loses_no_acknowledged_turn() {
+    let store = memory_store();
+    write_members(
+        store.as_ref(),
+        2,
+        vec![member(1, free_address(), MemberState::Live)],
+    )
+    .await;
+    let owner = open_journal(&store, 1);
+    let program = program_key(1, 1);
+    owner
+        .append(vec![JournalRecord::Started(new_program(program))])
+        .await
+        .expect("append");
+    let entry = RunningEntry::start(Arc::clone(&store), free_address(), Duration::from_millis(200)).await;
+    let mut acknowledged = Vec::new();
+    let fenced = loop {
+        let call = acknowledged.len() as u64 + 1;
+        match owner.append(vec![turn(program, call)]).await {
+            Ok(()) => acknowledged.push(call.to_string()),
+            Err(error) => break error,
+        }
+    };
+    expect_that!(
+        fenced,
+        eq(&JournalError::Sealed {
+            heirs: vec![IncarnationId(2)]
+        })
+    );
+    expect_that!(entry.history(program).await, ok(eq(&acknowledged)));
+}
+
+/// How far the first heir came before it died.
+struct AdoptionCase {
+    name: &'static str,
+    adopts_program: bool,
+    runs_turn: bool,
+    finishes_adoption: bool,
+    expected: &'static [&'static str],
+}
+
+const ADOPTIONS: &[AdoptionCase] = &[
+    AdoptionCase {
+        name: "nothing",
+        adopts_program: false,
+        runs_turn: false,
+        finishes_adoption: false,
+        expected: &["1"],
+    },
+    AdoptionCase {
+        name: "program",
+        adopts_program: true,
+        runs_turn: false,
+        finishes_adoption: false,
+        expected: &["1"],
+    },
+    AdoptionCase {
+        name: "turn",
+        adopts_program: true,
+        runs_turn: true,
+        finishes_adoption: false,
+        expected: &["1", "2"],
+    },
+    AdoptionCase {
+        name: "all",
+        adopts_program: true,
+        runs_turn: true,
+        finishes_adoption: true,
+        expected: &["1", "2"],
+    },
+];
+
+/// Returns a program of incarnation 1 that falls to `wanted` among the heirs.
+fn program_of_heir(heirs: &[u64], wanted: u64) -> ProgramKey {
+    let heirs: Vec<_> = heirs.iter().copied().map(IncarnationId).collect();
+    let mut keys = (1..).map(|sequence| program_key(1, sequence));
+    let found = keys.find(|key| heir_of(*key, &heirs) == Some(IncarnationId(wanted)));
+    found.expect("a program falls to each heir")
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_of_an_heir_that_died_while_adopting_keep_their_latest_state() {
+    for case in ADOPTIONS {
+        let store = memory_store();
+        let (fallen, own) = (program_of_heir(&[2, 4], 2), program_of_heir(&[2, 4], 4));
+        let first = open_journal(&store, 1);
+        let mut state = new_program(fallen);
+        let starts = [state.clone(), new_program(own)].map(JournalRecord::Started);
+        first
+            .append([&starts[..], &[turn(fallen, 1), turn(own, 1)]].concat())
+            .await
+            .expect("append");
+        apply_to_program(&mut state, &turn(fallen, 1));
+        first
+            .seal_own([2, 4].map(IncarnationId).to_vec())
+            .await
+            .expect("seal");
+        let heir = open_journal(&store, 2);
+        state.tenure = TenureNumber(2);
+        let steps = [
+            (case.adopts_program, JournalRecord::Started(state)),
+            (case.runs_turn, turn(fallen, 2)),
+            (
+                case.finishes_adoption,
+                JournalRecord::Adopted {
+                    from: IncarnationId(1),
+                },
+            ),
+        ];
+        for (_, record) in steps.into_iter().filter(|(is_taken, _)| *is_taken) {
+            heir.append(vec![record]).await.expect("append");
+        }
+        heir.seal_own(vec![IncarnationId(4)]).await.expect("seal");
+        let members = vec![
+            member(1, free_address(), sealed_for(&[2, 4])),
+            member(2, free_address(), sealed_for(&[4])),
+        ];
+        write_members(store.as_ref(), 4, members).await;
+        let entry = RunningEntry::start(Arc::clone(&store), free_address(), NO_SUSPICION).await;
+        expect_that!(
+            entry.history(fallen).await,
+            ok(eq(&case.expected)),
+            "{}",
+            case.name
+        );
+        expect_that!(
+            entry.history(own).await,
+            ok(elements_are![eq("1")]),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_have_an_owner_when_two_members_are_sealed_at_once() {
+    let store = memory_store();
+    let address = free_address();
+    let members = vec![
+        member(1, address, MemberState::Live),
+        member(2, free_address(), MemberState::Live),
+    ];
+    write_members(store.as_ref(), 3, members).await;
+    let first = open_journal(&store, 1);
+    let program = program_of_heir(&[2, 3], 2);
+    let records = vec![JournalRecord::Started(new_program(program)), turn(program, 1)];
+    first.append(records).await.expect("append");
+    // Another entry seals 2 and still takes 1 for live while this one is about to seal 1.
+    let racing = Arc::new(RacingStore {
+        inner: Arc::clone(&store),
+        writes: AtomicU32::new(0),
+    });
+    let entry = RunningEntry::start(racing, address, NO_SUSPICION).await;
+    expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
+}
+
+/// Store in which another entry seals member 2 just before the first write behind the join.
+#[derive(Debug)]
+struct RacingStore {
+    inner: Arc<dyn ObjectStore>,
+    writes: AtomicU32,
+}
+
+impl RacingStore {
+    async fn seal_second(&self) {
+        let store = self.inner.as_ref();
+        let heirs = [1, 3].map(IncarnationId).to_vec();
+        seal_journal(store, IncarnationId(2), IncarnationId(1), heirs)
+            .await
+            .expect("seal");
+        let mut table = read_members(store).await;
+        table.members[1].state = sealed_for(&[1, 3]);
+        write_members(store, table.next.0, table.members).await;
+    }
+}
+
+#[async_trait]
+impl ObjectStore for RacingStore {
+    async fn read(&self, key: &str) -> StoreResult<Option<VersionedObject>> {
+        self.inner.read(key).await
+    }
+
+    async fn write(&self, key: &str, value: Bytes, condition: WriteCondition) -> StoreResult<ObjectVersion> {
+        if self.writes.fetch_add(1, Ordering::SeqCst) == 1 {
+            self.seal_second().await;
+        }
+        self.inner.write(key, value, condition).await
+    }
+
+    async fn delete(&self, key: &str, version: ObjectVersion) -> StoreResult<()> {
+        self.inner.delete(key, version).await
+    }
+
+    async fn list(&self, prefix: &str) -> StoreResult<Vec<(String, ObjectVersion)>> {
+        self.inner.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        seen: Option<ObjectVersion>,
+        wait: Duration,
+    ) -> StoreResult<Option<VersionedObject>> {
+        self.inner.watch(key, seen, wait).await
+    }
+}
