--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -110,25 +110,28 @@
     Ok(Some((incarnation, view)))
 }
 
-/// Seals a member's journal and writes the seal into the member table.
+/// Names the heirs of a member in the member table, then seals its journal.
+///
+/// The table comes first, because its conditional update gives the seals of all members one order: no two members
+/// are named as each other's heirs.
 ///
 /// # Errors
 ///
-/// Fails when the object API does not answer; the seal itself may be in force then and a later try completes it.
+/// Fails when the object API does not answer; the heirs seal a journal that is still open before they read it.
 pub(crate) async fn seal_member(context: &EntryContext, incarnation: IncarnationId) -> Result<()> {
     let store = context.options.store.as_ref();
-    let proposed = heirs_of(&context.board.members().table, incarnation);
-    if proposed.is_empty() {
-        bail!("no live member is left to inherit from {incarnation}");
-    }
-    seal_journal(store, incarnation, context.incarnation(), proposed).await?;
-    let heirs = record_seal(context, incarnation).await?;
-    info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{heirs:?}"));
+    let own = context.incarnation();
+    let heirs = record_seal(context, incarnation, |table| {
+        present_heirs(context, table, incarnation)
+    })
+    .await?;
+    let seal = seal_journal(store, incarnation, own, heirs).await?;
+    info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{:?}", seal.heirs));
     let event = AuditEvent::system(
         &context.options.host,
         "seal",
         incarnation.to_string(),
-        format!("{heirs:?}"),
+        format!("{:?}", seal.heirs),
     );
     event.write_logged(context).await;
     Ok(())
@@ -143,26 +146,24 @@
         .collect()
 }
 
-/// Writes a seal that is in force into the member table and returns the heirs.
-///
-/// The table decides the heirs: its versions order all seals, so an heir is live when it is named, and no two
-/// incarnations can inherit from each other.
+/// Names the heirs of a member in the member table and returns those in force, which may be another entry's choice.
 ///
 /// # Errors
 ///
-/// Fails when the object API does not answer or no live member is left.
+/// Fails when the object API does not answer or no heir is left.
 pub(crate) async fn record_seal(
     context: &EntryContext,
     incarnation: IncarnationId,
+    choose_heirs: impl Fn(&MemberTable) -> Vec<IncarnationId>,
 ) -> Result<Vec<IncarnationId>> {
     let store = context.options.store.as_ref();
     loop {
         let read = read_members(store).await?;
         let mut table = read.table.clone();
-        let found = table
+        let Ok(index) = table
             .members
-            .binary_search_by_key(&incarnation, |member| member.incarnation);
-        let Ok(index) = found else {
+            .binary_search_by_key(&incarnation, |member| member.incarnation)
+        else {
             bail!("the member table does not hold {incarnation}");
         };
         if let MemberState::Sealed { heirs } = &table.members[index].state {
@@ -170,7 +171,7 @@
             context.board.raise_members(read);
             return Ok(heirs);
         }
-        let heirs = present_heirs(context, &table, incarnation);
+        let heirs = choose_heirs(&table);
         if heirs.is_empty() {
             bail!("no live member is left to inherit from {incarnation}");
         }
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -5,9 +5,9 @@
 
 use anyhow::{Context as _, Result};
 use budget::BudgetKeeper;
-use domain::{HostRole, IncarnationId};
+use domain::{HostRole, IncarnationId, MemberTable};
 use futures::StreamExt as _;
-use journal::JournalWriter;
+use journal::{JournalError, JournalWriter};
 use slog::{info, warn};
 use tarpc::server::{BaseChannel, Channel as _};
 use tokio::net::TcpListener;
@@ -32,7 +32,6 @@
 
 /// Time between leaving and the first look at running calls, for the others to hear of it.
 const LEAVING_NOTICE_BEATS: u32 = 2;
-const SEAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A started entry.
@@ -142,14 +141,6 @@
         }
         warn!(context.options.log, "fenced"; "incarnation" => owner.incarnation().0);
         owner.fence();
-        // The sealer may have died between the seal and the member table.
-        while let Err(error) = record_seal(&context, owner.incarnation()).await {
-            warn!(context.options.log, "seal not recorded"; "error" => format!("{error:#}"));
-            sleep(SEAL_RETRY_PAUSE).await;
-            if context.board.members().table.live() == [owner.incarnation()] {
-                break;
-            }
-        }
         let incarnation = join_members(&context.options, context.process_address, &context.board).await;
         let successor = Arc::new(new_owner(&context.options, incarnation));
         if let Some(applied) = context.board.configuration() {
@@ -189,21 +180,22 @@
     let owner = context.owner();
     owner.begin_closing();
     let _ = timeout(options.stop_grace, wait_idle(&owner)).await;
-    let heirs = staying_heirs(context);
-    if heirs.is_empty() {
+    let own = owner.incarnation();
+    if staying_heirs(context, &context.board.members().table).is_empty() {
         warn!(options.log, "no heir"; "programs" => owner.table.all().len());
         owner.fence();
         return owner.budget().close().await.map_err(Into::into);
     }
-    let sealed = owner.journal().seal_own(heirs.clone()).await;
     owner.fence();
-    let returned = owner.budget().close().await;
-    sealed?;
-    if let Err(error) = returned {
+    if let Err(error) = owner.budget().close().await {
         warn!(options.log, "budget not returned"; "error" => %error);
     }
-    record_seal(context, owner.incarnation()).await?;
-    Ok(())
+    let heirs = record_seal(context, own, |table| staying_heirs(context, table)).await?;
+    match owner.journal().seal_own(heirs).await {
+        // An heir that was faster has sealed the journal before it read it.
+        Ok(()) | Err(JournalError::Sealed { .. }) => Ok(()),
+        Err(error) => Err(error.into()),
+    }
 }
 
 async fn wait_idle(owner: &OwnerCore) {
@@ -213,10 +205,9 @@
 }
 
 /// Returns the heirs that are not leaving themselves.
-fn staying_heirs(context: &EntryContext) -> Vec<IncarnationId> {
-    let members = context.board.members();
+fn staying_heirs(context: &EntryContext, table: &MemberTable) -> Vec<IncarnationId> {
     let fleet = context.board.fleet();
-    let heirs = heirs_of(&members.table, context.incarnation());
+    let heirs = heirs_of(table, context.incarnation());
     let stays = |heir: &IncarnationId| {
         let peer = fleet.entry(heir.0);
         peer.is_some_and(|peer| {
