--- a/components/agent/src/options.rs
+++ b/components/agent/src/options.rs
@@ -18,7 +18,7 @@
     pub(crate) backend: String,
     /// Address of the process port; port 0 takes any free port.
     pub(crate) process: SocketAddr,
-    /// Address on which heartbeats are published.
+    /// Address on which heartbeats are published; port 0 takes any free port.
     pub(crate) heartbeat: SocketAddr,
     /// Key shared by the processes.
     pub(crate) secret: wire::ClusterSecret,
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -97,6 +97,11 @@
         self.address
     }
 
+    /// Returns the address on which heartbeats are published.
+    pub const fn heartbeat_address(&self) -> SocketAddr {
+        self.publisher.local_address()
+    }
+
     /// Runs until the token is cancelled or an operator drains the host, then drains and returns.
     ///
     /// # Errors
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context as _, Result, anyhow};
+use anyhow::{Context as _, Result, anyhow, bail};
 use domain::Heartbeat;
-use nng::options::{Options as _, RecvTimeout, protocol::pubsub::Subscribe};
-use nng::{Protocol, Socket};
+use nng::options::{LocalAddr, Options as _, RecvTimeout, protocol::pubsub::Subscribe};
+use nng::{Listener, Protocol, Socket};
 use tokio::sync::mpsc;
 
 use crate::secret::{ClusterSecret, TAG_BYTES};
@@ -20,21 +20,38 @@
 #[derive(Debug)]
 pub struct HeartbeatPublisher {
     socket: Socket,
+    address: SocketAddr,
     secret: ClusterSecret,
 }
 
 impl HeartbeatPublisher {
-    /// Listens on the address.
+    /// Listens on the address; port 0 takes any free port.
     ///
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
     pub fn bind(address: SocketAddr, secret: ClusterSecret) -> Result<Self> {
         let socket = Socket::new(Protocol::Pub0)?;
-        socket
-            .listen(&format!("tcp://{address}"))
+        let listener = Listener::new(&socket, &format!("tcp://{address}"))
             .with_context(|| format!("cannot bind {address}"))?;
-        Ok(Self { socket, secret })
+        // nng hands the port out in network byte order.
+        let address = match listener.get_opt::<LocalAddr>()? {
+            nng::SocketAddr::Inet(bound) => SocketAddr::new((*bound.ip()).into(), u16::from_be(bound.port())),
+            nng::SocketAddr::Inet6(bound) => {
+                SocketAddr::new((*bound.ip()).into(), u16::from_be(bound.port()))
+            }
+            other => bail!("bound to {other}, which is no IP address"),
+        };
+        Ok(Self {
+            socket,
+            address,
+            secret,
+        })
+    }
+
+    /// Returns the bound address.
+    pub const fn local_address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Publishes one heartbeat to whoever listens.
