Bench the decisions and bring the choice among 600 servers under its bound

Cause: make bench had no target, and the first run of the choice took 23.2 us at 600 servers; the bound is 10 us. Ruled out: the random draw itself; the cost was one pricing of every server with four divisions, and a second one of the tolerance. Change: only the servers that take part in the draw are priced (a half, a quarter from 256 servers on), the wait needs one division, and the tolerance is computed only near the best.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,7 @@
 check:
 	cargo fmt --all --check
 	cargo clippy --quiet --workspace --all-targets -- --deny warnings
+
+bench:
+	cargo bench --quiet --package policy --bench decisions
+	cargo bench --quiet --package budget --bench reservation
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -4,6 +4,10 @@
 use rand::{Rng, RngExt as _};
 
 const MICROS_PER_MILLI: u64 = 1_000;
+/// Servers for which one random number is drawn, one bit each.
+const BLOCK_SERVERS: usize = 64;
+/// Number of servers from which on a quarter of them is enough to draw from.
+const LARGE_FLEET_SERVERS: usize = 256;
 /// Age of a report in milliseconds up to which it counts as fresh.
 const FRESH_REPORT_MS: u64 = 50;
 /// Age of a report in milliseconds beyond which the doubt about it grows no further.
@@ -97,64 +101,89 @@
     generator: &mut impl Rng,
 ) -> Option<ServerChoice> {
     let pricing = CostPricing::new(views, shape, costs, *weights);
-    let mut candidates = Vec::with_capacity(views.len());
-    let eligible = views.iter().filter(|view| view.is_eligible());
-    candidates.extend(eligible.map(|view| (pricing.cost(view), view)));
-    let best = candidates.iter().min_by_key(|(cost, _)| *cost)?;
-    if best.1.holds_tokens > 0 {
-        return Some(pricing.choice(best.1));
-    }
-    let drawn = draw_half(&candidates, generator);
-    let chosen = draw_near_best(&drawn, &pricing, generator).unwrap_or(best.1);
+    let drawn = draw_servers(views, &pricing, generator);
+    let best = *drawn.iter().min_by_key(|drawn| drawn.cost)?;
+    let chosen = if best.view.holds_tokens > 0 {
+        best.view
+    } else {
+        draw_near_best(&drawn, best, &pricing, generator)
+    };
     Some(pricing.choice(chosen))
 }
 
-/// Keeps every server that holds the program's cache or has a fresh report, and a random half of the others.
-fn draw_half<'a>(
-    candidates: &[(u64, &'a ServerView)],
+/// A server that takes part in the draw.
+#[derive(Debug, Clone, Copy)]
+struct DrawnServer<'a> {
+    cost: u64,
+    view: &'a ServerView,
+}
+
+/// Prices every eligible server that holds the program's cache or has a fresh report, and a random half of
+/// the others, a quarter in a large fleet; all of them when that leaves none.
+fn draw_servers<'a>(
+    views: &'a [ServerView],
+    pricing: &CostPricing<'_>,
     generator: &mut impl Rng,
-) -> Vec<(u64, &'a ServerView)> {
-    let mut coins = 0_u64;
-    let mut drawn = Vec::with_capacity(candidates.len());
-    for (index, candidate) in candidates.iter().enumerate() {
-        if index % 64 == 0 {
-            coins = generator.next_u64();
+) -> Vec<DrawnServer<'a>> {
+    let price = |view| DrawnServer {
+        cost: pricing.cost(view),
+        view,
+    };
+    let is_large = views.len() >= LARGE_FLEET_SERVERS;
+    let mut drawn = Vec::with_capacity(views.len());
+    for block in views.chunks(BLOCK_SERVERS) {
+        let mut coins = generator.next_u64();
+        if is_large {
+            coins &= generator.next_u64();
         }
-        let heads = coins & 1 == 1;
-        coins >>= 1;
-        let view = candidate.1;
-        if heads || view.holds_tokens > 0 || view.report_age_ms <= FRESH_REPORT_MS {
-            drawn.push(*candidate);
+        let mut chosen = choose_in_block(block, coins);
+        while chosen != 0 {
+            drawn.push(price(&block[chosen.trailing_zeros() as usize]));
+            chosen &= chosen - 1;
         }
     }
     if drawn.is_empty() {
-        drawn.extend_from_slice(candidates);
+        drawn.extend(views.iter().filter(|view| view.is_eligible()).map(price));
     }
     drawn
 }
 
+/// Returns one bit for each server of a block that takes part.
+fn choose_in_block(block: &[ServerView], coins: u64) -> u64 {
+    let chosen = block.iter().enumerate().map(|(place, view)| {
+        let is_certain = view.holds_tokens > 0 || view.report_age_ms <= FRESH_REPORT_MS;
+        let takes_part = view.is_eligible() && (is_certain || coins >> place & 1 == 1);
+        u64::from(takes_part) << place
+    });
+    chosen.fold(0, |bits, bit| bits | bit)
+}
+
+/// Draws among the servers that cost little more than the best one, the cheaper the likelier.
 fn draw_near_best<'a>(
-    drawn: &[(u64, &'a ServerView)],
+    drawn: &[DrawnServer<'a>],
+    best: DrawnServer<'a>,
     pricing: &CostPricing<'_>,
     generator: &mut impl Rng,
-) -> Option<&'a ServerView> {
-    let (least, _) = drawn.iter().min_by_key(|(cost, _)| *cost)?;
-    let chance = |(cost, view): &(u64, &ServerView)| pricing.tolerance(view).saturating_sub(cost - least);
+) -> &'a ServerView {
+    let chance = |server: &DrawnServer<'_>| {
+        let excess = server.cost - best.cost;
+        if excess >= pricing.max_tolerance {
+            return 0;
+        }
+        pricing.tolerance(server.view).saturating_sub(excess)
+    };
     let total = drawn
         .iter()
-        .fold(0_u64, |total, candidate| total.saturating_add(chance(candidate)));
-    if total == 0 {
-        return None;
-    }
-    let mut point = generator.random_range(0..total);
-    for candidate in drawn {
-        let width = chance(candidate);
+        .fold(0_u64, |total, server| total.saturating_add(chance(server)));
+    let mut point = generator.random_range(0..total.max(1));
+    for server in drawn {
+        let width = chance(server);
         if point < width {
-            return Some(candidate.1);
+            return server.view;
         }
         point -= width;
     }
-    None
+    best.view
 }
 
 /// Prices of one call at any of the servers, in microseconds times a weight in thousandths.
@@ -164,6 +193,9 @@
     latency_weight: u64,
     cache_weight: u64,
     most_held: TokenCount,
+    decode_us: u64,
+    /// Largest tolerance of any server.
+    max_tolerance: u64,
 }
 
 impl<'a> CostPricing<'a> {
@@ -174,13 +206,18 @@
         weights: PolicyWeights,
     ) -> Self {
         let held = views.iter().map(|view| view.holds_tokens).max();
-        Self {
+        let mut pricing = Self {
             shape,
             costs,
             latency_weight: u64::from(weights.program_latency.max(1)),
             cache_weight: u64::from(weights.wasted_cache),
             most_held: held.unwrap_or_default().min(shape.prompt_tokens),
-        }
+            decode_us: shape.max_tokens.saturating_mul(costs.decode_us_per_token),
+            max_tolerance: 0,
+        };
+        let whole_prefill_us = shape.prompt_tokens.saturating_mul(costs.prefill_us_per_token);
+        pricing.max_tolerance = pricing.tolerance_of(MAX_DOUBT_MS, whole_prefill_us);
+        pricing
     }
 
     fn cost(&self, view: &ServerView) -> u64 {
@@ -194,15 +231,19 @@
 
     /// Returns the cost difference that the report's age and the call's own length make meaningless.
     fn tolerance(&self, view: &ServerView) -> u64 {
-        let doubt_us = view.report_age_ms.min(MAX_DOUBT_MS) * MICROS_PER_MILLI / DOUBT_DIVISOR;
-        let service_us = self.decode_us().saturating_add(self.prefill_us(view));
+        self.tolerance_of(view.report_age_ms.min(MAX_DOUBT_MS), self.prefill_us(view))
+    }
+
+    fn tolerance_of(&self, age_ms: u64, prefill_us: u64) -> u64 {
+        let doubt_us = age_ms * MICROS_PER_MILLI / DOUBT_DIVISOR;
+        let service_us = self.decode_us.saturating_add(prefill_us);
         let tolerance_us = (service_us / TOLERANCE_DIVISOR).saturating_add(doubt_us);
         tolerance_us.saturating_mul(self.latency_weight).saturating_add(1)
     }
 
     fn choice(&self, view: &ServerView) -> ServerChoice {
         let wait_us = self.wait_us(view);
-        let service_us = self.prefill_us(view).saturating_add(self.decode_us());
+        let service_us = self.prefill_us(view).saturating_add(self.decode_us);
         ServerChoice {
             key: view.key,
             predicted_ms: wait_us.saturating_add(service_us) / MICROS_PER_MILLI,
@@ -212,26 +253,27 @@
 
     /// Predicts the wait: the work not done, shared by the server's slots, as far as the slots are occupied.
     fn wait_us(&self, view: &ServerView) -> u64 {
-        let decode_us = self.costs.decode_us_per_token.max(1);
+        let decode_us = self.costs.decode_us_per_token;
         let age_us = view.report_age_ms.saturating_mul(MICROS_PER_MILLI);
-        let done = u64::from(view.running).saturating_mul(age_us / decode_us);
-        let reported = view.pending_tokens.saturating_sub(done);
-        let ahead = self.share_ahead(view, reported);
-        let pending = ahead.saturating_add(view.own_in_flight_tokens);
+        let done_us = u64::from(view.running).saturating_mul(age_us);
+        let reported_us = view
+            .pending_tokens
+            .saturating_mul(decode_us)
+            .saturating_sub(done_us);
+        let own_us = view.own_in_flight_tokens.saturating_mul(decode_us);
+        let ahead_us = self.share_ahead(view, reported_us).saturating_add(own_us);
         let slots = u64::from(view.capacity.max(1));
         let calls = u64::from(view.running) + u64::from(view.queued) + u64::from(view.own_in_flight);
-        let occupied = calls.min(slots);
-        let work_us = pending.saturating_mul(decode_us) / slots;
-        work_us.saturating_mul(occupied) / slots
+        ahead_us.saturating_mul(calls.min(slots)) / (slots * slots)
     }
 
     /// Returns the part of the reported work that goes first; an emergency overtakes the calls that wait.
-    fn share_ahead(&self, view: &ServerView, reported: TokenCount) -> TokenCount {
+    fn share_ahead(&self, view: &ServerView, reported_us: u64) -> u64 {
         let calls = u64::from(view.running) + u64::from(view.queued);
         if self.shape.urgency != UrgencyClass::Emergency || calls == 0 {
-            return reported;
+            return reported_us;
         }
-        reported.saturating_mul(u64::from(view.running)) / calls
+        reported_us.saturating_mul(u64::from(view.running)) / calls
     }
 
     fn prefill_us(&self, view: &ServerView) -> u64 {
@@ -239,12 +281,6 @@
         missing.saturating_mul(self.costs.prefill_us_per_token)
     }
 
-    fn decode_us(&self) -> u64 {
-        self.shape
-            .max_tokens
-            .saturating_mul(self.costs.decode_us_per_token)
-    }
-
     /// Returns the tokens of other programs that the call would push out of the cache.
     fn evicted_tokens(&self, view: &ServerView) -> TokenCount {
         let growth = self.shape.prompt_tokens.saturating_add(self.shape.max_tokens);
