Write budgets back when it matters, and name an honest time to come back

Change: a busy owner keeps a minute of its use, and writes only when half of its slice and several periods' use are spent or idle; a quiet one returns all. A refusal says 2 s while what is unspent would cover the call, else the end of the window.

--- a/components/budget/src/keeper.rs
+++ b/components/budget/src/keeper.rs
@@ -76,7 +76,7 @@
     /// # Errors
     ///
     /// Returns a not-run error: 3002 when the budget does not cover the amount, with the time until the window
-    /// ends; 3012 when a slice is needed and the object API gives none.
+    /// ends, or less when other owners may return enough; 3012 when a slice is needed and the object API gives none.
     pub async fn reserve(&self, team: &TeamName, worst: MicroUnits) -> Result<BudgetReservation, CallError> {
         let budget = self.find(team)?;
         if let Some(reservation) = reserve_held(&budget, worst)? {
@@ -98,7 +98,8 @@
         }
     }
 
-    /// Writes spent amounts back and returns slices that were idle since the latest flush.
+    /// Writes spent amounts back and returns slices that were idle since the latest flush, once there is enough
+    /// of either to be worth a write.
     ///
     /// # Errors
     ///
@@ -200,8 +201,9 @@
     async fn flush_all(&self, kind: FlushKind) -> Result<(), CallError> {
         let mut outcome = Ok(());
         for budget in self.shared.budgets.load_full().iter() {
-            let quiet = kind == FlushKind::Periodic && !budget.ledger().needs_flush();
-            if !quiet {
+            if kind == FlushKind::Periodic && !budget.ledger().needs_flush() {
+                budget.ledger().begin_period();
+            } else {
                 outcome = outcome.and(self.flush_team(budget, kind).await);
             }
         }
--- a/components/budget/src/ledger.rs
+++ b/components/budget/src/ledger.rs
@@ -7,6 +7,9 @@
 use crate::account::{BudgetObject, SliceRecord};
 use crate::reservation::BudgetReservation;
 
+/// Periods between flushes for which an owner in use keeps its slice.
+const KEPT_PERIODS: u64 = 64;
+
 /// One window as this entry sees it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct WindowLedger {
@@ -33,9 +36,24 @@
         held.saturating_sub(self.reserved).saturating_sub(self.spent)
     }
 
-    /// Returns the part of what is available that was not in use since the latest flush.
+    /// Returns the part of what is available that lies idle at the rate of use since the latest flush.
     pub(crate) fn idle(&self) -> MicroUnits {
-        self.available().saturating_sub(self.used).min(self.granted)
+        let kept = MicroUnits(self.used.0.saturating_mul(KEPT_PERIODS));
+        self.available().saturating_sub(kept).min(self.granted)
+    }
+
+    /// Returns whether the object should learn of the present state: in a quiet period of any difference, else
+    /// only once half of the slice and several periods' use are spent or idle, so that a busy owner does not write
+    /// at each flush.
+    fn has_news(&self) -> bool {
+        let unwritten = self.spent.saturating_sub(self.written);
+        let news = unwritten.max(self.idle());
+        if self.used == MicroUnits::ZERO {
+            return news > MicroUnits::ZERO;
+        }
+        let half = self.granted.saturating_sub(self.written).0 / 2;
+        let recent = self.used.0.saturating_mul(KEPT_PERIODS / 4);
+        news > MicroUnits(half.max(recent))
     }
 
     /// Gives back what is idle, or everything that no call under way has reserved.
@@ -155,9 +173,7 @@
             let is_over = window.closed || object.account(window.window_start).is_none();
             !is_over || window.reserved > MicroUnits::ZERO
         });
-        for window in &mut self.windows {
-            window.used = MicroUnits::ZERO;
-        }
+        self.begin_period();
     }
 
     pub(crate) fn open_window(&mut self, window_start: TimeMillis) -> &mut WindowLedger {
@@ -177,15 +193,19 @@
         self.find(window_start).ok().map(|index| &mut self.windows[index])
     }
 
-    /// Returns whether a flush has anything to write.
+    /// Returns whether a flush has anything worth a write.
     pub(crate) fn needs_flush(&self) -> bool {
         let present = self.windows.last().map(|window| window.window_start);
-        let has_news = |window: &WindowLedger| {
-            Some(window.window_start) != present
-                || window.spent != window.written
-                || window.idle() > MicroUnits::ZERO
-        };
-        self.is_frozen() || self.windows.iter().any(has_news)
+        let is_over = |window: &WindowLedger| Some(window.window_start) != present;
+        let mut windows = self.windows.iter();
+        self.is_frozen() || windows.any(|window| is_over(window) || window.has_news())
+    }
+
+    /// Begins to count anew what is in use.
+    pub(crate) fn begin_period(&mut self) {
+        for window in &mut self.windows {
+            window.used = MicroUnits::ZERO;
+        }
     }
 
     fn find(&self, window_start: TimeMillis) -> Result<usize, usize> {
--- a/components/budget/src/team.rs
+++ b/components/budget/src/team.rs
@@ -12,6 +12,9 @@
 use crate::ledger::TeamLedger;
 use crate::reservation::{BudgetReservation, ProvenSpend};
 
+/// Time in milliseconds within which other owners return what they do not use.
+const RETURN_RETRY_MS: u64 = 2_000;
+
 /// How a change of the object went on the copy that was read.
 #[derive(Debug)]
 pub(crate) enum Change<T> {
@@ -115,7 +118,14 @@
         let slice = next_slice(left, owners, wanted);
         if slice < wanted || left == MicroUnits::ZERO {
             let rest_ms = account.window_start.plus(window_ms).since(date);
-            let refused = TakeOutcome::Refused(limit, refuse_budget(&self.team, limit, worst, rest_ms));
+            let unspent = limit.saturating_sub(account.reported_spent());
+            let may_return = unspent >= worst;
+            let retry_ms = if may_return {
+                rest_ms.min(RETURN_RETRY_MS)
+            } else {
+                rest_ms
+            };
+            let refused = TakeOutcome::Refused(limit, refuse_budget(&self.team, limit, worst, retry_ms));
             return if frozen {
                 Change::Changed(refused)
             } else {
@@ -177,12 +187,12 @@
     }
 }
 
-fn refuse_budget(team: &TeamName, limit: MicroUnits, worst: MicroUnits, rest_ms: u64) -> CallError {
+fn refuse_budget(team: &TeamName, limit: MicroUnits, worst: MicroUnits, retry_ms: u64) -> CallError {
     let message = format!("the budget of team {team} does not cover {worst} micro-units");
     let refusal = CallError::not_run(ResultCode::BudgetExhausted, message);
     if worst > limit {
         refusal
     } else {
-        refusal.with_retry_after_ms(rest_ms.max(1))
+        refusal.with_retry_after_ms(retry_ms.max(1))
     }
 }
