--- a/components/agent/src/options.rs
+++ b/components/agent/src/options.rs
@@ -30,6 +30,9 @@
     pub(crate) suspect_after: Duration,
     /// Longest time that a planned stop waits for running calls and their readers.
     pub(crate) stop_grace: Duration,
+    /// Number of this start, by which owners notice a restart.
+    #[builder(default = rand::random())]
+    pub(crate) start: u64,
     /// Log.
     pub(crate) log: slog::Logger,
 }
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -58,7 +58,7 @@
         let (subscriber, heartbeats) =
             HeartbeatSubscriber::start(options.secret.clone()).context("cannot receive heartbeats")?;
         let (sender, orders) = mpsc::channel(ORDER_QUEUE_LENGTH);
-        let start = rand::random();
+        let start = options.start;
         let engine = EngineOptions::builder()
             .address(backend)
             .silence(options.suspect_after)
--- a/components/agent/tests/ledger/cases.rs
+++ b/components/agent/tests/ledger/cases.rs
@@ -1,6 +1,6 @@
 //! Histories of one call, step by step.
 
-use agent::CallLedger;
+use agent::{CallLedger, LedgerLimits};
 use domain::{CallOutcome, TenureNumber, TimeMillis};
 use errors::{CallError, ResultCode, RunState};
 use googletest::prelude::*;
@@ -361,6 +361,22 @@
     expect_that!(settled, ok(eq(&SettledCall::Unknown)));
 }
 
+#[gtest]
+fn refuses_a_call_that_may_run_once_and_was_meant_for_an_earlier_start() {
+    let limits = LedgerLimits {
+        concurrency: 1,
+        queue_length: 1,
+    };
+    let mut ledger = CallLedger::new(START + 1, limits);
+    let now = TimeMillis(1_000);
+    let refused = ledger
+        .dispatch(order(Once, attempt(call(1), 1, 1)), now)
+        .expect_err("another start");
+    expect_that!((refused.code.number(), refused.run), eq((3017, RunState::NotRun)));
+    let repeatable = ledger.dispatch(order(Repeatable, attempt(call(2), 1, 1)), now);
+    expect_that!(repeatable, ok(anything()));
+}
+
 #[gtest]
 fn refuses_at_once_and_for_ever_what_the_queue_cannot_hold() {
     let mut ledger = ledger(1, 1);
--- a/components/agent/tests/process/support.rs
+++ b/components/agent/tests/process/support.rs
@@ -61,6 +61,7 @@
             .heartbeat_interval(HEARTBEAT)
             .suspect_after(Duration::from_secs(1))
             .stop_grace(Duration::from_secs(10))
+            .maybe_start((service == "notices").then_some(NOTICE_AGENT_START))
             .log(slog::Logger::root(slog::Discard, slog::o!()))
             .build();
         let process = AgentProcess::start(options).await.expect("started");
@@ -214,6 +215,9 @@
     }
 }
 
+/// Start of the agents beside the notice service.
+const NOTICE_AGENT_START: u64 = 11;
+
 pub fn chat(attempt: AttemptKey, content: &str, prefix: &str) -> DispatchOrder {
     DispatchOrder::Chat {
         attempt,
@@ -243,6 +247,7 @@
         request,
         idempotency_key: attempt.call.to_string(),
         repeatable: false,
+        agent_start: NOTICE_AGENT_START,
         priority: 0,
         start_before: None,
         timeout_ms,
