Send a note to a frozen entry in its test

Cause: the test of the frozen entry had no work in hand at the wake. Change: a note waits at the frozen entry.

--- a/components/standins/tests/backend_loss.rs
+++ b/components/standins/tests/backend_loss.rs
@@ -23,6 +23,7 @@
     testbed.kill(&host).await.unwrap();
     let (session, played) = turn.await.unwrap();
     played.unwrap();
+    expect_that!(session.tally().retried, eq(0), "the caller noticed the loss");
     expect_in_order(&testbed, session).await;
 }
 
--- a/components/standins/tests/entry_loss.rs
+++ b/components/standins/tests/entry_loss.rs
@@ -7,7 +7,7 @@
 };
 use futures::future::join_all;
 use googletest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 use standins::{Deployment, ProgramSession, TeamCaller};
 
 /// What the caller waits for when its entry is killed.
@@ -65,24 +65,53 @@
     });
     testbed.wait_generating(&ENGINES, &program, 10).await.unwrap();
     testbed.freeze("entry-1").unwrap();
+    let (first, second) = (
+        json!({"sent": "to the heir"}),
+        json!({"sent": "to the frozen entry"}),
+    );
+    let stale = tokio::spawn({
+        let (mut caller, program, second) = (caller(&testbed, 0), program.clone(), second.clone());
+        async move {
+            caller
+                .call_service(&program, "second", "notices/notes", &second)
+                .await
+        }
+    });
     let answer = new.stream_turn(&turn).await.unwrap();
-    let note = json!({"sent": "while frozen"});
     let (reply, _) = new
-        .call_service(&program, "note", "notices/notes", &note)
+        .call_service(&program, "first", "notices/notes", &first)
         .await
         .unwrap();
-    expect_that!(reply.status, eq(200));
+    expect_that!(
+        reply.decode::<Value>().unwrap()["echo"],
+        eq(&first),
+        "{}",
+        reply.text()
+    );
     testbed.wake("entry-1").unwrap();
+    let (reply, _) = stale.await.unwrap().unwrap();
+    expect_that!(
+        reply.decode::<Value>().unwrap()["echo"],
+        eq(&second),
+        "{}",
+        reply.text()
+    );
     let expected = first_answer(&turn, 100);
     expect_that!(answer.text, eq(&expected));
     expect_that!(held.await.unwrap().unwrap().text, eq(&expected));
     // The same note through the woken entry is the same call.
     let mut woken = caller(&testbed, 0);
     let (reply, _) = woken
-        .call_service(&program, "note", "notices/notes", &note)
+        .call_service(&program, "first", "notices/notes", &first)
         .await
         .unwrap();
-    expect_that!(reply.status, eq(200));
+    expect_that!(
+        reply.decode::<Value>().unwrap()["echo"],
+        eq(&first),
+        "{}",
+        reply.text()
+    );
+    expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(2));
     expect_single_runs(&testbed, "notices-1").await;
     let history = woken.read_history(&program).await.unwrap();
     let contents: Vec<_> = history.iter().map(|message| message.content.as_str()).collect();
