Tell the heirs of a seal at once and wait for their adoption

Cause: after a planned stop nobody told the heirs of the new member table; the leaving entry's last heartbeat carried the old version, so the programs had no owner until the silence was noticed, 2.5 s and more.

--- a/components/agent/tests/process/entry.rs
+++ b/components/agent/tests/process/entry.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use domain::{
-    AppliedConfiguration, CallKey, CallOutcome, Generation, Heartbeat, HostRole, ProgramKey, ProgramState,
-    TeamName, TenureNumber,
+    AppliedConfiguration, CallKey, CallOutcome, Generation, Heartbeat, HostRole, IncarnationId, ProgramKey,
+    ProgramState, TeamName, TenureNumber,
 };
 use errors::{CallError, ResultCode};
 use futures::StreamExt as _;
@@ -147,6 +147,10 @@
         }))
     }
 
+    async fn await_adoption(self, _: Context, _: Generation, _: IncarnationId) -> PortResult<bool> {
+        no_answer()
+    }
+
     async fn drain_host(self, _: Context) -> PortResult<()> {
         no_answer()
     }
--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -24,9 +24,9 @@
         let table = context.board.members().table.clone();
         for from in pending_seals(&table, &owner) {
             match adopt_from(&context, &owner, &table, from).await {
-                Ok(count) => info!(context.options.log, "adopted"; "from" => from.0, "programs" => count),
+                Ok(count) => info!(context.options.log, "adopted"; "incarnation" => from.0, "programs" => count),
                 Err(error) => {
-                    warn!(context.options.log, "adoption failed"; "from" => from.0, "error" => format!("{error:#}"));
+                    warn!(context.options.log, "adoption failed"; "incarnation" => from.0, "error" => format!("{error:#}"));
                     sleep(RETRY_PAUSE).await;
                     changed.mark_changed();
                 }
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -89,9 +89,14 @@
             self.newer_configuration
                 .send_replace(Some((heartbeat.generation, heartbeat.address)));
         }
+        self.note_members(heartbeat.members);
+    }
+
+    /// Notes a later member table that a peer announces.
+    pub(crate) fn note_members(&self, members: Generation) {
         self.newer_members.send_if_modified(|known| {
-            let newer = heartbeat.members > *known;
-            *known = (*known).max(heartbeat.members);
+            let newer = members > *known;
+            *known = (*known).max(members);
             newer
         });
     }
--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -6,15 +6,17 @@
 use anyhow::{Context as _, Result, bail};
 use bytes::Bytes;
 use domain::{Generation, HostRole, IncarnationId, MemberRecord, MemberState, MemberTable, TimeMillis};
+use futures::future::join_all;
 use journal::seal_journal;
 use platform::{ObjectStore, PlatformError, VersionedObject, WriteCondition};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::audit::AuditEvent;
 use crate::blackboard::{Blackboard, MemberView};
 use crate::context::EntryContext;
 use crate::options::EntryOptions;
+use crate::pool::{CALL_TIMEOUT, call_context};
 
 const MEMBERS_KEY: &str = "members";
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -126,6 +128,7 @@
     })
     .await?;
     let seal = seal_journal(store, incarnation, own, heirs).await?;
+    announce_seal(context, incarnation, &seal.heirs).await;
     info!(context.options.log, "member sealed"; "incarnation" => incarnation.0, "heirs" => format!("{:?}", seal.heirs));
     let event = AuditEvent::system(
         &context.options.host,
@@ -204,6 +207,22 @@
     if present.is_empty() { heirs } else { present }
 }
 
+/// Tells the heirs of a seal and waits until they have adopted, or have had the time to.
+pub(crate) async fn announce_seal(context: &EntryContext, from: IncarnationId, heirs: &[IncarnationId]) {
+    let members = context.board.members();
+    let others = heirs.iter().filter(|heir| **heir != context.incarnation());
+    let calls = others.filter_map(|heir| members.table.member(*heir)).map(|heir| async {
+        let Ok(client) = context.pool.owner(heir.address).await else {
+            return;
+        };
+        let answered = client.await_adoption(call_context(CALL_TIMEOUT), members.version, from).await;
+        if !matches!(answered, Ok(Ok(true))) {
+            debug!(context.options.log, "adoption not confirmed"; "heir" => heir.incarnation.0, "from" => from.0);
+        }
+    });
+    join_all(calls).await;
+}
+
 /// Reads the member table whenever a peer announces a later version.
 pub(crate) async fn follow_members(context: Arc<EntryContext>) {
     let mut announced = context.watch_announced_members();
--- a/components/entry/src/owner/port.rs
+++ b/components/entry/src/owner/port.rs
@@ -1,13 +1,15 @@
 //! The process port of an entry.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use domain::{
-    AppliedConfiguration, CallKey, CallOutcome, ProgramKey, ProgramPhase, ProgramState, TeamName,
-    TenureNumber, TimeMillis,
+    AppliedConfiguration, CallKey, CallOutcome, Generation, IncarnationId, ProgramKey, ProgramPhase,
+    ProgramState, TeamName, TenureNumber, TimeMillis,
 };
 use errors::{CallError, ResultCode};
 use tarpc::context::Context;
+use tokio::time::{sleep, timeout};
 use wire::{CallAttachment, OutputChunk, OutputRequest, OwnerPort, ProgramSummary, SubmittedCall};
 
 use crate::context::EntryContext;
@@ -17,6 +19,8 @@
 use crate::owner::release::release_cache;
 use crate::owner::run::run_calls;
 
+const ADOPTION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Answers peers and the entry's own callers for the programs it owns.
 #[derive(Debug, Clone)]
 pub(crate) struct OwnerServer {
@@ -193,6 +197,23 @@
             .map(|applied| (*applied).clone()))
     }
 
+    async fn await_adoption(
+        self,
+        _: Context,
+        members: Generation,
+        from: IncarnationId,
+    ) -> Result<bool, CallError> {
+        const ADOPTION_WAIT: Duration = Duration::from_secs(1);
+        self.context.note_members(members);
+        let owner = self.context.owner();
+        let adopted = async {
+            while !owner.has_adopted(from) {
+                sleep(ADOPTION_CHECK_INTERVAL).await;
+            }
+        };
+        Ok(timeout(ADOPTION_WAIT, adopted).await.is_ok())
+    }
+
     async fn drain_host(self, _: Context) -> Result<(), CallError> {
         self.context.drain.notify_one();
         Ok(())
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -22,7 +22,7 @@
 use crate::context::EntryContext;
 use crate::fleet::{follow_host_list, publish_heartbeats, record_heartbeats};
 use crate::http::serve_http;
-use crate::member::{follow_members, heirs_of, join_members, record_seal, suspect_members};
+use crate::member::{announce_seal, follow_members, heirs_of, join_members, record_seal, suspect_members};
 use crate::options::EntryOptions;
 use crate::owner::{OwnerCore, OwnerServer};
 use crate::upkeep::keep_up;
@@ -191,11 +191,13 @@
         warn!(options.log, "budget not returned"; "error" => %error);
     }
     let heirs = record_seal(context, own, |table| staying_heirs(context, table)).await?;
-    match owner.journal().seal_own(heirs).await {
+    match owner.journal().seal_own(heirs.clone()).await {
         // An heir that was faster has sealed the journal before it read it.
-        Ok(()) | Err(JournalError::Sealed { .. }) => Ok(()),
-        Err(error) => Err(error.into()),
+        Ok(()) | Err(JournalError::Sealed { .. }) => {}
+        Err(error) => return Err(error.into()),
     }
+    announce_seal(context, own, &heirs).await;
+    Ok(())
 }
 
 async fn wait_idle(owner: &OwnerCore) {
--- a/components/wire/src/owner.rs
+++ b/components/wire/src/owner.rs
@@ -1,6 +1,9 @@
 //! The port of an entry, spoken to by entries and agents.
 
-use domain::{AppliedConfiguration, CallKey, CallOutcome, ProgramKey, ProgramState, TeamName, TenureNumber};
+use domain::{
+    AppliedConfiguration, CallKey, CallOutcome, Generation, IncarnationId, ProgramKey, ProgramState,
+    TeamName, TenureNumber,
+};
 
 use crate::message::{CallAttachment, OutputChunk, OutputRequest, PortResult, ProgramSummary, SubmittedCall};
 
@@ -31,6 +34,10 @@
     /// Returns the configuration in force at the entry.
     async fn fetch_configuration() -> PortResult<Option<AppliedConfiguration>>;
 
+    /// Tells of a member table that seals `from`, and waits until its programs that fall to this entry stand in
+    /// this entry's journal; `false` when that takes longer than a second.
+    async fn await_adoption(members: Generation, from: IncarnationId) -> PortResult<bool>;
+
     /// Asks the entry to leave by a planned stop.
     async fn drain_host() -> PortResult<()>;
 }
--- a/tests/rollout/peer.rs
+++ b/tests/rollout/peer.rs
@@ -7,8 +7,8 @@
 
 use config::parse_configuration;
 use domain::{
-    AppliedConfiguration, CallKey, CallOutcome, Generation, Heartbeat, HostRole, ProgramKey, ProgramState,
-    TeamName, TenureNumber,
+    AppliedConfiguration, CallKey, CallOutcome, Generation, Heartbeat, HostRole, IncarnationId, ProgramKey,
+    ProgramState, TeamName, TenureNumber,
 };
 use errors::{CallError, ResultCode};
 use futures::StreamExt as _;
@@ -185,6 +185,10 @@
         Ok(Some(self.applied.lock().expect("no panic").clone()))
     }
 
+    async fn await_adoption(self, _: Context, _: Generation, _: IncarnationId) -> PortResult<bool> {
+        Err(refusal())
+    }
+
     async fn drain_host(self, _: Context) -> PortResult<()> {
         Err(refusal())
     }
