--- a/components/agent/src/configuration.rs
+++ b/components/agent/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use domain::{AppliedConfiguration, Generation, Heartbeat};
@@ -14,9 +15,6 @@
 use crate::ledger::LedgerLimits;
 use crate::shared::AgentShared;
 
-/// Heartbeat intervals for which a fresh agent listens before it takes the highest generation heard.
-const FIRST_INTERVALS: u32 = 3;
-
 /// Follows the generations in the entries' heartbeats.
 pub(crate) async fn follow_configuration(shared: Arc<AgentShared>) {
     let mut first_heard = None;
@@ -27,7 +25,10 @@
             continue;
         }
         let heard: Instant = *first_heard.get_or_insert_with(Instant::now);
-        if heard.elapsed() < shared.options.heartbeat_interval * FIRST_INTERVALS {
+        // A fresh agent waits for every listed entry, lest a lagging one takes it behind its earlier start.
+        let complete = entries.len() >= shared.listed_entries.load(Ordering::Relaxed);
+        if shared.generation() == Generation(0) && !complete && heard.elapsed() < shared.options.suspect_after
+        {
             continue;
         }
         entries.sort_by_key(|entry| Reverse(entry.generation));
--- a/components/agent/src/heartbeat.rs
+++ b/components/agent/src/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use domain::{Heartbeat, HostName, HostRole, HostState, ListedHost, LoadDigest};
@@ -119,7 +120,10 @@
 }
 
 fn dial_entries(shared: &AgentShared, subscriber: &HeartbeatSubscriber, hosts: &[ListedHost]) {
-    for host in hosts.iter().filter(|host| host.role == HostRole::Entry) {
+    let entries = || hosts.iter().filter(|host| host.role == HostRole::Entry);
+    let live = entries().filter(|host| host.state == HostState::Live).count();
+    shared.listed_entries.store(live, Ordering::Relaxed);
+    for host in entries() {
         if let Err(error) = subscriber.dial(host.heartbeat) {
             warn!(shared.options.log, "entry not dialled"; "host" => %host.name, "cause" => %error);
         }
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -1,7 +1,7 @@
 //! Start, run and planned stop of an agent.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -74,6 +74,7 @@
             announced: Notify::new(),
             configuration: ArcSwapOption::empty(),
             entries: ArcSwap::default(),
+            listed_entries: AtomicUsize::new(usize::MAX),
             backend: ArcSwap::from_pointee(BackendReport::default()),
             orders: sender,
             largest_term: AtomicU64::new(0),
--- a/components/agent/src/shared.rs
+++ b/components/agent/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of one agent share.
 
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -36,6 +36,8 @@
     pub(crate) announced: Notify,
     pub(crate) configuration: ArcSwapOption<AppliedConfiguration>,
     pub(crate) entries: ArcSwap<Vec<KnownEntry>>,
+    /// Number of live entries in the host list; it lags and counts the dead.
+    pub(crate) listed_entries: AtomicUsize,
     pub(crate) backend: ArcSwap<BackendReport>,
     pub(crate) orders: mpsc::Sender<PendingOrder>,
     pub(crate) largest_term: AtomicU64,
