Measure what an agent adds to a call; name the agent's start in the tests' notices

Change: the tests take the start from the heartbeat; a notice for another start is refused (3017) and does not run (new test). benches/call.rs, part of make bench, times the same chats directly and through an agent.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,4 @@
 bench:
 	cargo bench --quiet --package policy --bench decisions
 	cargo bench --quiet --package budget --bench reservation
+	cargo bench --quiet --package agent --bench call
--- a/components/agent/tests/process/calls.rs
+++ b/components/agent/tests/process/calls.rs
@@ -6,7 +6,7 @@
 use standins::{EngineSettings, KeyRuns, ModelEngine, PlainService, ServerHandle, ServiceFaults};
 use wire::{EngineCommand, EngineOrder, SettledCall};
 
-use crate::support::{Bench, any_port, attempt, chat, context, eventually, notice, program};
+use crate::support::{Bench, any_port, attempt, chat, context, eventually, program};
 
 async fn engine(settings: EngineSettings) -> (ServerHandle, Bench) {
     let engine = ModelEngine::start(any_port(), settings).await.expect("started");
@@ -103,7 +103,7 @@
     .await;
     let clients = [bench.connect().await, bench.connect().await];
     let orders = (0..20).map(|copy| {
-        let order = notice(attempt(program(1), 1, 1 + copy % 3), 20_000);
+        let order = bench.notice(attempt(program(1), 1, 1 + copy % 3), 20_000);
         clients[usize::try_from(copy % 2).expect("small")].dispatch_call(context(), order)
     });
     futures::future::join_all(orders).await;
@@ -121,14 +121,14 @@
     })
     .await;
     let first = attempt(program(1), 1, 1);
-    let start = bench.dispatch(notice(first, 300)).await.expect("taken");
+    let start = bench.dispatch(bench.notice(first, 300)).await.expect("taken");
     let (_, outcome) = bench.read(first).await;
     expect_that!(
         matches!(&outcome, CallOutcome::Failed(error) if error.run == RunState::OutcomeUnknown),
         eq(true)
     );
     bench
-        .dispatch(notice(attempt(program(1), 1, 2), 300))
+        .dispatch(bench.notice(attempt(program(1), 1, 2), 300))
         .await
         .expect("attached");
     let settled = bench
@@ -148,7 +148,7 @@
 async fn never_runs_a_notice_that_it_has_promised_to_refuse() {
     let (_service, bench) = service(ServiceFaults::default()).await;
     let start = bench
-        .dispatch(notice(attempt(program(1), 9, 1), 20_000))
+        .dispatch(bench.notice(attempt(program(1), 9, 1), 20_000))
         .await
         .expect("taken");
     bench.read(attempt(program(1), 9, 1)).await;
@@ -156,7 +156,7 @@
         let (first, client) = (attempt(program(1), call, 1), bench.connect().await);
         // The first five dispatches are lost; the others arrive while or after their connection is lost.
         if call > 5 {
-            let dispatched = client.dispatch_call(context(), notice(first, 20_000));
+            let dispatched = client.dispatch_call(context(), bench.notice(first, 20_000));
             let limit = std::time::Duration::from_micros(call * 20);
             drop(tokio::time::timeout(limit, dispatched).await);
         }
@@ -167,7 +167,7 @@
             .settle_call(context(), first.call, TenureNumber(1), start)
             .await;
         let refused = settled.expect("answered") == Ok(SettledCall::Refused);
-        let again = bench.dispatch(notice(first, 20_000)).await;
+        let again = bench.dispatch(bench.notice(first, 20_000)).await;
         expect_that!(again.is_err(), eq(refused), "call {call}");
         if !refused {
             bench.read(first).await;
@@ -183,6 +183,18 @@
     expect_that!(runs(&bench).await, each(eq(&1)));
 }
 
+#[gtest]
+#[tokio::test]
+async fn does_not_run_a_notice_that_was_meant_for_an_earlier_start() {
+    let (_service, mut bench) = service(ServiceFaults::default()).await;
+    bench.start += 1;
+    let refused = bench
+        .dispatch(bench.notice(attempt(program(1), 1, 1), 20_000))
+        .await;
+    expect_that!(refused.map_err(|error| error.code.number()), err(eq(3017)));
+    expect_that!(runs(&bench).await, is_empty());
+}
+
 #[gtest]
 #[tokio::test]
 async fn cancels_a_running_chat_at_the_engine() {
--- a/components/agent/tests/process/leaving.rs
+++ b/components/agent/tests/process/leaving.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use standins::{PlainService, ServiceFaults};
 
-use crate::support::{Bench, any_port, attempt, context, notice, program};
+use crate::support::{Bench, any_port, attempt, context, program};
 
 const SLOW: ServiceFaults = ServiceFaults {
     delay_ms: 1_000,
@@ -22,7 +22,7 @@
     // Five calls run; the next two wait.
     for call in 1..=7 {
         bench
-            .dispatch(notice(attempt(program(1), call, 1), 20_000))
+            .dispatch(bench.notice(attempt(program(1), call, 1), 20_000))
             .await
             .expect("taken");
     }
@@ -36,7 +36,9 @@
         .await;
     begin(&bench).await;
     bench.hear(|heartbeat| heartbeat.leaving).await;
-    let late = bench.dispatch(notice(attempt(program(1), 8, 1), 20_000)).await;
+    let late = bench
+        .dispatch(bench.notice(attempt(program(1), 8, 1), 20_000))
+        .await;
     expect_that!(
         late.map_err(|error| (error.code.number(), error.run)),
         err(eq((3009, RunState::NotRun)))
@@ -93,12 +95,16 @@
     let (_service, bench) = slow_bench().await;
     bench.list_as(HostState::Leaving).await;
     bench.hear(|heartbeat| heartbeat.leaving).await;
-    let refused = bench.dispatch(notice(attempt(program(1), 1, 1), 20_000)).await;
+    let refused = bench
+        .dispatch(bench.notice(attempt(program(1), 1, 1), 20_000))
+        .await;
     expect_that!(refused.map_err(|error| error.code.number()), err(eq(3009)));
     bench.list_as(HostState::Live).await;
     bench.hear(|heartbeat| !heartbeat.leaving).await;
     expect_that!(
-        bench.dispatch(notice(attempt(program(1), 2, 1), 20_000)).await,
+        bench
+            .dispatch(bench.notice(attempt(program(1), 2, 1), 20_000))
+            .await,
         ok(anything())
     );
 }
--- a/components/agent/tests/process/support.rs
+++ b/components/agent/tests/process/support.rs
@@ -33,6 +33,7 @@
     pub address: SocketAddr,
     pub backend: SocketAddr,
     pub entries: Vec<FakeEntry>,
+    pub start: u64,
     pub stop: CancellationToken,
     pub running: JoinHandle<anyhow::Result<()>>,
     hosts: ServerHandle,
@@ -68,7 +69,8 @@
         let address = process.process_address();
         let heartbeat = process.heartbeat_address();
         let running = tokio::spawn(process.run(stop.clone()));
-        let bench = Self {
+        let mut bench = Self {
+            start: 0,
             address,
             backend,
             entries,
@@ -78,6 +80,7 @@
             heartbeat,
         };
         bench.list_as(HostState::Live).await;
+        bench.start = bench.hear(|_| true).await.start;
         bench
     }
 
@@ -227,21 +230,25 @@
     }
 }
 
-pub fn notice(attempt: AttemptKey, timeout_ms: u64) -> DispatchOrder {
-    let request = PlainRequest {
-        method: "POST".to_owned(),
-        path: "/notice".to_owned(),
-        content_type: "application/json".to_owned(),
-        body: b"{}".to_vec(),
-    };
-    DispatchOrder::Plain {
-        attempt,
-        service: "notices".parse().expect("a name"),
-        request,
-        idempotency_key: attempt.call.to_string(),
-        repeatable: false,
-        priority: 0,
-        start_before: None,
-        timeout_ms,
+impl Bench {
+    /// Creates an order that may run once.
+    pub fn notice(&self, attempt: AttemptKey, timeout_ms: u64) -> DispatchOrder {
+        let request = PlainRequest {
+            method: "POST".to_owned(),
+            path: "/notice".to_owned(),
+            content_type: "application/json".to_owned(),
+            body: b"{}".to_vec(),
+        };
+        DispatchOrder::Plain {
+            attempt,
+            service: "notices".parse().expect("a name"),
+            request,
+            idempotency_key: attempt.call.to_string(),
+            repeatable: false,
+            agent_start: self.start,
+            priority: 0,
+            start_before: None,
+            timeout_ms,
+        }
     }
 }
