--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -1,7 +1,7 @@
 //! Start, run and planned stop of an agent.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -58,7 +58,7 @@
         let (subscriber, heartbeats) =
             HeartbeatSubscriber::start(options.secret.clone()).context("cannot receive heartbeats")?;
         let (sender, orders) = mpsc::channel(ORDER_QUEUE_LENGTH);
-        let start = options.start;
+        let start = rand::random();
         let engine = EngineOptions::builder()
             .address(backend)
             .silence(options.suspect_after)
@@ -74,6 +74,7 @@
             announced: Notify::new(),
             configuration: ArcSwapOption::empty(),
             entries: ArcSwap::default(),
+            listed_entries: AtomicUsize::new(usize::MAX),
             backend: ArcSwap::from_pointee(BackendReport::default()),
             orders: sender,
             largest_term: AtomicU64::new(0),
