--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -9,12 +9,13 @@
 use journal::{ProgramLedger, replay_journal, seal_journal};
 use platform::ObjectStore;
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::context::EntryContext;
 use crate::owner::{OwnerCore, resume_intents};
 
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Adopts programs whenever the member table names this incarnation as an heir.
 pub(crate) async fn follow_seals(context: Arc<EntryContext>) {
@@ -32,7 +33,8 @@
                 }
             }
         }
-        if changed.changed().await.is_err() {
+        // A new incarnation may have been named as an heir just before it came into force here.
+        if let Ok(Err(_closed)) = timeout(RECHECK_INTERVAL, changed.changed()).await {
             return;
         }
     }
--- a/components/entry/src/owner/commit.rs
+++ b/components/entry/src/owner/commit.rs
@@ -1,7 +1,7 @@
 //! Makes records durable and applies them to the programs, also while the object API is slow or down.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use domain::{ProgramState, TimeMillis};
@@ -28,7 +28,9 @@
 /// Commits under way.
 #[derive(Debug)]
 pub(crate) struct CommitGate {
-    fold: RwLock<()>,
+    /// Commits enter by the door that is open; a snapshot opens the other one and waits until the first is empty.
+    doors: [RwLock<()>; 2],
+    snapshots: AtomicUsize,
     pending: AtomicU64,
     progress: AtomicU64,
 }
@@ -37,11 +39,22 @@
     /// Creates a gate without commits.
     pub(crate) fn new() -> Self {
         Self {
-            fold: RwLock::new(()),
+            doors: [RwLock::new(()), RwLock::new(())],
+            snapshots: AtomicUsize::new(0),
             pending: AtomicU64::new(0),
             progress: AtomicU64::new(TimeMillis::now().0),
         }
     }
+
+    fn open_door(&self) -> &RwLock<()> {
+        &self.doors[self.snapshots.load(Ordering::Acquire) % self.doors.len()]
+    }
+
+    /// Waits until every commit begun so far is applied; commits begun meanwhile are not held up.
+    async fn drain(&self) {
+        let closed = self.snapshots.fetch_add(1, Ordering::AcqRel) % self.doors.len();
+        drop(self.doors[closed].write().await);
+    }
 }
 
 impl OwnerCore {
@@ -66,7 +79,7 @@
     }
 
     async fn append_and_apply(&self, records: Vec<JournalRecord>) -> Result<(), JournalError> {
-        let _gate = self.gate().fold.read().await;
+        let _entered = self.gate().open_door().read().await;
         self.journal().append(records.clone()).await?;
         for record in &records {
             if let Some(cell) = record.program().and_then(|key| self.table.find(key)) {
@@ -155,8 +168,7 @@
     ///
     /// Fails when the journal is sealed or the object API does not answer.
     pub(crate) async fn fold(&self) -> Result<(), JournalError> {
-        // No record may fall between the copies of the programs and the place of the snapshot in the journal.
-        let _gate = self.gate().fold.write().await;
+        self.gate().drain().await;
         let states: Vec<ProgramState> = self.table.all().iter().map(|cell| cell.program()).collect();
         self.journal().fold(&states, &self.adopted(), &[]).await
     }
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -25,7 +25,7 @@
 use crate::member::{follow_members, heirs_of, join_members, record_seal, suspect_members};
 use crate::options::EntryOptions;
 use crate::owner::{OwnerCore, OwnerServer};
-use crate::upkeep::keep_up;
+use crate::upkeep::{fold_journals, keep_up};
 
 /// Largest amount of records that wait for the object API, in bytes.
 const JOURNAL_BUFFER_BYTES: usize = 16 * 1024 * 1024;
@@ -74,6 +74,7 @@
         tasks.spawn(follow_seals(Arc::clone(&context)));
         tasks.spawn(rejoin_when_sealed(Arc::clone(&context)));
         tasks.spawn(keep_up(Arc::clone(&context)));
+        tasks.spawn(fold_journals(Arc::clone(&context)));
         Ok(Self { context, http, tasks })
     }
 
--- a/components/entry/src/upkeep.rs
+++ b/components/entry/src/upkeep.rs
@@ -33,13 +33,25 @@
         end_idle_programs(&context, &owner).await;
         forget_ended_programs(&owner);
         settle_unknown_calls(&context, &owner).await;
-        fold_journal(&context, &owner).await;
         if let Err(error) = owner.budget().flush().await {
             debug!(context.options.log, "budget not flushed"; "error" => %error);
         }
     }
 }
 
+/// Folds the journal whenever it has grown, until the entry stops.
+pub(crate) async fn fold_journals(context: Arc<EntryContext>) {
+    let mut ticks = interval(UPKEEP_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let owner = context.owner();
+        if !owner.is_fenced() {
+            fold_journal(&context, &owner).await;
+        }
+    }
+}
+
 async fn fold_journal(context: &EntryContext, owner: &OwnerCore) {
     if owner.journal().segments_since_fold() < SEGMENTS_PER_FOLD {
         return;
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! An entry inside the test's process, and journals of incarnations that are no longer there.
+#![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 use wire::ClusterSecret;
 
 const OPERATOR_KEY: &str = "operator-key-of-the-tests";
+const TEAM_KEY: &str = "team-key-of-the-tests";
 const LOOPBACK: &str = "127.0.0.1:0";
 const SPACING: Duration = Duration::from_millis(1);
 const BUFFER_BYTES: usize = 1 << 20;
@@ -70,21 +72,54 @@
     /// Returns the contents of a program's history as an operator reads it, or the body of the refusal.
     pub async fn history(&self, program: ProgramKey) -> Result<Vec<String>, String> {
         let path = format!("/admin/programs/{program}/history");
+        let body = self.request("GET", &path, OPERATOR_KEY, "").await?;
+        let messages = body["messages"].as_array().expect("messages").iter();
+        let contents = messages.map(|message| message["content"].as_str().expect("content").to_owned());
+        Ok(contents.collect())
+    }
+
+    /// Starts a program of the team and returns its id, or the body of the refusal.
+    pub async fn start_program(&self) -> Result<String, String> {
+        let body = r#"{"urgency":"ordinary","deadline":null,"parent":null}"#;
+        let program = self.request("POST", "/v1/programs", TEAM_KEY, body).await?;
+        Ok(program["program"].as_str().expect("program").to_owned())
+    }
+
+    /// Puts a configuration with one team in force.
+    pub async fn apply_configuration(&self) {
+        let key = hex::encode(Sha256::digest(TEAM_KEY));
+        let text = format!(
+            "[cluster]\nfailure-domains = east\nprogram-latency-weight = 500\nwasted-cache-weight = 500\n\
+             [team hulls]\nkey-sha256 = {key}\nbudget = 1000\n\
+             [service notices]\nkind = plain\nprice-per-call = 0\n"
+        );
+        let applied = self
+            .request("PUT", "/admin/configuration?base=0", OPERATOR_KEY, &text)
+            .await;
+        applied.expect("configuration");
+    }
+
+    async fn request(
+        &self,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Result<serde_json::Value, String> {
         let mut connection = TcpStream::connect(self.http).await.expect("connect");
         let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nAuthorization: Bearer {OPERATOR_KEY}\r\n\r\n"
+            "{method} {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nAuthorization: Bearer {key}\r\n\
+             Azuretide-Operator: test\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
         );
         connection.write_all(request.as_bytes()).await.expect("request");
         let mut answer = String::new();
         connection.read_to_string(&mut answer).await.expect("answer");
         let (head, body) = answer.split_once("\r\n\r\n").expect("head");
-        if !head.starts_with("HTTP/1.1 200") {
+        if !head.starts_with("HTTP/1.1 20") {
             return Err(body.to_owned());
         }
-        let body: serde_json::Value = serde_json::from_str(body).expect("body");
-        let messages = body["messages"].as_array().expect("messages").iter();
-        let contents = messages.map(|message| message["content"].as_str().expect("content").to_owned());
-        Ok(contents.collect())
+        Ok(serde_json::from_str(body).expect("body"))
     }
 }
 
--- a/components/journal/src/writer.rs
+++ b/components/journal/src/writer.rs
@@ -169,8 +169,8 @@
 
     /// Writes a snapshot and deletes the segments and the snapshot that it replaces.
     ///
-    /// The states hold at least every record whose append returned before the last but one call took effect: records
-    /// since then are applied to them again. While a snapshot is under way, another call returns at once.
+    /// The states hold at least every record whose append returned before the last but one call: records since then
+    /// are applied to them again. While a snapshot is under way, another call returns at once.
     ///
     /// # Errors
     ///
