--- a/components/standins/tests/entry_loss.rs
+++ b/components/standins/tests/entry_loss.rs
@@ -73,13 +73,13 @@
         let (mut caller, program, second) = (caller(&testbed, 0), program.clone(), second.clone());
         async move {
             caller
-                .call_service(&program, "second", "notices/notes", &second)
+                .call_service(&program, "note-2", "notices/notes", &second)
                 .await
         }
     });
     let answer = new.stream_turn(&turn).await.unwrap();
     let (reply, _) = new
-        .call_service(&program, "first", "notices/notes", &first)
+        .call_service(&program, "note-1", "notices/notes", &first)
         .await
         .unwrap();
     expect_that!(
@@ -102,7 +102,7 @@
     // The same note through the woken entry is the same call.
     let mut woken = caller(&testbed, 0);
     let (reply, _) = woken
-        .call_service(&program, "first", "notices/notes", &first)
+        .call_service(&program, "note-1", "notices/notes", &first)
         .await
         .unwrap();
     expect_that!(
