--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -26,7 +26,7 @@
         for from in pending_seals(&table, &owner) {
             match adopt_from(&context, &owner, &table, from).await {
                 Ok(count) => {
-                    info!(context.options.log, "adopted"; "incarnation" => from.0, "programs" => count)
+                    info!(context.options.log, "adopted"; "incarnation" => from.0, "programs" => count);
                 }
                 Err(error) => {
                     warn!(context.options.log, "adoption failed"; "incarnation" => from.0, "error" => format!("{error:#}"));
