--- a/components/standins/tests/backend_loss.rs
+++ b/components/standins/tests/backend_loss.rs
@@ -149,3 +149,25 @@
     expect_that!(status, eq(200));
     expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(1));
 }
+
+/// Refusals of one key, more than the repetition limit of a program that runs in circles.
+const REFUSALS: usize = 30;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn key_refused_as_not_run_many_times_still_runs_once() {
+    let (mut testbed, _permit) = start(Deployment::kelanimatch()).await;
+    let mut hasty = caller(&testbed, 0).with_patience_ms(0);
+    let program = hasty.start_program("interactive", None).await.unwrap();
+    testbed.kill("notices-1").await.unwrap();
+    let note = json!({"note": "patience"});
+    for _ in 0..REFUSALS {
+        let (status, run, body) = send_note(&mut hasty, &program, &note).await;
+        expect_that!((status, run.as_deref()), eq((503, Some("not-run"))), "{body}");
+    }
+    testbed.start_host("notices-1").unwrap();
+    testbed.wait_ready().await.unwrap();
+    let (status, _, body) = send_note(&mut caller(&testbed, 0), &program, &note).await;
+    expect_that!(status, eq(200), "{body}");
+    expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(1));
+}
--- a/components/standins/tests/platform_loss.rs
+++ b/components/standins/tests/platform_loss.rs
@@ -7,6 +7,9 @@
 use serde_json::{Value, json};
 use standins::Deployment;
 
+/// Refusals of one key, more than the repetition limit of a program that runs in circles.
+const REFUSALS: usize = 30;
+
 /// Keys that are each sent twice at once.
 const DOUBLED_KEYS: usize = 20;
 
@@ -37,6 +40,13 @@
     let (testbed, _permit) = start(Deployment::kelanimatch()).await;
     let mut hasty = caller(&testbed, 0).with_patience_ms(0);
     let program = hasty.start_program("interactive", None).await.unwrap();
+    // A call before the outage leaves the entry a slice of the budget, so that only the journal stands in the way.
+    let earlier = json!({"note": "before the outage"});
+    let (reply, _) = hasty
+        .call_service(&program, "earlier", "notices/notes", &earlier)
+        .await
+        .unwrap();
+    expect_that!(reply.status, eq(200));
     testbed
         .set_faults("object-api", &json!({"outage": true}))
         .await
@@ -50,14 +60,73 @@
     expect_that!(reply.status, eq(503));
     expect_that!(reply.header("azuretide-run"), some(eq("not-run")));
     expect_that!(reply.header("retry-after"), some(anything()));
-    expect_that!(testbed.service_calls("notices-1").await.unwrap(), is_empty());
+    expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(1));
     testbed.set_faults("object-api", &json!({})).await.unwrap();
     let (reply, _) = caller(&testbed, 0)
         .call_service(&program, "note", "notices/notes", &note)
         .await
         .unwrap();
     expect_that!(reply.status, eq(200));
-    expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(1));
+    expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(2));
+    expect_single_runs(&testbed, "notices-1").await;
+}
+
+/// A request that is repeated under one key all through an outage.
+struct RepeatedRequest {
+    path: &'static str,
+    body: &'static str,
+}
+
+const REPEATED_REQUESTS: [RepeatedRequest; 2] = [
+    RepeatedRequest {
+        path: "/v1/services/notices/notes",
+        body: r#"{"note":"again and again"}"#,
+    },
+    RepeatedRequest {
+        path: "/v1/chat/completions",
+        body: r#"{"model":"matcher","max_tokens":8,"messages":[{"role":"user","content":"again and again"}]}"#,
+    },
+];
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_refused_all_through_an_outage_runs_behind_it() {
+    let (testbed, _permit) = start(Deployment::kelanimatch()).await;
+    for request in REPEATED_REQUESTS {
+        let mut hasty = caller(&testbed, 0).with_patience_ms(0);
+        let program = hasty.start_program("interactive", None).await.unwrap();
+        hasty
+            .call_service(&program, "earlier", "notices/notes", &json!({}))
+            .await
+            .unwrap();
+        let headers = [
+            ("azuretide-program", program.as_str()),
+            ("idempotency-key", "repeated"),
+        ];
+        testbed
+            .set_faults("object-api", &json!({"outage": true}))
+            .await
+            .unwrap();
+        for _ in 0..REFUSALS {
+            let sent = hasty.request("POST", request.path, &headers, request.body).await;
+            let (reply, _) = sent.unwrap();
+            expect_that!(
+                reply.header("azuretide-run"),
+                some(eq("not-run")),
+                "{}",
+                reply.text()
+            );
+            expect_that!(reply.status, eq(503), "{}", reply.text());
+        }
+        testbed.set_faults("object-api", &json!({})).await.unwrap();
+        let mut patient = caller(&testbed, 0);
+        let sent = patient
+            .request("POST", request.path, &headers, request.body)
+            .await;
+        let (reply, _) = sent.unwrap();
+        expect_that!(reply.status, eq(200), "{}", reply.text());
+    }
+    expect_single_runs(&testbed, "notices-1").await;
 }
 
 #[gtest]
