--- a/components/agent/src/ledger.rs
+++ b/components/agent/src/ledger.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::{DispatchOrder, PortResult};
 
+use self::dispatch::{forgotten, promised};
 use crate::output::CallOutput;
 use crate::programs::ProgramTable;
 use crate::queue::CallQueue;
@@ -141,15 +142,22 @@
     ///
     /// # Errors
     ///
-    /// Fails when the agent does not know the attempt or a later one has taken its place.
+    /// Fails when the agent does not know the call. An attempt whose place a later one has taken has ended.
     pub fn output(&self, attempt: AttemptKey) -> PortResult<Arc<CallOutput>> {
         let Some(row) = self.rows.get(&attempt.call) else {
-            let message = format!("the agent does not know the attempt {attempt}");
-            return Err(error_with(
-                ResultCode::UnknownCall,
-                RunState::OutcomeUnknown,
-                message,
-            ));
+            let error = match self.tombstones.get(&attempt.call) {
+                Some(CallTombstone::Promised) => promised(),
+                Some(CallTombstone::Ran | CallTombstone::MayRepeat(_)) => forgotten(),
+                None => {
+                    let message = format!("the agent does not know the attempt {attempt}");
+                    return Err(error_with(
+                        ResultCode::UnknownCall,
+                        RunState::OutcomeUnknown,
+                        message,
+                    ));
+                }
+            };
+            return Ok(Arc::new(CallOutput::ended(CallOutcome::Failed(error))));
         };
         // A call that may not be repeated has one run, which answers every attempt.
         if row.attempt == attempt || (!row.repeatable && order_of(attempt) <= order_of(row.attempt)) {
@@ -161,7 +169,8 @@
             return Ok(Arc::clone(&next.output));
         }
         let message = format!("the attempt {attempt} is not the present one, {}", row.attempt);
-        Err(error_with(ResultCode::UnknownCall, row.run_state(), message))
+        let error = error_with(ResultCode::CallRefused, RunState::OutcomeUnknown, message);
+        Ok(Arc::new(CallOutput::ended(CallOutcome::Failed(error))))
     }
 
     /// Tells whether a call of the program is waiting or running.
--- a/components/agent/src/ledger/settle.rs
+++ b/components/agent/src/ledger/settle.rs
@@ -69,12 +69,6 @@
             let message = format!("tenure {tenure} is older than {largest}");
             error_with(ResultCode::StaleTenure, RunState::NotRun, message)
         })?;
-        self.release_ended(program, now);
-        Ok(())
-    }
-
-    /// Notes the end of a program on its owner's word in answer to a question.
-    pub fn release_ended(&mut self, program: ProgramKey, now: TimeMillis) {
         self.programs.release(program, now);
         let calls: Vec<_> = self
             .rows
@@ -84,6 +78,7 @@
         for call in calls {
             self.cancel_row(call, now);
         }
+        Ok(())
     }
 
     fn cancel_row(&mut self, call: CallKey, now: TimeMillis) {
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use anyhow::{Context as _, Result, anyhow};
+use anyhow::{Context as _, Result, anyhow, bail};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use domain::{Heartbeat, TimeMillis};
 use engine::{EngineClient, EngineOptions, parse_backend};
@@ -107,7 +107,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when a task of the agent has panicked.
+    /// Fails, after draining, when a task of the agent has panicked or ended.
     pub async fn run(self, stop: CancellationToken) -> Result<()> {
         let Self {
             shared,
@@ -130,18 +130,18 @@
         tasks.spawn(hear_entries(Arc::clone(&shared), heartbeats));
         tasks.spawn(follow_configuration(Arc::clone(&shared)));
         tasks.spawn(sweep_programs(Arc::clone(&shared)));
-        tokio::select! {
-            () = stop.cancelled() => {}
-            () = shared.draining.cancelled() => {}
-            ended = tasks.join_next() => {
-                if let Some(Err(error)) = ended {
-                    return Err(error).context("a task of the agent failed");
-                }
-            }
-        }
+        let failure = tokio::select! {
+            () = stop.cancelled() => None,
+            () = shared.draining.cancelled() => None,
+            ended = tasks.join_next() => ended,
+        };
         drain(&shared).await;
         tasks.shutdown().await;
-        Ok(())
+        match failure {
+            None => Ok(()),
+            Some(Ok(())) => bail!("a task of the agent ended before its stop"),
+            Some(Err(error)) => Err(error).context("a task of the agent failed"),
+        }
     }
 }
 
--- a/components/agent/src/programs.rs
+++ b/components/agent/src/programs.rs
@@ -22,7 +22,10 @@
     touched: TimeMillis,
     asked: TimeMillis,
     hold: CacheHold,
+    /// Whether the owner has ended the program; it takes no calls any more.
     released: bool,
+    /// Whether an entry answered that the program has ended and it was not used since.
+    dismissed: bool,
 }
 
 /// Choice of the programs about which the owners are asked.
@@ -71,6 +74,7 @@
         }
         row.tenure = tenure;
         row.touched = now;
+        row.dismissed = false;
         Ok(())
     }
 
@@ -97,7 +101,20 @@
         }
     }
 
-    /// Tells whether the program has ended.
+    /// Takes in that an entry, asked about the program, said that it has ended.
+    ///
+    /// Its cache is to be released; calls are still taken, so that a wrong answer costs time only.
+    pub fn dismiss(&mut self, program: ProgramKey) {
+        let Some(row) = self.rows.get_mut(&program) else {
+            return;
+        };
+        row.dismissed = true;
+        if row.hold == CacheHold::Held {
+            self.set_hold(program, CacheHold::Releasing);
+        }
+    }
+
+    /// Tells whether the owner has ended the program.
     pub fn is_released(&self, program: ProgramKey) -> bool {
         self.rows.get(&program).is_some_and(|row| row.released)
     }
@@ -171,7 +188,8 @@
             } else {
                 query.empty_asked
             };
-            !row.released && row.touched <= query.touched && row.asked <= asked_until
+            let ended = row.released || (row.dismissed && row.hold == CacheHold::Empty);
+            !ended && row.touched <= query.touched && row.asked <= asked_until
         };
         let mut quiet: Vec<_> = self.rows.iter_mut().filter(|(_, row)| due(row)).collect();
         quiet.sort_by_key(|(_, row)| (row.hold != CacheHold::Held, row.asked));
@@ -185,8 +203,8 @@
 
     /// Drops ended programs that were not mentioned since `idle_since`, and returns them.
     pub fn forget_idle(&mut self, idle_since: TimeMillis) -> Vec<ProgramKey> {
-        let idle =
-            |row: &ProgramRow| row.released && row.hold == CacheHold::Empty && row.touched < idle_since;
+        let ended = |row: &ProgramRow| row.released || row.dismissed;
+        let idle = |row: &ProgramRow| ended(row) && row.hold == CacheHold::Empty && row.touched < idle_since;
         let dropped: Vec<_> = self
             .rows
             .extract_if(.., |_, row| idle(row))
--- a/components/agent/src/sweeper.rs
+++ b/components/agent/src/sweeper.rs
@@ -133,7 +133,7 @@
         .map(|(entry, held)| ask_entry(shared, entry, held));
     for ended in join_all(answers).await.into_iter().flatten().flatten() {
         info!(shared.options.log, "program ended"; "program" => %ended, "cause" => "owner asked");
-        shared.ledger().release_ended(ended, TimeMillis::now());
+        shared.ledger().programs().dismiss(ended);
     }
 }
 
--- a/components/agent/tests/ledger/programs.rs
+++ b/components/agent/tests/ledger/programs.rs
@@ -95,3 +95,22 @@
         unordered_elements_are![eq(&1), eq(&3)]
     );
 }
+
+#[gtest]
+fn frees_the_cache_of_a_dismissed_program_and_takes_it_back_when_it_is_used() {
+    let mut table = ProgramTable::new();
+    table.hold(program(1), at(10));
+    table.dismiss(program(1));
+    expect_that!(table.pending_releases(), eq(&[program(1)]));
+    table.confirm_release(program(1));
+    expect_that!(quiet(&mut table, 20, 20, 9), is_empty());
+    expect_that!(table.is_released(program(1)), eq(false));
+    expect_that!(table.fence(program(1), TenureNumber(1), at(30)), ok(anything()));
+    expect_that!(table.forget_idle(at(31)), is_empty());
+    table.hold(program(1), at(30));
+    expect_that!(table.pending_releases(), is_empty());
+    expect_that!(quiet(&mut table, 40, 40, 9), eq(&vec![1]));
+    table.dismiss(program(1));
+    table.confirm_release(program(1));
+    expect_that!(table.forget_idle(at(31)), eq(&vec![program(1)]));
+}
--- a/components/agent/tests/process/memory.rs
+++ b/components/agent/tests/process/memory.rs
@@ -43,8 +43,11 @@
     let asked = || async { bench.entries[0].state().questions.contains(&question) };
     eventually("the question about the running program", asked).await;
     expect_that!(holds(&bench, program(2)).await, eq(true));
-    let refused = bench.dispatch(chat(attempt(program(1), 2, 1), "match", "")).await;
-    expect_that!(refused.map_err(|error| error.code.number()), err(eq(1007)));
+    // The answer to a question frees memory only: had it been wrong, the program could go on.
+    let again = bench.dispatch(chat(attempt(program(1), 2, 1), "match", "")).await;
+    expect_that!(again, ok(anything()));
+    bench.read(attempt(program(1), 2, 1)).await;
+    released(&bench, program(1)).await;
 }
 
 #[gtest]
@@ -82,6 +85,8 @@
         .backend("POST", "/control/faults", r#"{"freeze":false}"#)
         .await;
     released(&bench, program(1)).await;
+    let refused = bench.dispatch(chat(attempt(program(1), 2, 1), "match", "")).await;
+    expect_that!(refused.map_err(|error| error.code.number()), err(eq(1007)));
 }
 
 #[gtest]
