Measure seeded workloads on real processes

Change: standins measure and make measure: two deployments with four engines, three loads and one load with an entry and an agent killed, seeds, p50/p95/p99 program latency, deadlines by class, tokens computed again, goodput, refusals, object API calls, processor time and memory of each daemon, fleets at rest at three sizes; JSON file. Not run: the baselines, since the daemon offers no way to choose them.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 	cargo bench --quiet --package policy --bench decisions
 	cargo bench --quiet --package budget --bench reservation
 	cargo bench --quiet --package agent --bench call
+
+measure: setup
+	cargo build --quiet --release --workspace --bins
+	cargo run --quiet --release --package standins -- measure --output target/measure.json
--- a/components/standins/src/cli.rs
+++ b/components/standins/src/cli.rs
@@ -10,6 +10,7 @@
 use crate::demo::run_demo;
 use crate::engine::{EngineSettings, ModelEngine};
 use crate::hosts::{HostList, HostListSettings};
+use crate::measure::{MeasureOptions, measure_options, run_measure};
 use crate::object::ObjectApi;
 use crate::service::{PlainService, ServiceFaults};
 
@@ -63,6 +64,13 @@
     /// Play both teams' programs on real processes, with an entry killed on the way
     #[bpaf(command("demo"))]
     Demo,
+    /// Put seeded loads on real processes and print program latency, deadlines and wasted cache
+    #[bpaf(command("measure"))]
+    Measure {
+        /// Extent
+        #[bpaf(external(measure_options))]
+        options: MeasureOptions,
+    },
 }
 
 fn number_option(name: &'static str, help: &'static str, fallback: u64) -> impl bpaf::Parser<u64> {
@@ -131,6 +139,7 @@
     pub async fn run(self) -> anyhow::Result<()> {
         match self {
             Self::Demo => run_demo().await?,
+            Self::Measure { options } => run_measure(options).await?,
             Self::ObjectApi { listen, key_file } => {
                 let key = read_key(key_file.as_deref())?;
                 ObjectApi::start(listen, key).await?.join().await;
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod hosts;
 mod http;
+mod measure;
 mod object;
 mod service;
 mod session;
@@ -22,6 +23,7 @@
 };
 pub use hosts::{HostList, HostListSettings};
 pub use http::ServerHandle;
+pub use measure::{MeasureOptions, run_measure};
 pub use object::{ObjectApi, ObjectCounts, ObjectFaults};
 pub use service::{KeyRuns, PlainService, ServiceCall, ServiceFaults};
 pub use session::{ProgramSession, SessionTally};
--- /dev/null
+++ b/components/standins/src/measure.rs
@@ -0,0 +1,149 @@
+//! Seeded loads on real processes, with the figures that the decisions are judged by.
+
+mod cost;
+mod player;
+mod report;
+mod workload;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use bpaf::Bpaf;
+use futures::future::join_all;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::client::send_request;
+use crate::engine::RequestRecord;
+use crate::object::ObjectCounts;
+use crate::testbed::Testbed;
+use player::MeasureCaller;
+use report::{RunCase, RunReport, run_table};
+use workload::{ENGINES, WorkloadKind};
+
+/// Loads in percent of the engines' capacity: light, at the knee, overload.
+const LOADS: [u64; 3] = [30, 80, 130];
+const KNEE_PERCENT: u64 = 80;
+const WORKLOADS: [WorkloadKind; 2] = [WorkloadKind::Kelanimatch, WorkloadKind::Salish];
+const KILLED_ENTRY: &str = "entry-2";
+/// Time in seconds for which a fleet is watched at rest.
+const REST_S: u64 = 5;
+/// Engines of the fleets that are watched at rest.
+const REST_ENGINES: [u64; 3] = [2, 6, 14];
+
+/// Extent of the measurement.
+#[derive(Debug, Clone, Bpaf)]
+pub struct MeasureOptions {
+    /// Time in seconds within which programs arrive
+    #[bpaf(argument("S"), fallback(15))]
+    seconds: u64,
+    /// Number of seeds
+    #[bpaf(argument("N"), fallback(3))]
+    seeds: u64,
+    /// Measure fleets at rest only
+    rest_only: bool,
+    /// File for the figures, in JSON
+    #[bpaf(argument("FILE"), fallback(PathBuf::from("measure.json")))]
+    output: PathBuf,
+}
+
+/// Runs every workload at every load and prints the figures.
+///
+/// # Errors
+///
+/// Fails when a testbed does not start or the figures cannot be read or written.
+pub async fn run_measure(options: MeasureOptions) -> anyhow::Result<()> {
+    let mut reports = Vec::new();
+    let workloads = if options.rest_only {
+        &[][..]
+    } else {
+        &WORKLOADS[..]
+    };
+    for workload in workloads.iter().copied() {
+        let faulty = LOADS.map(|load_percent| (load_percent, false));
+        for (load_percent, with_faults) in faulty.into_iter().chain([(KNEE_PERCENT, true)]) {
+            for seed in 1..=options.seeds {
+                let case = RunCase {
+                    workload,
+                    load_percent,
+                    with_faults,
+                    seed,
+                };
+                let report = run_case(case, options.seconds).await?;
+                println!("{}", run_table(std::slice::from_ref(&report)));
+                reports.push(report);
+            }
+        }
+    }
+    let mut rest = Vec::new();
+    for engines in REST_ENGINES {
+        let figures = measure_rest(engines).await?;
+        println!("at rest: {figures}");
+        rest.push(figures);
+    }
+    println!("{}", run_table(&reports));
+    println!("baselines: not run; the daemon offers no way to choose them");
+    let figures = json!({"runs": reports, "rest": rest});
+    let text = serde_json::to_string_pretty(&figures).context("encoding the figures")?;
+    std::fs::write(&options.output, text).with_context(|| format!("writing {}", options.output.display()))
+}
+
+async fn run_case(case: RunCase, seconds: u64) -> anyhow::Result<RunReport> {
+    let mut testbed = Testbed::start(case.workload.deployment(ENGINES)).await?;
+    let before = read_object_counts(&testbed).await?;
+    let start = Instant::now();
+    let plans = case.workload.plan_programs(case.load_percent, seconds, case.seed);
+    let players = plans.into_iter().enumerate().map(|(number, plan)| {
+        let caller = MeasureCaller::new(case.workload, testbed.entry_urls(), number);
+        tokio::spawn(caller.play(plan, start))
+    });
+    let players: Vec<_> = players.collect();
+    if case.with_faults {
+        tokio::time::sleep_until(start + Duration::from_secs(seconds / 2)).await;
+        testbed.kill(KILLED_ENTRY).await?;
+        let hosts = case.workload.engine_hosts();
+        testbed.kill(hosts.last().context("no engines")?).await?;
+    }
+    let results: Result<Vec<_>, _> = join_all(players).await.into_iter().collect();
+    let results = results.context("a caller ended early")?;
+    let mut report = RunReport::new(case, &results, start.elapsed().as_secs_f64())?;
+    let mut records = Vec::new();
+    for host in case.workload.engine_hosts() {
+        records.extend(read_records(&testbed, &host).await?);
+    }
+    report.add_records(&records);
+    report.add_object_calls(before, read_object_counts(&testbed).await?);
+    Ok(report)
+}
+
+/// Measures what a fleet without calls costs.
+async fn measure_rest(engines: u64) -> anyhow::Result<serde_json::Value> {
+    let testbed = Testbed::start(WorkloadKind::Kelanimatch.deployment(engines)).await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (calls, costs) = (read_object_counts(&testbed).await?, cost::read_costs());
+    tokio::time::sleep(Duration::from_secs(REST_S)).await;
+    let (later, spent) = (read_object_counts(&testbed).await?, cost::read_costs());
+    let hosts = costs.iter().zip(&spent).map(|(before, after)| {
+        let cpu_ms_per_s = (after.cpu_s - before.cpu_s) * 1_000.0 / Duration::from_secs(REST_S).as_secs_f64();
+        json!({"host": after.host, "cpu_ms_per_s": cpu_ms_per_s, "resident_kib": after.resident_kib})
+    });
+    Ok(json!({
+        "engines": engines,
+        "seconds": REST_S,
+        "object_reads": later.reads - calls.reads,
+        "object_writes": later.writes - calls.writes,
+        "object_watches": later.watches - calls.watches,
+        "hosts": hosts.collect::<Vec<_>>(),
+    }))
+}
+
+async fn read_object_counts(testbed: &Testbed) -> anyhow::Result<ObjectCounts> {
+    let url = format!("{}/control/counts", testbed.standin_url("object-api"));
+    send_request("GET", &url, &[], "").await?.decode()
+}
+
+async fn read_records(testbed: &Testbed, host: &str) -> anyhow::Result<Vec<RequestRecord>> {
+    let url = format!("{}/control/records", testbed.standin_url(host));
+    send_request("GET", &url, &[], "").await?.decode()
+}
