Shorten the budget's tests, and watch fleets at rest at two heartbeat intervals

Cause: the tests were long for what they say; the cost at rest was taken at the testbed's heartbeat interval only.

--- a/components/budget/tests/limits.rs
+++ b/components/budget/tests/limits.rs
@@ -10,7 +10,7 @@
 use errors::{CallError, RunState};
 use googletest::prelude::*;
 use platform::{MemoryFaults, MemoryStore, ObjectStore as _};
-use support::{LIMIT, OUTAGE, WINDOW_S, keeper, team, team_name};
+use support::{LIMIT, OUTAGE, WINDOW_S, keeper, report, reserve, team};
 
 const WINDOW_MS: u64 = WINDOW_S * 1_000;
 
@@ -24,11 +24,10 @@
     let store = Arc::new(MemoryStore::new());
     store.set_date(TimeMillis(10 * WINDOW_MS + 5_000));
     let keeper = keeper(&store, 1, 1);
-    let reserve = async |amount| keeper.reserve(&team_name(), MicroUnits(amount)).await;
-    let old = reserve(LIMIT - 10).await.expect("the budget is fresh");
-    let late = reserve(10).await.expect("the rest is left");
+    let old = reserve(&keeper, LIMIT - 10).await.expect("the budget is fresh");
+    let late = reserve(&keeper, 10).await.expect("the rest is left");
     expect_that!(old.window_start(), eq(TimeMillis(10 * WINDOW_MS)));
-    let refusal = reserve(11).await.expect_err("all is held");
+    let refusal = reserve(&keeper, 11).await.expect_err("all is held");
     expect_that!(
         code_and_retry(&refusal),
         eq((3002, Some(2_000))),
@@ -37,15 +36,12 @@
     expect_that!(refusal.run, eq(RunState::NotRun));
     keeper.settle(&old, MicroUnits(LIMIT - 10));
     tokio::time::advance(Duration::from_secs(2)).await;
-    let refusal = reserve(11).await.expect_err("all but 10 is spent");
+    let refusal = reserve(&keeper, 11).await.expect_err("all but 10 is spent");
     expect_that!(code_and_retry(&refusal), eq((3002, Some(WINDOW_MS - 5_000))));
 
     tokio::time::advance(Duration::from_secs(2)).await;
     store.set_date(TimeMillis(11 * WINDOW_MS));
-    let new = keeper
-        .reserve(&team_name(), MicroUnits(LIMIT))
-        .await
-        .expect("the window has turned");
+    let new = reserve(&keeper, LIMIT).await.expect("the window has turned");
     expect_that!(new.window_start(), eq(TimeMillis(11 * WINDOW_MS)));
     keeper.settle(&late, MicroUnits(7));
     keeper.settle(&new, MicroUnits(LIMIT));
@@ -59,16 +55,13 @@
         "a late settlement goes to its window"
     );
     store.set_date(TimeMillis(10 * WINDOW_MS + 6_000));
-    let report = keeper.report(&team_name()).await.expect("the object API answers");
+    let found = report(&keeper).await;
     expect_that!(
-        (report.window_start, report.spent.0, report.left.0),
+        (found.window_start, found.spent.0, found.left.0),
         eq((new.window_start(), LIMIT, 0))
     );
     tokio::time::advance(Duration::from_secs(2)).await;
-    let refusal = keeper
-        .reserve(&team_name(), MicroUnits(1))
-        .await
-        .expect_err("the window stays");
+    let refusal = reserve(&keeper, 1).await.expect_err("the window stays");
     expect_that!(refusal.code.number(), eq(3002));
 }
 
@@ -78,40 +71,28 @@
     let store = Arc::new(MemoryStore::new());
     let keepers = [keeper(&store, 1, 2), keeper(&store, 2, 2)];
     for keeper in &keepers {
-        let reservation = keeper
-            .reserve(&team_name(), MicroUnits(1_000))
-            .await
-            .expect("the budget suffices");
+        let reservation = reserve(keeper, 1_000).await.expect("the budget suffices");
         keeper.settle(&reservation, MicroUnits(1_000));
     }
     for keeper in &keepers {
         keeper.set_teams(&[team(1_500)], 2);
-        let refusal = keeper
-            .reserve(&team_name(), MicroUnits(1))
-            .await
-            .expect_err("2,000 are spent");
+        let refusal = reserve(keeper, 1).await.expect_err("2,000 are spent");
         expect_that!(refusal.code.number(), eq(3002));
     }
     for keeper in &keepers {
         keeper.set_teams(&[team(2_100)], 2);
     }
-    let raised = keepers[0].reserve(&team_name(), MicroUnits(60)).await;
+    let raised = reserve(&keepers[0], 60).await;
     expect_that!(
         raised,
         ok(anything()),
         "what the lowered limit took away is free again"
     );
-    let refusal = keepers[1]
-        .reserve(&team_name(), MicroUnits(60))
-        .await
-        .expect_err("40 are left");
+    let refusal = reserve(&keepers[1], 60).await.expect_err("40 are left");
     expect_that!(refusal.code.number(), eq(3002));
     let none: [TeamConfig; 0] = [];
     keepers[0].set_teams(&none, 2);
-    expect_that!(
-        keepers[0].reserve(&team_name(), MicroUnits(1)).await,
-        err(anything())
-    );
+    expect_that!(reserve(&keepers[0], 1).await, err(anything()));
 }
 
 #[gtest]
@@ -119,27 +100,13 @@
 async fn an_outage_leaves_held_slices_in_use_and_causes_no_storm() {
     let store = Arc::new(MemoryStore::new());
     let keeper = keeper(&store, 1, 4);
-    keeper
-        .reserve(&team_name(), MicroUnits(1))
-        .await
-        .expect("the budget suffices");
-    let held = keeper
-        .report(&team_name())
-        .await
-        .expect("the object API answers")
-        .reserved
-        .0;
+    reserve(&keeper, 1).await.expect("the budget suffices");
+    let held = report(&keeper).await.reserved.0;
     store.set_faults(OUTAGE);
     let (reads, _) = store.call_counts();
-    expect_that!(
-        keeper.reserve(&team_name(), MicroUnits(held - 1)).await,
-        ok(anything())
-    );
+    expect_that!(reserve(&keeper, held - 1).await, ok(anything()));
     for _ in 0..10_000 {
-        let refusal = keeper
-            .reserve(&team_name(), MicroUnits(1))
-            .await
-            .expect_err("the slice is used up");
+        let refusal = reserve(&keeper, 1).await.expect_err("the slice is used up");
         expect_that!(code_and_retry(&refusal), (eq(3012), some(all!(ge(250), le(500)))));
         tokio::time::advance(Duration::from_millis(1)).await;
     }
@@ -147,7 +114,7 @@
     expect_that!(calls, le(10_000 / 250 + 1));
     store.set_faults(MemoryFaults::default());
     tokio::time::advance(Duration::from_millis(500)).await;
-    expect_that!(keeper.reserve(&team_name(), MicroUnits(1)).await, ok(anything()));
+    expect_that!(reserve(&keeper, 1).await, ok(anything()));
 }
 
 #[gtest]
@@ -155,10 +122,7 @@
 async fn an_exhausted_budget_is_looked_at_once_a_second() {
     let store = Arc::new(MemoryStore::new());
     let keeper = keeper(&store, 1, 4);
-    let refusal = keeper
-        .reserve(&team_name(), MicroUnits(LIMIT + 1))
-        .await
-        .expect_err("it is too dear");
+    let refusal = reserve(&keeper, LIMIT + 1).await.expect_err("it is too dear");
     expect_that!(
         code_and_retry(&refusal),
         eq((3002, None)),
@@ -166,16 +130,10 @@
     );
     let (reads, _) = store.call_counts();
     for _ in 0..1_000 {
-        expect_that!(
-            keeper.reserve(&team_name(), MicroUnits(LIMIT + 1)).await,
-            err(anything())
-        );
+        expect_that!(reserve(&keeper, LIMIT + 1).await, err(anything()));
     }
     expect_that!(store.call_counts().0, eq(reads));
-    expect_that!(
-        keeper.reserve(&team_name(), MicroUnits(LIMIT)).await,
-        ok(anything())
-    );
+    expect_that!(reserve(&keeper, LIMIT).await, ok(anything()));
 }
 
 #[gtest]
@@ -183,17 +141,14 @@
 async fn settles_exactly_reports_an_excess_and_returns_idle_slices() {
     let store = Arc::new(MemoryStore::new());
     let (first, second) = (keeper(&store, 1, 2), keeper(&store, 2, 2));
-    let reservation = first
-        .reserve(&team_name(), MicroUnits(1_000))
-        .await
-        .expect("the budget suffices");
+    let reservation = reserve(&first, 1_000).await.expect("the budget suffices");
     first.settle(&reservation, MicroUnits(1_200));
     first.flush().await.expect("the object API answers");
     first.flush().await.expect("the object API answers");
-    let report = first.report(&team_name()).await.expect("the object API answers");
-    let parts = (report.spent.0, report.excess.0, report.reserved.0, report.left.0);
+    let found = report(&first).await;
+    let parts = (found.spent.0, found.excess.0, found.reserved.0, found.left.0);
     expect_that!(parts, eq((1_200, 200, 0, LIMIT - 1_200)));
-    let rest = second.reserve(&team_name(), MicroUnits(LIMIT - 1_200)).await;
+    let rest = reserve(&second, LIMIT - 1_200).await;
     expect_that!(rest, ok(anything()), "idle slices come back");
 }
 
@@ -203,10 +158,7 @@
     let store = Arc::new(MemoryStore::new());
     let keeper = keeper(&store, 1, 1);
     for _ in 0..1_000 {
-        let reservation = keeper
-            .reserve(&team_name(), MicroUnits(100))
-            .await
-            .expect("the budget suffices");
+        let reservation = reserve(&keeper, 100).await.expect("the budget suffices");
         keeper.settle(&reservation, MicroUnits(100));
         keeper.flush().await.expect("the object API answers");
     }
--- a/components/budget/tests/spending.rs
+++ b/components/budget/tests/spending.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use googletest::prelude::*;
 use platform::MemoryFaults;
-use support::{FaultyStore, LIMIT, SpendJudge, keeper, spend, team_name};
+use support::{FaultyStore, LIMIT, SpendJudge, keeper, report, reserve, spend, team_name};
 
 const SEEDS: u64 = 12;
 const START: TimeMillis = TimeMillis(0);
@@ -54,13 +54,9 @@
             for (_, keeper) in &keepers {
                 keeper.close().await.expect("the object API answers in the end");
             }
-            let report = keepers[0]
-                .1
-                .report(&team_name())
-                .await
-                .expect("the object API answers");
+            let found = report(&keepers[0].1).await;
             assert_eq!(store.open_slices().await, 0, "seed {seed}");
-            let sums = (report.spent.0, report.reserved.0, report.left.0);
+            let sums = (found.spent.0, found.reserved.0, found.left.0);
             assert_eq!(sums, (spent, 0, unused), "seed {seed}");
         }
     }
@@ -78,13 +74,7 @@
             .expect("the budget suffices");
         let held_back = LIMIT - judge.total(START).spent - judge.total(START).open;
         let heirs = [2, 3, 4].map(|owner| (owner, keeper(&store, owner, 4)));
-        let rest = heirs[0]
-            .1
-            .report(&team_name())
-            .await
-            .expect("the object API answers")
-            .left
-            .0;
+        let rest = report(&heirs[0].1).await.left.0;
         assert!(
             rest < held_back,
             "the slice of the dead counts as spent; seed {seed}"
@@ -119,15 +109,11 @@
                 .expect("it is closed already");
             keeper.close().await.expect("the object API answers in the end");
         }
-        let report = heirs[0]
-            .1
-            .report(&team_name())
-            .await
-            .expect("the object API answers");
+        let found = report(&heirs[0].1).await;
         assert_eq!(store.open_slices().await, 0, "seed {seed}");
         let spent = judge.total(START).spent;
         assert_eq!(
-            (report.spent.0, report.left.0),
+            (found.spent.0, found.left.0),
             (spent, LIMIT - spent),
             "seed {seed}"
         );
@@ -139,16 +125,13 @@
 async fn a_dead_owners_slice_without_proof_counts_as_spent_whole() {
     let store = FaultyStore::new(1, 0);
     let (dead, heir) = (keeper(&store, 1, 4), keeper(&store, 2, 4));
-    let reservation = dead
-        .reserve(&team_name(), MicroUnits(100))
-        .await
-        .expect("the budget suffices");
-    let before = heir.report(&team_name()).await.expect("the object API answers");
+    let reservation = reserve(&dead, 100).await.expect("the budget suffices");
+    let before = report(&heir).await;
     expect_that!(before.reserved, ge(reservation.amount()));
     heir.adopt_slice(IncarnationId(1), &[])
         .await
         .expect("the object API answers");
-    let after = heir.report(&team_name()).await.expect("the object API answers");
+    let after = report(&heir).await;
     assert_eq!((after.spent, after.left), (before.reserved, before.left));
 }
 
@@ -160,7 +143,7 @@
     let before = store.inner.call_counts();
     let calls = (0..200).map(|_| {
         let keeper = Arc::clone(&keeper);
-        async move { keeper.reserve(&team_name(), MicroUnits(10)).await }
+        async move { reserve(&keeper, 10).await }
     });
     let reserved = join_all(calls).await;
     assert!(reserved.iter().all(Result::is_ok));
@@ -178,10 +161,7 @@
 async fn a_return_that_takes_effect_late_does_not_free_what_is_in_use() {
     let store = FaultyStore::new(1, 0);
     let (first, second) = (keeper(&store, 1, 1), keeper(&store, 2, 1));
-    let warm = first
-        .reserve(&team_name(), MicroUnits(1))
-        .await
-        .expect("the budget suffices");
+    let warm = reserve(&first, 1).await.expect("the budget suffices");
     first.settle(&warm, MicroUnits(1));
     store.hold_next_write();
     first
@@ -189,12 +169,9 @@
         .await
         .expect_err("the return is held and the object API is down");
     store.inner.set_faults(MemoryFaults::default());
-    first
-        .reserve(&team_name(), MicroUnits(LIMIT / 8))
-        .await
-        .expect("the budget suffices");
+    reserve(&first, LIMIT / 8).await.expect("the budget suffices");
     store.deliver_late().await;
-    let rest = second.reserve(&team_name(), MicroUnits(LIMIT - LIMIT / 8)).await;
+    let rest = reserve(&second, LIMIT - LIMIT / 8).await;
     expect_that!(rest, err(anything()), "one unit is spent");
 }
 
@@ -203,10 +180,7 @@
 async fn an_owner_that_was_sealed_by_mistake_loses_its_slice_at_the_next_look() {
     let store = FaultyStore::new(1, 0);
     let (paused, heir) = (keeper(&store, 1, 2), keeper(&store, 2, 2));
-    paused
-        .reserve(&team_name(), MicroUnits(1))
-        .await
-        .expect("the budget suffices");
+    reserve(&paused, 1).await.expect("the budget suffices");
     let proof = ProvenSpend {
         team: team_name(),
         window_start: START,
@@ -216,13 +190,8 @@
     heir.adopt_slice(IncarnationId(1), &[proof])
         .await
         .expect("the object API answers");
-    heir.reserve(&team_name(), MicroUnits(LIMIT - 1))
-        .await
-        .expect("all but one unit is free");
+    reserve(&heir, LIMIT - 1).await.expect("all but one unit is free");
     paused.flush().await.expect("the object API answers");
-    let refusal = paused
-        .reserve(&team_name(), MicroUnits(1))
-        .await
-        .expect_err("the heir holds the rest");
+    let refusal = reserve(&paused, 1).await.expect_err("the heir holds the rest");
     expect_that!(refusal.code.number(), eq(3002));
 }
--- a/components/budget/tests/support/mod.rs
+++ b/components/budget/tests/support/mod.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use budget::{BudgetKeeper, BudgetObject, BudgetReservation};
+use budget::{BudgetKeeper, BudgetObject, BudgetReport, BudgetReservation};
 use bytes::Bytes;
 use domain::{IncarnationId, MicroUnits, TeamConfig, TeamName, TimeMillis};
+use errors::CallError;
 use platform::{
     MemoryFaults, MemoryStore, ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject,
     WriteCondition,
@@ -48,6 +49,15 @@
     keeper
 }
 
+pub async fn reserve(keeper: &BudgetKeeper, amount: u64) -> Result<BudgetReservation, CallError> {
+    keeper.reserve(&team_name(), MicroUnits(amount)).await
+}
+
+pub async fn report(keeper: &BudgetKeeper) -> BudgetReport {
+    let report = keeper.report(&team_name()).await;
+    report.expect("the object API answers")
+}
+
 type Write = (String, Bytes, WriteCondition);
 
 /// Loses, doubles the wait for, and delays writes at random; a late write takes effect after it was given up.
@@ -209,7 +219,7 @@
     let mut refusals = 0;
     for call in 0..calls {
         let worst = generator.random_range(1..=dearest);
-        let reservation = match keeper.reserve(&team_name(), MicroUnits(worst)).await {
+        let reservation = match reserve(keeper, worst).await {
             Ok(reservation) => reservation,
             Err(_) if refusals == PATIENCE => return None,
             Err(_) => {
--- a/components/standins/src/measure.rs
+++ b/components/standins/src/measure.rs
@@ -28,9 +28,12 @@
 const WORKLOADS: [WorkloadKind; 2] = [WorkloadKind::Kelanimatch, WorkloadKind::Salish];
 const KILLED_ENTRY: &str = "entry-2";
 /// Time in seconds for which a fleet is watched at rest.
-const REST_S: u64 = 5;
+const REST_S: u64 = 10;
 /// Engines of the fleets that are watched at rest.
 const REST_ENGINES: [u64; 3] = [2, 6, 14];
+/// Heartbeat intervals of the fleets that are watched at rest; the second is the product's default.
+const REST_HEARTBEATS_MS: [u64; 2] = [100, 500];
+const HEARTBEATS_TO_SUSPECT: u64 = 5;
 
 /// Extent of the measurement.
 #[derive(Debug, Clone, Bpaf)]
@@ -77,10 +80,12 @@
         }
     }
     let mut rest = Vec::new();
-    for engines in REST_ENGINES {
-        let figures = measure_rest(engines).await?;
-        println!("at rest: {figures}");
-        rest.push(figures);
+    for heartbeat_ms in REST_HEARTBEATS_MS {
+        for engines in REST_ENGINES {
+            let figures = measure_rest(engines, heartbeat_ms).await?;
+            println!("at rest: {figures}");
+            rest.push(figures);
+        }
     }
     println!("{}", run_table(&reports));
     println!("baselines: not run; the daemon offers no way to choose them");
@@ -118,8 +123,13 @@
 }
 
 /// Measures what a fleet without calls costs.
-async fn measure_rest(engines: u64) -> anyhow::Result<serde_json::Value> {
-    let testbed = Testbed::start(WorkloadKind::Kelanimatch.deployment(engines)).await?;
+async fn measure_rest(engines: u64, heartbeat_ms: u64) -> anyhow::Result<serde_json::Value> {
+    let mut deployment = WorkloadKind::Kelanimatch.deployment(engines);
+    let suspect_ms = heartbeat_ms * HEARTBEATS_TO_SUSPECT;
+    let timing = [("heartbeat-ms", heartbeat_ms), ("suspect-ms", suspect_ms)];
+    let rows = timing.map(|(key, millis)| (key.to_owned(), millis.to_string()));
+    deployment.timing = rows.to_vec();
+    let testbed = Testbed::start(deployment).await?;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let (calls, costs) = (read_object_counts(&testbed).await?, cost::read_costs());
     tokio::time::sleep(Duration::from_secs(REST_S)).await;
@@ -130,6 +140,7 @@
     });
     Ok(json!({
         "engines": engines,
+        "heartbeat_ms": heartbeat_ms,
         "seconds": REST_S,
         "object_reads": later.reads - calls.reads,
         "object_writes": later.writes - calls.writes,
