Choose the engines that load and unload models

Change: policy::place_models, a pure function of what the configuration wants and what the heartbeats tell: loads go to the service with the smallest share of its replicas and the failure domain with the fewest, a lasting surplus is unloaded one idle engine at a time. An engine that has not yet heard of the controller's term counts as loading, for an order of an earlier term may still reach it. ModelState says in one byte of the heartbeat what an engine holds.

With a mechanism taken out: no limit, 2 failed; leaving hosts ordered, 2 failed; unfenced engines not counted, 2 failed; a replica inside the wanted domains unloaded for a busy one outside, 1 failed (it passed before that case was added).

Conclusion: never more loads than the limit, never below wanted by an unload, never a leaving host.

--- a/components/domain/src/host.rs
+++ b/components/domain/src/host.rs
@@ -45,6 +45,28 @@
     pub state: HostState,
 }
 
+/// State of a service's model at one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ModelState {
+    /// The backend server takes no orders and always serves its service.
+    #[default]
+    Fixed,
+    /// The engine serves no call of the model.
+    Absent,
+    /// An order to load is under way.
+    Loading,
+    /// The engine serves the model.
+    Loaded,
+}
+
+impl ModelState {
+    /// Tells whether calls are served.
+    pub const fn is_serving(self) -> bool {
+        matches!(self, Self::Fixed | Self::Loaded)
+    }
+}
+
 /// Load of a backend server as its agent sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -65,6 +87,15 @@
     pub cache_size: TokenCount,
     /// Whether the backend server answers its agent.
     pub healthy: bool,
+    /// State of the service's model.
+    pub model: ModelState,
+}
+
+impl LoadDigest {
+    /// Tells whether the backend server answers and serves the service's model.
+    pub const fn is_serving(&self) -> bool {
+        self.healthy && self.model.is_serving()
+    }
 }
 
 /// What a process publishes about itself.
--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -17,7 +17,8 @@
     ServicePrices, TeamConfig,
 };
 pub use host::{
-    Heartbeat, HostRole, HostState, ListedHost, LoadDigest, MemberRecord, MemberState, MemberTable, heir_of,
+    Heartbeat, HostRole, HostState, ListedHost, LoadDigest, MemberRecord, MemberState, MemberTable,
+    ModelState, heir_of,
 };
 pub use key::{AttemptKey, AttemptNumber, CallKey, Generation, IncarnationId, ProgramKey, TenureNumber};
 pub use name::{FailureDomain, HostName, ServiceName, TeamName};
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod baseline;
 mod order;
+mod placement;
 mod price;
 mod queue;
 mod retention;
@@ -12,6 +13,7 @@
 pub use admission::{AdmissionFacts, REPETITION_LIMIT, admit_call};
 pub use baseline::{PolicyKind, call_priority_by, choose_server_by};
 pub use order::{CallFacts, ageing_bound_ms, call_priority};
+pub use placement::{EngineView, PlacementLimits, PlacementOrder, ServiceDemand, place_models};
 pub use price::{exact_price, worst_case_price};
 pub use queue::{CallOrder, CallQueue};
 pub use retention::{RetentionChoice, RetentionFacts, choose_retention};
