Order engines from one controller under a lease

Change: new crate controller. ControllerLease keeps the object "controller": its term grows at each take-over by a conditional update, a candidate waits by its own monotonic clock for a version that has not changed, a failed read starts that wait anew, a lost answer is settled by reading back. OrderBook turns configuration and heartbeats into orders of one term. The entry's task order_engines runs both; the three earliest live entries are candidates. Each term is announced to every agent first (EngineCommand::Announce), an order names the agent's start, and an agent that has not confirmed counts as loading, so an order held back in a frozen controller is refused or counted. The agent reports its engine's model in the heartbeat and refuses calls while it is not loaded and before an unload, which it refuses while calls wait or run. Calls go only to engines with the model loaded; an engine without GET /models counts as loaded.

--- a/components/agent/src/heartbeat.rs
+++ b/components/agent/src/heartbeat.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use wire::{HeartbeatPublisher, HeartbeatSubscriber};
 
+use crate::model::probe_model;
 use crate::process::follow_host_list;
 use crate::shared::{AgentShared, BackendReport};
 
@@ -43,7 +44,7 @@
 fn own_heartbeat(shared: &AgentShared, address: SocketAddr, sequence: u64) -> Heartbeat {
     let options = &shared.options;
     let applied = shared.configuration.load();
-    let BackendReport { load, healthy } = **shared.backend.load();
+    let BackendReport { load, healthy, model } = **shared.backend.load();
     let ledger = shared.ledger();
     Heartbeat {
         host: options.host.clone(),
@@ -67,6 +68,7 @@
             cache_used: load.cache_used,
             cache_size: load.cache_size,
             healthy,
+            model,
         }),
     }
 }
@@ -76,8 +78,8 @@
     loop {
         let report = probe_once(&shared).await;
         let before = shared.backend.swap(Arc::new(report));
-        if before.healthy != report.healthy {
-            info!(shared.options.log, "backend server"; "healthy" => report.healthy);
+        if before.healthy != report.healthy || before.model != report.model {
+            info!(shared.options.log, "backend server"; "healthy" => report.healthy, "model" => ?report.model);
         }
         tokio::time::sleep(shared.options.heartbeat_interval).await;
     }
@@ -90,11 +92,12 @@
             ..BackendReport::default()
         };
     }
-    let known = shared.backend.load().load;
+    let known = **shared.backend.load();
     let load = shared.engine.read_load().await;
     BackendReport {
         healthy: load.is_ok(),
-        load: load.unwrap_or(known),
+        model: probe_model(shared, known.model, load.is_ok()).await,
+        load: load.unwrap_or(known.load),
     }
 }
 
--- a/components/agent/src/ledger.rs
+++ b/components/agent/src/ledger.rs
@@ -53,6 +53,8 @@
     start: u64,
     limits: LedgerLimits,
     leaving: bool,
+    /// Whether the engine does not serve the model at present.
+    withdrawn: bool,
     queue: CallQueue,
     programs: ProgramTable,
     rows: BTreeMap<CallKey, CallRow>,
@@ -68,6 +70,7 @@
             start,
             limits,
             leaving: false,
+            withdrawn: false,
             queue: CallQueue::default(),
             programs: ProgramTable::new(),
             rows: BTreeMap::new(),
--- a/components/agent/src/ledger/dispatch.rs
+++ b/components/agent/src/ledger/dispatch.rs
@@ -130,6 +130,10 @@
         if self.leaving {
             return Some(leaving());
         }
+        if self.withdrawn {
+            let error = CallError::not_run(ResultCode::Leaving, "the engine does not serve the model");
+            return Some(error.with_retry_after_ms(LEAVING_RETRY_MS));
+        }
         let (DispatchOrder::Chat { start_before, .. } | DispatchOrder::Plain { start_before, .. }) = order;
         if start_before.is_some_and(|limit| limit < now) {
             return Some(expired());
--- a/components/agent/src/ledger/ending.rs
+++ b/components/agent/src/ledger/ending.rs
@@ -76,6 +76,18 @@
         self.leaving = false;
     }
 
+    /// Refuses new calls from now on unless calls wait or run; tells whether it does.
+    pub fn withdraw(&mut self) -> bool {
+        let idle = self.queue.is_empty() && self.running == 0;
+        self.withdrawn |= idle;
+        idle
+    }
+
+    /// Refuses new calls or takes them again, whatever waits or runs.
+    pub const fn set_withdrawn(&mut self, withdrawn: bool) {
+        self.withdrawn = withdrawn;
+    }
+
     /// Tells whether a call runs, or one that ended since `ended_since` has an outcome that nobody has read.
     pub fn has_unread(&self, ended_since: TimeMillis) -> bool {
         self.rows.values().any(|row| {
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod heartbeat;
 mod ledger;
+mod model;
 mod options;
 mod orders;
 mod output;
--- a/components/agent/src/orders.rs
+++ b/components/agent/src/orders.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use engine::OrderCommand;
-use errors::{CallError, ResultCode};
+use errors::{CallError, ResultCode, RunState};
 use slog::info;
 use tokio::sync::{mpsc, oneshot};
 use wire::{EngineCommand, EngineOrder, PortResult};
@@ -23,6 +23,7 @@
 
 /// Passes an order on and returns the engine's answer.
 pub(crate) async fn submit_order(shared: &AgentShared, order: EngineOrder) -> PortResult<()> {
+    check_start(shared, order.agent_start)?;
     raise_term(shared, order.term)?;
     let (done, answer) = oneshot::channel();
     let sent = shared.orders.try_send(PendingOrder { order, done });
@@ -45,11 +46,40 @@
 
 async fn send_order(shared: &AgentShared, order: &EngineOrder) -> PortResult<()> {
     raise_term(shared, order.term)?;
-    let (command, model) = match &order.command {
-        EngineCommand::Load(model) => (OrderCommand::Load, model),
-        EngineCommand::Unload(model) => (OrderCommand::Unload, model),
-    };
-    shared.engine.send_order(order.term, command, model).await
+    match &order.command {
+        EngineCommand::Announce => Ok(()),
+        EngineCommand::Load(model) => {
+            shared.begin_load();
+            let loaded = shared
+                .engine
+                .send_order(order.term, OrderCommand::Load, model)
+                .await;
+            let refused = loaded
+                .as_ref()
+                .is_err_and(|error| error.run != RunState::OutcomeUnknown);
+            if refused {
+                shared.fail_load();
+            }
+            loaded
+        }
+        EngineCommand::Unload(model) => {
+            shared.begin_unload()?;
+            let unloaded = shared
+                .engine
+                .send_order(order.term, OrderCommand::Unload, model)
+                .await;
+            shared.end_unload(&unloaded);
+            unloaded
+        }
+    }
+}
+
+fn check_start(shared: &AgentShared, start: u64) -> PortResult<()> {
+    if start == shared.start {
+        return Ok(());
+    }
+    let message = "the order was meant for an earlier start of the agent";
+    Err(CallError::not_run(ResultCode::AgentRestarted, message))
 }
 
 fn raise_term(shared: &AgentShared, term: u64) -> PortResult<()> {
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -19,6 +19,7 @@
 use crate::configuration::follow_configuration;
 use crate::heartbeat::{follow_hosts, hear_entries, probe_backend, publish_heartbeats};
 use crate::ledger::{CallLedger, LedgerLimits};
+use crate::model::ModelGate;
 use crate::options::AgentOptions;
 use crate::orders::{ORDER_QUEUE_LENGTH, PendingOrder, send_orders};
 use crate::port::serve_port;
@@ -77,6 +78,7 @@
             backend: ArcSwap::from_pointee(BackendReport::default()),
             orders: sender,
             largest_term: AtomicU64::new(0),
+            model: ModelGate::default(),
             draining: CancellationToken::new(),
             listed_leaving: AtomicBool::new(false),
             options,
--- a/components/agent/src/shared.rs
+++ b/components/agent/src/shared.rs
@@ -4,13 +4,14 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use domain::{AppliedConfiguration, ServiceKind};
+use domain::{AppliedConfiguration, ModelState, ServiceKind};
 use engine::{EngineClient, EngineLoad};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use crate::heartbeat::KnownEntry;
 use crate::ledger::CallLedger;
+use crate::model::ModelGate;
 use crate::options::AgentOptions;
 use crate::orders::PendingOrder;
 
@@ -19,6 +20,7 @@
 pub(crate) struct BackendReport {
     pub(crate) load: EngineLoad,
     pub(crate) healthy: bool,
+    pub(crate) model: ModelState,
 }
 
 /// State that the tasks of one agent share.
@@ -39,6 +41,7 @@
     pub(crate) backend: ArcSwap<BackendReport>,
     pub(crate) orders: mpsc::Sender<PendingOrder>,
     pub(crate) largest_term: AtomicU64,
+    pub(crate) model: ModelGate,
     /// Whether a planned stop is under way.
     pub(crate) draining: CancellationToken,
     /// Whether the host list shows this host as leaving.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod http;
 mod member;
 mod options;
+mod orders;
 mod owner;
 mod pool;
 mod process;
--- /dev/null
+++ b/components/entry/src/orders.rs
@@ -0,0 +1,213 @@
+//! Orders to engines: the entry that holds the controller's lease reconciles the models with the configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use controller::{
+    AgentFacts, ControllerLease, EngineAction, LeaseOptions, OrderBook, OrderTarget, OrderTiming,
+};
+use domain::{Generation, ModelState};
+use errors::CallError;
+use futures::future::join_all;
+use slog::{debug, info, warn};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use wire::{EngineCommand, EngineOrder};
+
+use crate::audit::AuditEvent;
+use crate::context::EntryContext;
+use crate::fleet::{PeerRecord, is_listed_leaving};
+use crate::options::EntryOptions;
+use crate::pool::{CALL_TIMEOUT, call_context, lost_answer};
+
+/// Renewals of the lease a suspicion time, as a factor of the suspicion time: 5 s at the default of 2.5 s.
+const RENEW_FACTOR: u32 = 2;
+/// Lapse of the lease as a factor of the suspicion time: 15 s at the default.
+const LAPSE_FACTOR: u32 = 6;
+/// Time that a surplus lasts before an unload, as a factor of the suspicion time: 30 s at the default.
+const SURPLUS_FACTOR: u32 = 12;
+/// Entries that try to take the lease; all others would only add to the object API's load.
+const CANDIDATES: usize = 3;
+const FIRST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Takes part in the lease and orders engines while holding it, until the entry stops.
+pub(crate) async fn order_engines(context: Arc<EntryContext>) {
+    let mut lease = ControllerLease::new(lease_options(&context.options));
+    let mut book: Option<OrderBook> = None;
+    let mut ticks = interval(context.options.heartbeat_interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if context.board.is_leaving() {
+            if let Err(error) = lease.release().await {
+                warn!(context.options.log, "controller's lease not released"; "error" => %error);
+            }
+            return;
+        }
+        if lease.term(Instant::now()).is_none() && !is_candidate(&context) {
+            continue;
+        }
+        if let Err(error) = lease.step(Instant::now()).await {
+            debug!(context.options.log, "controller's lease not settled"; "error" => %error);
+        }
+        let Some(term) = lease.term(Instant::now()) else {
+            continue;
+        };
+        if book.as_ref().is_none_or(|book| book.term() != term) {
+            book = Some(begin_term(&context, term));
+        }
+        if let Some(book) = &mut book
+            && context.has_heard_all()
+            && !send_orders(&context, book).await
+        {
+            lease.step_down();
+        }
+    }
+}
+
+fn lease_options(options: &EntryOptions) -> LeaseOptions {
+    LeaseOptions::builder()
+        .store(Arc::clone(&options.store))
+        .host(options.host.clone())
+        .holder(rand::random())
+        .renew_every(options.suspect_after * RENEW_FACTOR)
+        .lapse_after(options.suspect_after * LAPSE_FACTOR)
+        .build()
+}
+
+fn is_candidate(context: &EntryContext) -> bool {
+    let own = context.incarnation();
+    let members = context.board.members();
+    let live = members.table.live();
+    live.iter().take(CANDIDATES).any(|live| *live == own)
+}
+
+fn begin_term(context: &Arc<EntryContext>, term: u64) -> OrderBook {
+    info!(context.options.log, "controller"; "term" => term);
+    let event = AuditEvent::system(
+        &context.options.host,
+        "control",
+        format!("term {term}"),
+        String::new(),
+    );
+    record_event(context, event);
+    let timing = OrderTiming {
+        first_backoff: FIRST_BACKOFF,
+        heartbeat_delay: context.options.heartbeat_interval,
+        surplus_hold: context.options.suspect_after * SURPLUS_FACTOR,
+    };
+    OrderBook::new(term, timing)
+}
+
+/// Sends what follows from the present view; `false` when an agent has shown a later term.
+async fn send_orders(context: &Arc<EntryContext>, book: &mut OrderBook) -> bool {
+    let Some(applied) = context.board.configuration() else {
+        return true;
+    };
+    let fleet = context.board.fleet();
+    let agents: Vec<_> = fleet
+        .peers()
+        .iter()
+        .filter_map(|peer| agent_facts(context, peer))
+        .collect();
+    let orders = book.next_orders(&applied.content, &agents, Instant::now());
+    let term = book.term();
+    let sends = orders.iter().map(|(target, action)| {
+        let peer = fleet.peer(&target.host);
+        send_order(context, peer, target, action, term, applied.generation)
+    });
+    let answers = join_all(sends).await;
+    let mut holds = true;
+    for ((target, action), answer) in orders.iter().zip(answers) {
+        holds &= !OrderBook::is_deposed(&answer);
+        book.note_answer(target, action, &answer, Instant::now(), &mut rand::rng());
+        record_answer(context, target, action, &answer, term);
+    }
+    holds
+}
+
+/// Returns what matters of an agent's heartbeat; `None` for one that is silent and loads nothing.
+fn agent_facts(context: &EntryContext, peer: &PeerRecord) -> Option<AgentFacts> {
+    let heartbeat = &peer.heartbeat;
+    let load = heartbeat.load.as_ref()?;
+    let is_heard = peer.heard.elapsed() <= context.options.suspect_after;
+    if !is_heard && load.model != ModelState::Loading {
+        return None;
+    }
+    Some(AgentFacts {
+        target: OrderTarget {
+            host: heartbeat.host.clone(),
+            start: heartbeat.start,
+        },
+        service: load.service.clone(),
+        failure_domain: heartbeat.failure_domain.clone(),
+        model: load.model,
+        healthy: is_heard && load.healthy,
+        leaving: heartbeat.leaving || is_listed_leaving(context, &heartbeat.host),
+        calls: load.queued + load.running,
+        heard: peer.heard,
+    })
+}
+
+async fn send_order(
+    context: &EntryContext,
+    peer: Option<&PeerRecord>,
+    target: &OrderTarget,
+    action: &EngineAction,
+    term: u64,
+    generation: Generation,
+) -> Result<(), CallError> {
+    let Some(peer) = peer else {
+        return Err(CallError::not_run(
+            errors::ResultCode::PeerUnreachable,
+            "the agent is no longer heard",
+        ));
+    };
+    let address = peer.heartbeat.address;
+    let command = match action {
+        EngineAction::Announce => EngineCommand::Announce,
+        EngineAction::Load(model) => EngineCommand::Load(model.clone()),
+        EngineAction::Unload(model) => EngineCommand::Unload(model.clone()),
+    };
+    let order = EngineOrder {
+        term,
+        generation,
+        agent_start: target.start,
+        command,
+    };
+    let client = context.pool.agent(address).await?;
+    match client.order_engine(call_context(CALL_TIMEOUT), order).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            context.pool.forget(address);
+            Err(lost_answer(&error))
+        }
+    }
+}
+
+fn record_answer(
+    context: &Arc<EntryContext>,
+    target: &OrderTarget,
+    action: &EngineAction,
+    answer: &Result<(), CallError>,
+    term: u64,
+) {
+    let (word, model) = match action {
+        EngineAction::Announce => return,
+        EngineAction::Load(model) => ("load", model),
+        EngineAction::Unload(model) => ("unload", model),
+    };
+    if let Err(error) = answer {
+        info!(context.options.log, "order refused"; "host" => %target.host, "command" => word, "term" => term,
+            "code" => error.code.number(), "run" => ?error.run);
+        return;
+    }
+    let subject = format!("{model} at {}", target.host);
+    let event = AuditEvent::system(&context.options.host, word, subject, format!("term {term}"));
+    record_event(context, event);
+}
+
+/// Writes an event of the audit trail without holding the renewal of the lease up.
+fn record_event(context: &Arc<EntryContext>, event: AuditEvent) {
+    let context = Arc::clone(context);
+    tokio::spawn(async move { event.write_logged(&context).await });
+}
--- a/components/entry/src/owner/limits.rs
+++ b/components/entry/src/owner/limits.rs
@@ -103,7 +103,7 @@
         let holding = holdings.iter().find(|holding| holding.host == *host);
         views.push(ServerView {
             key: u32::try_from(peers.len()).unwrap_or(u32::MAX),
-            healthy: load.healthy,
+            healthy: load.is_serving(),
             leaving: peer.heartbeat.leaving || is_listed_leaving(context, host),
             queued: load.queued,
             running: load.running,
@@ -146,7 +146,11 @@
         let now = Instant::now();
         let mut agents = fleet.agents(name);
         agents.any(|peer| {
-            let healthy = peer.heartbeat.load.as_ref().is_some_and(|load| load.healthy);
+            let healthy = peer
+                .heartbeat
+                .load
+                .as_ref()
+                .is_some_and(domain::LoadDigest::is_serving);
             healthy && now.duration_since(peer.heard) <= context.options.suspect_after
         })
     };
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -24,6 +24,7 @@
 use crate::http::serve_http;
 use crate::member::{follow_members, heirs_of, join_members, record_seal, suspect_members};
 use crate::options::EntryOptions;
+use crate::orders::order_engines;
 use crate::owner::{OwnerCore, OwnerServer};
 use crate::upkeep::keep_up;
 
@@ -74,6 +75,7 @@
         tasks.spawn(suspect_members(Arc::clone(&context)));
         tasks.spawn(follow_seals(Arc::clone(&context)));
         tasks.spawn(rejoin_when_sealed(Arc::clone(&context)));
+        tasks.spawn(order_engines(Arc::clone(&context)));
         tasks.spawn(keep_up(Arc::clone(&context)));
         Ok(Self { context, http, tasks })
     }
--- a/components/standins/src/cli.rs
+++ b/components/standins/src/cli.rs
@@ -102,6 +102,9 @@
     let check_fencing = bpaf::long("check-fencing")
         .help("Refuse old fencing numbers")
         .switch();
+    let takes_orders = bpaf::long("takes-orders")
+        .help("Take orders without a model loaded")
+        .switch();
     let models = bpaf::long("model")
         .help("Model loaded at the start")
         .argument("NAME")
@@ -119,6 +122,7 @@
         check_fencing,
         load_ms,
         models,
+        takes_orders,
     })
 }
 
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -24,6 +24,7 @@
 
 pub use batch::RequestRecord;
 pub use cache::{CacheChange, CacheEvent, CachedProgram};
+pub use orders::OrderRecord;
 pub use prompt::{PromptMessage, count_tokens, expected_answer, prompt_hash};
 
 /// Settings of an engine. Times are in microseconds or milliseconds as the names say.
@@ -51,8 +52,10 @@
     pub check_fencing: bool,
     /// Time between two loads that the weight store grants; a load takes as long.
     pub load_ms: u64,
-    /// Models loaded at the start; any model is served when there are none.
+    /// Models loaded at the start; any model is served when there are none and the engine takes no orders.
     pub models: Vec<String>,
+    /// Whether orders are taken; an engine with models loaded at the start takes them as well.
+    pub takes_orders: bool,
 }
 
 impl Default for EngineSettings {
@@ -70,6 +73,7 @@
             check_fencing: false,
             load_ms: 0,
             models: Vec::new(),
+            takes_orders: false,
         }
     }
 }
@@ -202,7 +206,9 @@
                 request.apply(|order| self.order_cache(&request.path, &order))
             }
             ("POST", "/orders") => request.apply(|order| self.lock().orders.follow(&order)),
-            ("GET", "/models") => json_reply(&self.lock().orders.loaded()),
+            ("GET", "/models") => self.lock().orders.list(),
+            ("GET", "/control/unserved") => json_reply(&self.lock().orders.unserved()),
+            ("GET", "/control/orders") => json_reply(&self.lock().orders.records()),
             _ => self.answer_request(&request),
         })
     }
@@ -234,6 +240,7 @@
             return text_reply(StatusCode::INTERNAL_SERVER_ERROR, "ordered failure");
         }
         if !state.orders.serves(&request.model) {
+            state.orders.count_unserved();
             return text_reply(StatusCode::NOT_FOUND, "the model is not loaded");
         }
         state.batch.submit(request);
--- a/components/standins/src/engine/orders.rs
+++ b/components/standins/src/engine/orders.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use domain::TimeMillis;
 use hyper::StatusCode;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::EngineSettings;
-use crate::http::{Reply, empty_reply};
+use crate::http::{Reply, empty_reply, json_reply};
 
 /// What an order asks for.
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -26,6 +27,24 @@
     model: String,
 }
 
+/// An order as the engine answered it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrderRecord {
+    /// Fencing number.
+    pub fencing: u64,
+    /// Whether the order was to load.
+    pub load: bool,
+    /// Model.
+    pub model: String,
+    /// Status of the answer.
+    pub status: u16,
+    /// Time of the answer.
+    pub taken: TimeMillis,
+    /// Time at which an accepted load is ready.
+    pub ready: TimeMillis,
+}
+
 /// Models of an engine and the rate limit of the weight store.
 #[derive(Debug)]
 pub(crate) struct ModelOrders {
@@ -35,6 +54,8 @@
     serves_any: bool,
     models: Vec<(String, Instant)>,
     store_free: Instant,
+    records: Vec<OrderRecord>,
+    unserved: u64,
 }
 
 impl ModelOrders {
@@ -45,7 +66,9 @@
             check_fencing: settings.check_fencing,
             load: Duration::from_millis(settings.load_ms),
             largest_fencing: 0,
-            serves_any: settings.models.is_empty(),
+            serves_any: settings.models.is_empty() && !settings.takes_orders,
+            records: Vec::new(),
+            unserved: 0,
             models: settings.models.iter().map(|model| (model.clone(), now)).collect(),
             store_free: now,
         }
@@ -56,6 +79,30 @@
         self.serves_any || self.loaded().iter().any(|loaded| loaded == model)
     }
 
+    /// Answers with the loaded models; an engine that takes no orders knows no such list.
+    pub(crate) fn list(&self) -> Reply {
+        if self.serves_any {
+            empty_reply(StatusCode::NOT_FOUND)
+        } else {
+            json_reply(&self.loaded())
+        }
+    }
+
+    /// Counts a completion of a model that is not loaded.
+    pub(crate) const fn count_unserved(&mut self) {
+        self.unserved += 1;
+    }
+
+    /// Returns the completions refused because their model was not loaded.
+    pub(crate) const fn unserved(&self) -> u64 {
+        self.unserved
+    }
+
+    /// Returns every order that came.
+    pub(crate) fn records(&self) -> Vec<OrderRecord> {
+        self.records.clone()
+    }
+
     /// Lists the loaded models.
     pub(crate) fn loaded(&self) -> Vec<String> {
         let now = Instant::now();
@@ -65,6 +112,21 @@
 
     /// Follows an order or refuses it.
     pub(crate) fn follow(&mut self, order: &ModelOrder) -> Reply {
+        let reply = self.answer(order);
+        let taken = TimeMillis::now();
+        let load_ms = u64::try_from(self.load.as_millis()).unwrap_or(u64::MAX);
+        self.records.push(OrderRecord {
+            fencing: order.fencing,
+            load: matches!(order.command, OrderCommand::Load),
+            model: order.model.clone(),
+            status: reply.status().as_u16(),
+            taken,
+            ready: taken.plus(load_ms),
+        });
+        reply
+    }
+
+    fn answer(&mut self, order: &ModelOrder) -> Reply {
         if self.check_fencing && order.fencing < self.largest_fencing {
             return empty_reply(StatusCode::CONFLICT);
         }
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -18,7 +18,7 @@
 pub use demo::run_demo;
 pub use engine::{
     CacheChange, CacheEvent, CachedProgram, EngineFaults, EngineSettings, LoadReport, ModelEngine,
-    PromptMessage, RequestRecord, count_tokens, expected_answer, prompt_hash,
+    OrderRecord, PromptMessage, RequestRecord, count_tokens, expected_answer, prompt_hash,
 };
 pub use hosts::{HostList, HostListSettings};
 pub use http::ServerHandle;
--- a/components/standins/src/testbed/records.rs
+++ b/components/standins/src/testbed/records.rs
@@ -8,7 +8,7 @@
 
 use super::{PATIENCE, Testbed};
 use crate::client::send_json;
-use crate::engine::{CachedProgram, RequestRecord};
+use crate::engine::{CachedProgram, OrderRecord, RequestRecord};
 use crate::object::ObjectCounts;
 use crate::service::{KeyRuns, ServiceCall};
 
@@ -33,6 +33,24 @@
         self.read_standin(host, "/cache").await
     }
 
+    /// Returns every order that an engine was given.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub async fn engine_orders(&self, host: &str) -> anyhow::Result<Vec<OrderRecord>> {
+        self.read_standin(host, "/control/orders").await
+    }
+
+    /// Returns the completions that an engine refused because their model was not loaded.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub async fn engine_unserved(&self, host: &str) -> anyhow::Result<u64> {
+        self.read_standin(host, "/control/unserved").await
+    }
+
     /// Returns the calls that ran at a tool or plain service.
     ///
     /// # Errors
--- a/components/standins/src/testbed/settings.rs
+++ b/components/standins/src/testbed/settings.rs
@@ -99,6 +99,9 @@
     if settings.check_fencing {
         arguments.push("--check-fencing".to_owned());
     }
+    if settings.takes_orders {
+        arguments.push("--takes-orders".to_owned());
+    }
     for model in &settings.models {
         arguments.extend(["--model".to_owned(), model.clone()]);
     }
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -190,6 +190,8 @@
     pub term: u64,
     /// Generation of the configuration that the order follows from.
     pub generation: Generation,
+    /// Start of the agent that the order is meant for; a later start refuses it.
+    pub agent_start: u64,
     /// What to do.
     pub command: EngineCommand,
 }
@@ -198,6 +200,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EngineCommand {
+    /// Nothing but to refuse smaller terms from now on.
+    Announce,
     /// Load a model.
     Load(ServiceName),
     /// Unload a model.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -88,6 +88,7 @@
     match &host.load {
         _ if host.leaving => "leaving",
         Some(load) if !load.healthy => "unhealthy",
+        Some(load) if !load.model.is_serving() => "no model",
         _ => "live",
     }
 }
--- a/tests/cli/tool.rs
+++ b/tests/cli/tool.rs
@@ -11,7 +11,7 @@
 const STATUS: &str = r#"{"generation":7,"hosts":[
 {"name":"entry-1","role":"entry","failure_domain":"colombo-1","start":3,"generation":7,"leaving":false,"heard_ms":12,"load":null},
 {"name":"worker-1","role":"agent","failure_domain":"colombo-2","start":99,"generation":6,"leaving":true,"heard_ms":480,
-"load":{"service":"matcher","queued":4,"running":8,"capacity":8,"pending_tokens":900,"cache_used":70,"cache_size":100,"healthy":true}}],
+"load":{"service":"matcher","queued":4,"running":8,"capacity":8,"pending_tokens":900,"cache_used":70,"cache_size":100,"healthy":true,"model":"loaded"}}],
 "members":{"next":4,"members":[{"incarnation":3,"host":"entry-1","failure_domain":"colombo-1","address":"127.0.0.1:7101",
 "joined":1796330000000,"state":"live"}]},
 "budgets":[{"team":"kelanimatch","window_start":1796330000000,"limit":50000000,"spent":420,"reserved":80,"left":49999500}]}"#;
