--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -24,6 +24,7 @@
 use crate::http::serve_http;
 use crate::member::{announce_seal, follow_members, heirs_of, join_members, record_seal, suspect_members};
 use crate::options::EntryOptions;
+use crate::orders::order_engines;
 use crate::owner::{OwnerCore, OwnerServer};
 use crate::upkeep::{fold_journals, keep_up};
 
@@ -73,6 +74,7 @@
         tasks.spawn(suspect_members(Arc::clone(&context)));
         tasks.spawn(follow_seals(Arc::clone(&context)));
         tasks.spawn(rejoin_when_sealed(Arc::clone(&context)));
+        tasks.spawn(order_engines(Arc::clone(&context)));
         tasks.spawn(keep_up(Arc::clone(&context)));
         tasks.spawn(fold_journals(Arc::clone(&context)));
         Ok(Self { context, http, tasks })
