Test a small budget spent through two entries at once, by the engines' own counts

Cause: no test compared what a team is held to with what the engines generated. Change: eight programs spend 20,000 micro-units through two entries until they are refused, with and without a kill of one entry; the engines' token counts are the judge, and the operators' view must come to account for them.

--- /dev/null
+++ b/components/standins/tests/budget_limit.rs
@@ -0,0 +1,100 @@
+//! Small budgets spent through several entries at once, judged by the engines' own token counts.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{ENGINES, caller, start};
+use futures::future::join_all;
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use standins::{Deployment, ProgramSession, TeamCaller, Testbed};
+
+/// Budget of the team in micro-units.
+const BUDGET: u64 = 20_000;
+/// Programs that spend it at once.
+const PROGRAMS: usize = 8;
+/// Turns that each of them tries to take; together they cost a multiple of the budget.
+const TURNS: u64 = 60;
+/// Prices of the deployment's configuration text.
+const COMPLETION_TOKEN_PRICE: u64 = 3;
+const CALL_PRICE: u64 = 10;
+/// Longest wait for the entries to account for what they have spent.
+const ACCOUNT_PATIENCE: Duration = Duration::from_secs(45);
+
+/// Takes turns until one is refused for the budget and returns the number of turns answered.
+async fn spend(caller: TeamCaller) -> u64 {
+    let Ok(mut session) = ProgramSession::start(caller, "matcher", "ordinary", None).await else {
+        return 0;
+    };
+    for turn in 0..TURNS {
+        if session.turn("user", &format!("turn {turn}"), 50).await.is_err() {
+            return turn;
+        }
+    }
+    TURNS
+}
+
+async fn spent(testbed: &Testbed) -> u64 {
+    let mut price = 0;
+    for engine in ENGINES {
+        let records = testbed.engine_records(engine).await.unwrap();
+        let tokens = records
+            .iter()
+            .map(|record| record.prompt_tokens + record.completion_tokens * COMPLETION_TOKEN_PRICE);
+        price += tokens.sum::<u64>();
+    }
+    price + testbed.service_calls("notices-1").await.unwrap().len() as u64 * CALL_PRICE
+}
+
+/// Waits until the operators' view accounts for what the engines counted.
+async fn wait_accounted(testbed: &Testbed, spent: u64) {
+    let until = Instant::now() + ACCOUNT_PATIENCE;
+    loop {
+        let reply = testbed
+            .operate("entry-2", "GET", "/admin/usage/kelanimatch", "")
+            .await;
+        let usage: Value = reply.unwrap().decode().unwrap();
+        if usage["spent"].as_u64() >= Some(spent) {
+            expect_that!(usage["limit"], eq(&json!(BUDGET)));
+            return;
+        }
+        assert!(
+            Instant::now() < until,
+            "{spent} was used, the operators see {usage}"
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn small_budget_is_not_exceeded_by_two_entries_with_or_without_a_kill() {
+    for killed in [false, true] {
+        let budget = format!("budget = {BUDGET}");
+        let deployment = Deployment::kelanimatch().with_step_us(1_000);
+        let deployment = deployment.with_configured("budget = 50000000", &budget);
+        let (mut testbed, _permit) = start(deployment).await;
+        let callers = (0..PROGRAMS).map(|number| caller(&testbed, number % 2).with_patience_ms(10_000));
+        let spenders: Vec<_> = callers.map(|caller| tokio::spawn(spend(caller))).collect();
+        if killed {
+            while spent(&testbed).await < BUDGET / 4 {
+                tokio::task::yield_now().await;
+            }
+            testbed.kill("entry-1").await.unwrap();
+        }
+        let turns: u64 = join_all(spenders)
+            .await
+            .into_iter()
+            .map(|turns| turns.unwrap())
+            .sum();
+        let spent = spent(&testbed).await;
+        println!(
+            "killed {killed}: {turns} turns, {spent} of {BUDGET} spent, {} unused",
+            BUDGET.saturating_sub(spent)
+        );
+        expect_that!(spent, le(BUDGET));
+        expect_that!(spent, gt(0));
+        wait_accounted(&testbed, spent).await;
+    }
+}
