Return the rest of a dead owner's budget slice by journaled ceilings

Cause: an heir had no proof of what the dead owner spent, so the whole slice counted as spent: with two entries up to an eighth of a team's rest at each death. A repeatable call whose engine restarted in mid-answer (4001) or failed (4003) ended there, although another backend server could go on. Repeatable calls go on at another backend server with the delivered text as prefix.

--- a/components/budget/src/keeper.rs
+++ b/components/budget/src/keeper.rs
@@ -90,6 +90,12 @@
         taken.map(|window_start| budget.reservation(window_start, worst))
     }
 
+    /// Returns what this entry has spent and reserved of a team's window; zero for a window that it does not know.
+    pub fn used(&self, team: &TeamName, window_start: TimeMillis) -> MicroUnits {
+        self.find(team)
+            .map_or(MicroUnits::ZERO, |budget| budget.ledger().used(window_start))
+    }
+
     /// Settles a reservation exactly. What exceeds the reservation is charged to the team as well and appears
     /// in the report.
     pub fn settle(&self, reservation: &BudgetReservation, charged: MicroUnits) {
--- a/components/budget/src/ledger.rs
+++ b/components/budget/src/ledger.rs
@@ -189,6 +189,14 @@
         &mut self.windows[index]
     }
 
+    /// Returns the sum of what is spent and reserved in a window.
+    pub(crate) fn used(&self, window_start: TimeMillis) -> MicroUnits {
+        let window = self.find(window_start).ok().map(|index| &self.windows[index]);
+        window.map_or(MicroUnits::ZERO, |window| {
+            window.spent.saturating_add(window.reserved)
+        })
+    }
+
     pub(crate) fn window_mut(&mut self, window_start: TimeMillis) -> Option<&mut WindowLedger> {
         self.find(window_start).ok().map(|index| &mut self.windows[index])
     }
--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use budget::BudgetKeeper;
+use budget::{BudgetKeeper, ProvenSpend};
 use domain::{IncarnationId, MemberState, MemberTable, ProgramState, heir_of};
-use journal::{ProgramLedger, replay_journal, seal_journal};
+use journal::{BudgetSlice, ProgramLedger, replay_journal, seal_journal};
 use platform::ObjectStore;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::context::EntryContext;
-use crate::owner::{OwnerCore, resume_intents};
+use crate::owner::{OwnerCore, proven_spend, resume_intents};
 
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -72,26 +72,36 @@
     };
     let heirs = reader.heirs_of(from).unwrap_or_default();
     // What fell to another heir comes from that heir's journal once it is sealed in its turn.
-    let mine = reader
-        .read_estate(from)
-        .await?
+    let estate = reader.read_estate(from).await?;
+    let proven = proven_spend(&estate.ceilings);
+    let mine = estate
+        .programs
         .into_iter()
         .filter(|program| heir_of(program.key, heirs) == Some(own));
     let programs: Vec<_> = mine.map(|program| inherit(program, from)).collect();
     let count = programs.len();
     let cells = owner.adopt(from, programs).await?;
     resume_intents(context, owner, &cells);
-    tokio::spawn(adopt_budget(owner.budget().clone(), from));
+    tokio::spawn(adopt_budget(owner.budget().clone(), from, proven));
     Ok(count)
 }
 
 /// Closes the budget slices of a sealed incarnation; what its journal does not prove unspent counts as spent.
-async fn adopt_budget(budget: BudgetKeeper, from: IncarnationId) {
-    while budget.adopt_slice(from, &[]).await.is_err() {
+async fn adopt_budget(budget: BudgetKeeper, from: IncarnationId, proven: Vec<ProvenSpend>) {
+    while budget.adopt_slice(from, &proven).await.is_err() {
         sleep(RETRY_PAUSE).await;
     }
 }
 
+/// What a sealed incarnation left.
+#[derive(Debug)]
+struct Estate {
+    /// Programs in the order of their keys.
+    programs: Vec<ProgramState>,
+    /// Ceilings of spending.
+    ceilings: Vec<BudgetSlice>,
+}
+
 /// Reads what sealed incarnations left.
 #[derive(Debug, Clone, Copy)]
 struct EstateReader<'a> {
@@ -108,10 +118,10 @@
         }
     }
 
-    /// Returns the programs that an incarnation owned when it was sealed, those included that it had not adopted yet.
-    async fn read_estate(&self, from: IncarnationId) -> Result<Vec<ProgramState>> {
+    /// Returns what an incarnation owned when it was sealed, programs included that it had not adopted yet.
+    async fn read_estate(&self, from: IncarnationId) -> Result<Estate> {
         let ledger = self.replay_sealed(from).await?;
-        let mut estate = ledger.programs().to_vec();
+        let mut programs = ledger.programs().to_vec();
         for member in &self.table.members {
             let MemberState::Sealed { heirs } = &member.state else {
                 continue;
@@ -121,13 +131,17 @@
             }
             let unadopted = Box::pin(self.read_estate(member.incarnation)).await?;
             let fallen = unadopted
+                .programs
                 .into_iter()
                 .filter(|program| heir_of(program.key, heirs) == Some(from));
             for program in fallen {
-                insert_latest(&mut estate, program);
+                insert_latest(&mut programs, program);
             }
         }
-        Ok(estate)
+        Ok(Estate {
+            programs,
+            ceilings: ledger.slices().to_vec(),
+        })
     }
 
     /// Reads a journal behind its seal, which is put in first where the sealer has died before.
--- a/components/entry/src/owner/commit.rs
+++ b/components/entry/src/owner/commit.rs
@@ -82,6 +82,9 @@
         let _entered = self.gate().open_door().read().await;
         self.journal().append(records.clone()).await?;
         for record in &records {
+            if let Some(ceiling) = record.slice() {
+                self.ceilings.raise(&ceiling);
+            }
             if let Some(cell) = record.program().and_then(|key| self.table.find(key)) {
                 cell.apply(record);
             }
@@ -170,7 +173,9 @@
     pub(crate) async fn fold(&self) -> Result<(), JournalError> {
         self.gate().drain().await;
         let states: Vec<ProgramState> = self.table.all().iter().map(|cell| cell.program()).collect();
-        self.journal().fold(&states, &self.adopted(), &[]).await
+        self.journal()
+            .fold(&states, &self.adopted(), &self.ceilings.rows())
+            .await
     }
 }
 
--- a/components/entry/src/owner/core.rs
+++ b/components/entry/src/owner/core.rs
@@ -13,6 +13,7 @@
 use wire::{OutputChunk, OutputRequest, ProgramStart, ProgramSummary};
 
 use crate::owner::call::{OpenCall, cut_text, text_behind};
+use crate::owner::ceiling::CeilingTable;
 use crate::owner::cell::ProgramCell;
 use crate::owner::commit::CommitGate;
 use crate::owner::flight::FlightTable;
@@ -31,6 +32,8 @@
     pub(crate) table: ProgramTable,
     /// Calls in flight.
     pub(crate) flights: FlightTable,
+    /// Ceilings of spending that the journal holds.
+    pub(crate) ceilings: CeilingTable,
     gate: CommitGate,
     next_program: AtomicU64,
     fenced: AtomicBool,
@@ -47,6 +50,7 @@
             budget,
             table: ProgramTable::default(),
             flights: FlightTable::default(),
+            ceilings: CeilingTable::default(),
             gate: CommitGate::new(),
             next_program: AtomicU64::new(1),
             fenced: AtomicBool::new(false),
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod ceiling;
 mod cell;
 mod commit;
 mod core;
@@ -14,6 +15,7 @@
 mod settle;
 mod table;
 
+pub(crate) use ceiling::proven_spend;
 pub(crate) use core::{OwnerCore, unknown_program};
 pub(crate) use port::OwnerServer;
 pub(crate) use release::release_cache;
--- a/components/entry/src/owner/resume.rs
+++ b/components/entry/src/owner/resume.rs
@@ -16,7 +16,7 @@
 use crate::owner::cell::ProgramCell;
 use crate::owner::core::{OwnerCore, journal_refusal, not_owner};
 use crate::owner::limits::find_service;
-use crate::owner::run::{CallRunner, run_calls, waiting_answer};
+use crate::owner::run::{CallRunner, is_backend_loss, run_calls, waiting_answer};
 use crate::pool::{CALL_TIMEOUT, call_context};
 
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -112,6 +112,12 @@
         {
             return self.drop_adopted().await;
         }
+        if let CallOutcome::Failed(error) = &outcome
+            && is_backend_loss(error)
+            && self.is_repeatable()
+        {
+            return self.drop_adopted().await;
+        }
         self.close_adopted(intent, outcome, None).await
     }
 
@@ -150,13 +156,17 @@
         CallOutcome::Failed(not_owner())
     }
 
+    fn is_repeatable(&self) -> bool {
+        let service = find_service(&self.context, &self.call.request.service);
+        service.is_ok_and(|(_, service)| service.repeatable)
+    }
+
     /// Ends a call whose agent is lost: a repeatable one may be asked for again, any other has an unknown outcome.
     async fn give_adopted_up(&self, intent: &IntentRecord) -> CallOutcome {
         if self.owner.is_fenced() {
             return CallOutcome::Failed(not_owner());
         }
-        let service = find_service(&self.context, &self.call.request.service);
-        if service.is_ok_and(|(_, service)| service.repeatable) {
+        if self.is_repeatable() {
             return self.drop_adopted().await;
         }
         let unknown = CallError::unknown("the owner and the agent of the call were lost");
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -150,6 +150,10 @@
         };
         let worst = worst_price(&service, &shape);
         let reservation = self.owner.budget().reserve(&program.team, worst).await?;
+        if let Err(error) = self.owner.cover_spending(&reservation).await {
+            self.owner.budget().settle(&reservation, MicroUnits::ZERO);
+            return Err(error);
+        }
         let key = AttemptKey {
             call: self.call.key,
             tenure: program.tenure,
@@ -237,6 +241,11 @@
             AttemptEnd::Closed(CallOutcome::Failed(error)) if error.run == RunState::NotRun => {
                 self.drop_intent(live, error).await
             }
+            AttemptEnd::Closed(CallOutcome::Failed(error))
+                if service.repeatable && is_backend_loss(&error) =>
+            {
+                self.lose(live, service).await
+            }
             AttemptEnd::Closed(outcome) => self.finish(live, service, outcome).await,
             AttemptEnd::Lost => self.lose(live, service).await,
             AttemptEnd::Stopped => self.stop(live, service).await,
@@ -406,6 +415,11 @@
     }
 }
 
+/// Tells whether an attempt ended because its backend server was lost or failed: another one may answer.
+pub(crate) fn is_backend_loss(error: &CallError) -> bool {
+    matches!(error.code, ResultCode::OutcomeUnknown | ResultCode::BackendFailed)
+}
+
 /// Returns the price of a call by its final state; what cannot be proven unspent counts as spent.
 fn charge(service: &ServiceConfig, reservation: &BudgetReservation, outcome: &CallOutcome) -> MicroUnits {
     match outcome {
--- a/components/journal/src/ledger.rs
+++ b/components/journal/src/ledger.rs
@@ -38,18 +38,10 @@
     pub fn apply(&mut self, record: &JournalRecord) {
         match record {
             JournalRecord::Adopted { from } => self.insert_adopted(*from),
-            JournalRecord::Slice {
-                team,
-                window_start,
-                held,
-                spent,
-            } => self.insert_slice(BudgetSlice {
-                team: team.clone(),
-                window_start: *window_start,
-                held: *held,
-                spent: *spent,
-            }),
-            _ => self.apply_to_programs(record),
+            _ => match record.slice() {
+                Some(slice) => self.insert_slice(slice),
+                None => self.apply_to_programs(record),
+            },
         }
     }
 
@@ -100,7 +92,8 @@
             .slices
             .binary_search_by(|present| present.team.cmp(&slice.team))
         {
-            Ok(index) => self.slices[index] = slice,
+            Ok(index) if self.slices[index].is_surpassed_by(&slice) => self.slices[index] = slice,
+            Ok(_) => {}
             Err(index) => self.slices.insert(index, slice),
         }
     }
--- a/components/journal/src/record.rs
+++ b/components/journal/src/record.rs
@@ -20,6 +20,13 @@
     pub spent: MicroUnits,
 }
 
+impl BudgetSlice {
+    /// Tells whether another state of the same team's slice is later: of a later window, or with more spent.
+    pub fn is_surpassed_by(&self, other: &Self) -> bool {
+        (self.window_start, self.spent) < (other.window_start, other.spent)
+    }
+}
+
 /// One change that the journal keeps.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -78,6 +85,25 @@
 }
 
 impl JournalRecord {
+    /// Returns the budget slice that the record states.
+    pub fn slice(&self) -> Option<BudgetSlice> {
+        let Self::Slice {
+            team,
+            window_start,
+            held,
+            spent,
+        } = self
+        else {
+            return None;
+        };
+        Some(BudgetSlice {
+            team: team.clone(),
+            window_start: *window_start,
+            held: *held,
+            spent: *spent,
+        })
+    }
+
     /// Returns the program that the record changes.
     pub fn program(&self) -> Option<ProgramKey> {
         match self {
