--- a/components/agent/src/heartbeat.rs
+++ b/components/agent/src/heartbeat.rs
@@ -79,8 +79,11 @@
     loop {
         let report = probe_once(&shared).await;
         let before = shared.backend.swap(Arc::new(report));
-        if before.healthy != report.healthy || before.model != report.model {
-            info!(shared.options.log, "backend server"; "healthy" => report.healthy, "model" => ?report.model);
+        if before.healthy != report.healthy {
+            info!(shared.options.log, "backend server"; "healthy" => report.healthy);
+        }
+        if before.model != report.model {
+            info!(shared.options.log, "model"; "state" => ?report.model);
         }
         tokio::time::sleep(shared.options.heartbeat_interval).await;
     }
--- a/components/agent/tests/ledger/main.rs
+++ b/components/agent/tests/ledger/main.rs
@@ -5,3 +5,4 @@
 mod programs;
 mod queue;
 mod support;
+mod withdrawal;
--- a/components/controller/src/book.rs
+++ b/components/controller/src/book.rs
@@ -142,7 +142,7 @@
         let announcements = agents
             .iter()
             .zip(&views)
-            .filter(|(_, view)| !view.fenced && view.model != ModelState::Fixed);
+            .filter(|(_, view)| !view.fenced && !view.backing_off && view.model != ModelState::Fixed);
         let mut orders: Vec<_> = announcements
             .map(|((agent, _), _)| (agent.target.clone(), EngineAction::Announce))
             .collect();
--- a/components/entry/src/orders.rs
+++ b/components/entry/src/orders.rs
@@ -53,7 +53,7 @@
             continue;
         };
         if book.as_ref().is_none_or(|book| book.term() != term) {
-            book = Some(begin_term(&context, term));
+            book = Some(OrderBook::new(term, order_timing(&context.options)));
         }
         if let Some(book) = &mut book
             && context.has_heard_all()
@@ -81,21 +81,12 @@
     live.iter().take(CANDIDATES).any(|live| *live == own)
 }
 
-fn begin_term(context: &Arc<EntryContext>, term: u64) -> OrderBook {
-    info!(context.options.log, "controller"; "term" => term);
-    let event = AuditEvent::system(
-        &context.options.host,
-        "control",
-        format!("term {term}"),
-        String::new(),
-    );
-    record_event(context, event);
-    let timing = OrderTiming {
+fn order_timing(options: &EntryOptions) -> OrderTiming {
+    OrderTiming {
         first_backoff: FIRST_BACKOFF,
-        heartbeat_delay: context.options.heartbeat_interval,
-        surplus_hold: context.options.suspect_after * SURPLUS_FACTOR,
-    };
-    OrderBook::new(term, timing)
+        heartbeat_delay: options.heartbeat_interval,
+        surplus_hold: options.suspect_after * SURPLUS_FACTOR,
+    }
 }
 
 /// Sends what follows from the present view; `false` when an agent has shown a later term.
@@ -111,6 +102,9 @@
         .collect();
     let orders = book.next_orders(&applied.content, &agents, Instant::now());
     let term = book.term();
+    if orders.iter().any(|(_, action)| *action == EngineAction::Announce) {
+        info!(context.options.log, "controller"; "term" => term);
+    }
     let sends = orders.iter().map(|(target, action)| {
         let peer = fleet.peer(&target.host);
         send_order(context, peer, target, action, term, applied.generation)
