Say that a lost apply did not run only when it can never take effect

Cause: after a write without an answer the entry read the base back and said 5002 "not run", while the request could still be on its way; with another operator's text in force it said 7006 "not run", though the lost text may have been the base of that one.

Change: the same conditional write goes out again. Once it has won or met a conflict, the first can no longer take effect. With another text in force, or without an answer at all, the outcome is unknown. An answer outside the protocol counts as none.

--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -7,7 +7,7 @@
 use config::parse_configuration;
 use domain::{AppliedConfiguration, Generation};
 use errors::{CallError, ResultCode};
-use platform::{ObjectVersion, PlatformError, VersionedObject, WriteCondition};
+use platform::{ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use slog::{error, info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -118,41 +118,69 @@
 ///
 /// # Errors
 ///
-/// Returns 7006 when another generation is in force, and an error of the object API when it does not answer.
+/// Returns 7006 when another generation is in force, an error of the object API when it refused the write, and an
+/// unknown outcome when the write may have taken effect or may yet do so.
 pub(crate) async fn apply_configuration(
     context: &EntryContext,
     base: Generation,
     text: &str,
 ) -> Result<Generation, CallError> {
-    const SETTLE_TRIES: u32 = 5;
-    let store = context.options.store.as_ref();
+    match write_text(context, base, text).await {
+        Ok(version) => take_effect(context, Generation(version.0), text),
+        Err(PlatformError::NoAnswer(reason) | PlatformError::Protocol(reason)) => {
+            settle_lost_write(context, base, text, &reason).await
+        }
+        Err(PlatformError::Conflict) => Err(conflict(context, base).await),
+        Err(error) => Err(CallError::from(error).with_retry_after_ms(1000)),
+    }
+}
+
+async fn write_text(context: &EntryContext, base: Generation, text: &str) -> StoreResult<ObjectVersion> {
     let condition = match base {
         Generation(0) => WriteCondition::Absent,
         Generation(version) => WriteCondition::Version(ObjectVersion(version)),
     };
-    let written = store
-        .write(CONFIGURATION_KEY, Bytes::from(text.to_owned()), condition)
-        .await;
-    let error = match written {
-        Ok(version) => return take_effect(context, Generation(version.0), text),
-        Err(PlatformError::NoAnswer(reason)) => reason,
-        Err(PlatformError::Conflict) => return Err(conflict(context, base).await),
-        Err(error) => return Err(CallError::from(error).with_retry_after_ms(1000)),
-    };
+    let value = Bytes::from(text.to_owned());
+    let store = context.options.store.as_ref();
+    store.write(CONFIGURATION_KEY, value, condition).await
+}
+
+/// Settles a write without an answer by the same write again.
+///
+/// Reading the base back would prove nothing, for the lost write may still be on its way. Once a second write over
+/// the same base has won or met a conflict, the first one can no longer take effect.
+async fn settle_lost_write(
+    context: &EntryContext,
+    base: Generation,
+    text: &str,
+    reason: &str,
+) -> Result<Generation, CallError> {
+    const SETTLE_TRIES: u32 = 5;
     for _ in 0..SETTLE_TRIES {
-        if let Ok(Ok(present)) = timeout(CALL_TIMEOUT, store.read(CONFIGURATION_KEY)).await {
-            let present = present.filter(|object| Generation(object.version.0) != base);
-            return match present {
-                Some(object) if object.value == text.as_bytes() => {
-                    take_effect(context, Generation(object.version.0), text)
-                }
-                Some(_) => Err(conflict(context, base).await),
-                None => Err(CallError::not_run(ResultCode::PlatformTimeout, error).with_retry_after_ms(1000)),
-            };
+        match timeout(CALL_TIMEOUT, write_text(context, base, text)).await {
+            Ok(Ok(version)) => return take_effect(context, Generation(version.0), text),
+            Ok(Err(PlatformError::Conflict)) => return settle_moved_base(context, text).await,
+            Ok(Err(_)) | Err(_) => sleep(RETRY_PAUSE).await,
         }
-        sleep(RETRY_PAUSE).await;
     }
-    Err(CallError::unknown(format!("the object API gave no answer: {error}")).with_retry_after_ms(1000))
+    Err(CallError::unknown(format!("the object API gave no answer: {reason}")).with_retry_after_ms(1000))
+}
+
+/// Answers when the base is gone: by the lost write, or by another operator's.
+async fn settle_moved_base(context: &EntryContext, text: &str) -> Result<Generation, CallError> {
+    let present = context.options.store.read(CONFIGURATION_KEY).await;
+    let Ok(Some(object)) = present else {
+        let message = "the object API gave no answer, and the base is no longer in force";
+        return Err(CallError::unknown(message).with_retry_after_ms(1000));
+    };
+    let generation = Generation(object.version.0);
+    if object.value == text.as_bytes() {
+        return take_effect(context, generation, text);
+    }
+    raise(context, &object);
+    Err(CallError::unknown(format!(
+        "generation {generation} of another operator is in force; the text may have been in force before it"
+    )))
 }
 
 fn take_effect(context: &EntryContext, generation: Generation, text: &str) -> Result<Generation, CallError> {
