Ask the next entry when one hands out less than it announced

Cause: an agent ended its round at the first entry that answered; one that announces a generation which it does not hand out kept the agent at an earlier configuration for as long as it was heard.

Change: the round goes on until the agent has the generation that the next entry announces.

--- a/components/agent/src/configuration.rs
+++ b/components/agent/src/configuration.rs
@@ -36,12 +36,14 @@
     }
 }
 
-/// Fetches the highest generation that an entry hands out.
+/// Fetches the highest generation that an entry hands out; one that hands out less than it announced ends nothing.
 async fn fetch_newer(shared: &AgentShared, entries: &[Heartbeat]) {
-    let own = shared.generation();
-    for entry in entries.iter().take_while(|entry| entry.generation > own) {
+    for entry in entries {
+        if entry.generation <= shared.generation() {
+            return;
+        }
         match fetch_configuration(shared, entry.address).await {
-            Ok(applied) => return shared.apply_configuration(applied),
+            Ok(applied) => shared.apply_configuration(applied),
             Err(error) => {
                 warn!(shared.options.log, "configuration not fetched"; "host" => %entry.host, "cause" => %error);
             }
--- a/tests/rollout/main.rs
+++ b/tests/rollout/main.rs
@@ -319,6 +319,18 @@
     rollout.expect_no_step_back();
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_peer_that_hands_out_less_than_it_announced_holds_no_process_back() {
+    let rollout = Rollout::start(&[]).await;
+    let base = rollout.testbed.generation();
+    let peer = FakePeer::start(&rollout.testbed, base + 1_000_000, base, &rollout.text).await;
+    peer.wait_fetched(HOSTS.len()).await;
+    let last = rollout.apply_many(base, 3).await;
+    rollout.log.wait_generation(&HOSTS, 0, last).await;
+    rollout.expect_no_step_back();
+}
+
 #[gtest]
 #[tokio::test]
 async fn an_entry_refuses_hostile_texts_and_changes_nothing() {
