--- a/components/entry/src/http/admin.rs
+++ b/components/entry/src/http/admin.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use config::parse_configuration;
+use config::{TextFault, parse_configuration};
 use domain::{Generation, HostName, HostRole, TeamName};
 use errors::{CallError, ResultCode};
 use hyper::header::{HeaderName, HeaderValue};
@@ -30,16 +30,7 @@
 
 #[derive(Debug, Serialize)]
 struct FaultsBody {
-    faults: Vec<FaultBody>,
-}
-
-#[derive(Debug, Serialize)]
-struct FaultBody {
-    line: u32,
-    section: String,
-    key: String,
-    code: ResultCode,
-    message: String,
+    faults: Vec<TextFault>,
 }
 
 /// Answers an operator whose key has been checked.
@@ -95,19 +86,7 @@
     }
     let text = std::str::from_utf8(&request.body).map_err(|error| malformed(error.to_string()))?;
     if let Err(faults) = parse_configuration(text) {
-        let faults = faults.into_iter().map(|fault| FaultBody {
-            line: fault.line,
-            section: fault.section,
-            key: fault.key,
-            code: fault.code,
-            message: fault.message,
-        });
-        return Ok(json_reply(
-            StatusCode::BAD_REQUEST,
-            &FaultsBody {
-                faults: faults.collect(),
-            },
-        ));
+        return Ok(json_reply(StatusCode::BAD_REQUEST, &FaultsBody { faults }));
     }
     let generation = apply_configuration(context, base, text).await?;
     let detail = format!("base={base} bytes={}", text.len());
