--- a/components/agent/tests/process/calls.rs
+++ b/components/agent/tests/process/calls.rs
@@ -245,6 +245,7 @@
         let order = EngineOrder {
             term,
             generation: domain::Generation(1),
+            agent_start: bench.start,
             command,
         };
         let sent = client.order_engine(context(), order);
