--- a/components/standins/src/testbed/ready.rs
+++ b/components/standins/src/testbed/ready.rs
@@ -26,7 +26,12 @@
         }
     }
 
-    pub(super) async fn wait_reachable(&mut self, entry: &str) -> anyhow::Result<()> {
+    /// Waits until an entry answers its operators.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its process ended or the time ran out.
+    pub async fn wait_reachable(&mut self, entry: &str) -> anyhow::Result<()> {
         let until = Instant::now() + PATIENCE;
         while self.operate(entry, "GET", "/admin/status", "").await.is_err() {
             if let Some(child) = &mut self.process_mut(entry)?.child {
--- a/components/standins/tests/golden_sessions.rs
+++ b/components/standins/tests/golden_sessions.rs
@@ -1,9 +1,9 @@
 //! Whole sessions of both deployments against golden files.
 
-mod common;
 mod transcript;
 
-use common::start;
+use std::time::Duration;
+
 use expect_test::{ExpectFile, expect_file};
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -236,13 +236,38 @@
     session.transcript.into_text()
 }
 
+/// Starts the hosts behind the first entry, so that it is the one that controls the engines.
+async fn start_in_order(deployment: Deployment) -> Testbed {
+    let text = deployment.configuration.clone();
+    let mut testbed = Testbed::prepare(deployment).await.unwrap();
+    let hosts = testbed.host_names();
+    testbed.start_host(&hosts[0]).unwrap();
+    testbed.wait_reachable(&hosts[0]).await.unwrap();
+    loop {
+        let audit = testbed
+            .operate(&hosts[0], "GET", "/admin/audit?after=0", "")
+            .await
+            .unwrap();
+        if audit.text().contains("\"control\"") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for host in &hosts[1..] {
+        testbed.start_host(host).unwrap();
+    }
+    testbed.apply_configuration(&hosts[0], &text).await.unwrap();
+    testbed.wait_ready().await.unwrap();
+    testbed
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_sessions_equal_their_golden_files() {
     for plan in &SESSION_PLANS {
         let deployment = (plan.deployment)();
         let text = deployment.configuration.clone();
-        let (mut testbed, _permit) = start(deployment).await;
+        let mut testbed = start_in_order(deployment).await;
         let played = play_session(plan, &mut testbed, &text).await;
         (plan.golden)().assert_eq(&played);
     }
