--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	cargo bench --quiet --package policy --bench decisions
 	cargo bench --quiet --package budget --bench reservation
 	cargo bench --quiet --package agent --bench call
+	cargo bench --quiet --package journal --bench journal
 
 measure: setup
 	cargo build --quiet --release --workspace --bins
