Give heirs call numbers of their own, and log the code of a failed adoption

Cause: a call that may be repeated is handed out while its intent is still being written. Change: an heir numbers calls from the tenure times 1,000,000,000 on. A failed adoption is logged with its result code and tried again once a second, so that a corrupt segment is not read five times a second. The take-over tests cover a sealer that died before it could seal and two sealers at once with a heard member; every fixture address is the system's choice where it can be. Conclusion: numbers of calls are unique over all owners of a program.

--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -6,7 +6,8 @@
 use anyhow::Result;
 use budget::{BudgetKeeper, ProvenSpend};
 use domain::{IncarnationId, MemberState, MemberTable, ProgramState, heir_of};
-use journal::{BudgetSlice, ProgramLedger, replay_journal, seal_journal};
+use errors::{CallError, ResultCode};
+use journal::{BudgetSlice, JournalError, ProgramLedger, replay_journal, seal_journal};
 use platform::ObjectStore;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -17,6 +18,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Calls that one owner of a program may number; the next owner's numbers lie behind them.
+const CALLS_OF_A_TENURE: u64 = 1_000_000_000;
+
 /// Adopts programs whenever the member table names this incarnation as an heir.
 pub(crate) async fn follow_seals(context: Arc<EntryContext>) {
     let mut changed = context.board.watch_members();
@@ -29,9 +33,8 @@
                     info!(context.options.log, "adopted"; "incarnation" => from.0, "programs" => count);
                 }
                 Err(error) => {
-                    warn!(context.options.log, "adoption failed"; "incarnation" => from.0, "error" => format!("{error:#}"));
-                    sleep(RETRY_PAUSE).await;
-                    changed.mark_changed();
+                    warn!(context.options.log, "adoption failed"; "incarnation" => from.0,
+                        "code" => code_of(&error).number(), "error" => format!("{error:#}"));
                 }
             }
         }
@@ -160,8 +163,18 @@
     }
 }
 
+/// Returns the program as this incarnation takes it over.
+///
+/// The earlier owner may have handed out calls that are in no journal, since it was fenced before their intents got in.
+/// An agent knows a call by its number, so none of those numbers is used again.
 fn inherit(mut program: ProgramState, from: IncarnationId) -> ProgramState {
+    program.next_call = program.next_call.max(program.tenure.0 * CALLS_OF_A_TENURE + 1);
     program.tenure = program.tenure.next();
     program.past_owners.push(from);
     program
 }
+
+fn code_of(error: &anyhow::Error) -> ResultCode {
+    let journal = error.downcast_ref::<JournalError>().cloned();
+    journal.map_or(ResultCode::Internal, |error| CallError::from(error).code)
+}
--- a/components/entry/tests/folding.rs
+++ b/components/entry/tests/folding.rs
@@ -56,7 +56,7 @@
 async fn programs_start_while_a_fold_hangs() {
     let store = Arc::new(StuckStore::default());
     let shared: Arc<dyn ObjectStore> = Arc::<StuckStore>::clone(&store);
-    let entry = RunningEntry::start(shared, free_address(), Duration::from_mins(10)).await;
+    let entry = RunningEntry::start(shared, any_address(), Duration::from_mins(10)).await;
     entry.apply_configuration().await;
     for _ in 0..PROGRAMS {
         entry.start_program().await.expect("program");
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use cadence::{NopMetricSink, StatsdClient};
 use domain::{
-    CallKey, CallOutcome, CallReply, ChatMessage, ChatRole, FinishedCall, IncarnationId, MemberRecord,
-    MemberState, MemberTable, MicroUnits, ProgramKey, ProgramState, TimeMillis, TokenUsage, UrgencyClass,
+    CallKey, CallOutcome, CallReply, ChatMessage, ChatRole, FinishedCall, Generation, Heartbeat, HostRole,
+    HostState, IncarnationId, ListedHost, MemberRecord, MemberState, MemberTable, MicroUnits, ProgramKey,
+    ProgramState, TimeMillis, TokenUsage, UrgencyClass,
 };
 use entry::{EntryOptions, EntryProcess};
 use journal::{JournalRecord, JournalWriter};
@@ -18,11 +19,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
-use wire::ClusterSecret;
+use wire::{ClusterSecret, HeartbeatPublisher};
 
 const OPERATOR_KEY: &str = "operator-key-of-the-tests";
 const TEAM_KEY: &str = "team-key-of-the-tests";
 const LOOPBACK: &str = "127.0.0.1:0";
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
 const SPACING: Duration = Duration::from_millis(1);
 const BUFFER_BYTES: usize = 1 << 20;
 
@@ -42,17 +44,27 @@
 impl RunningEntry {
     /// Starts an entry whose process port has the address and that hears nobody.
     pub async fn start(store: Arc<dyn ObjectStore>, process: SocketAddr, suspect_after: Duration) -> Self {
+        Self::start_listening(store, process, suspect_after, lost_address()).await
+    }
+
+    /// Starts an entry that reads the host list at an address.
+    pub async fn start_listening(
+        store: Arc<dyn ObjectStore>,
+        process: SocketAddr,
+        suspect_after: Duration,
+        hosts: SocketAddr,
+    ) -> Self {
         let options = EntryOptions::builder()
             .host("entry-test".parse().expect("host"))
             .failure_domain("east".parse().expect("failure domain"))
-            .http(LOOPBACK.parse().expect("address"))
+            .http(any_address())
             .process(process)
-            .heartbeat(LOOPBACK.parse().expect("address"))
-            .secret(ClusterSecret::from_bytes(&[7; 32]).expect("secret"))
+            .heartbeat(any_address())
+            .secret(cluster_secret())
             .operator_key_sha256(hex::encode(Sha256::digest(OPERATOR_KEY)))
             .store(store)
-            .hosts(HostDirectory::new("http://127.0.0.1:1", "unused"))
-            .heartbeat_interval(Duration::from_millis(50))
+            .hosts(HostDirectory::new(&format!("http://{hosts}"), "unused"))
+            .heartbeat_interval(HEARTBEAT_INTERVAL)
             .suspect_after(suspect_after)
             .append_spacing(SPACING)
             .stop_grace(Duration::from_millis(100))
@@ -78,6 +90,14 @@
         Ok(contents.collect())
     }
 
+    /// Tells whether the entry has heard a host.
+    pub async fn hears(&self, host: &str) -> bool {
+        let status = self.request("GET", "/admin/status", OPERATOR_KEY, "").await;
+        let status = status.expect("status");
+        let mut hosts = status["hosts"].as_array().expect("hosts").iter();
+        hosts.any(|row| row["name"] == host)
+    }
+
     /// Starts a program of the team and returns its id, or the body of the refusal.
     pub async fn start_program(&self) -> Result<String, String> {
         let body = r#"{"urgency":"ordinary","deadline":null,"parent":null}"#;
@@ -123,6 +143,74 @@
     }
 }
 
+fn cluster_secret() -> ClusterSecret {
+    ClusterSecret::from_bytes(&[7; 32]).expect("secret")
+}
+
+/// Publishes heartbeats of a live member until the test ends, and returns the address of a host list that shows it.
+pub async fn publish_member(member: MemberRecord) -> SocketAddr {
+    let heartbeat = free_address();
+    let publisher = HeartbeatPublisher::bind(heartbeat, cluster_secret()).expect("publisher");
+    let row = ListedHost {
+        name: member.host.clone(),
+        role: HostRole::Entry,
+        failure_domain: member.failure_domain.clone(),
+        heartbeat,
+        state: HostState::Live,
+    };
+    tokio::spawn(async move {
+        for sequence in 1.. {
+            publisher
+                .publish(&heartbeat_of(&member, sequence))
+                .expect("publish");
+            tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        }
+    });
+    serve_hosts(&[row]).await
+}
+
+fn heartbeat_of(member: &MemberRecord, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        host: member.host.clone(),
+        role: HostRole::Entry,
+        failure_domain: member.failure_domain.clone(),
+        start: member.incarnation.0,
+        sequence,
+        address: member.address,
+        generation: Generation(0),
+        members: Generation(0),
+        leaving: false,
+        load: None,
+    }
+}
+
+async fn serve_hosts(rows: &[ListedHost]) -> SocketAddr {
+    let body = serde_json::to_string(rows).expect("rows");
+    let length = body.len();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}");
+    let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            // A request without a body comes in one piece over loopback.
+            let _ = connection.read(&mut request).await;
+            let _ = connection.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Returns the loopback address by which the system chooses a port.
+pub fn any_address() -> SocketAddr {
+    LOOPBACK.parse().expect("address")
+}
+
+/// Returns a loopback address at which nobody answers.
+pub fn lost_address() -> SocketAddr {
+    "127.0.0.1:1".parse().expect("address")
+}
+
 /// Returns a loopback address that nobody uses.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind(LOOPBACK).expect("bind");
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -10,12 +10,15 @@
 use bytes::Bytes;
 use domain::{IncarnationId, MemberState, ProgramKey, TenureNumber, heir_of};
 use googletest::prelude::*;
-use journal::{JournalError, JournalRecord, apply_to_program, seal_journal};
+use journal::{JournalError, JournalRecord, apply_to_program, replay_journal, seal_journal};
 use platform::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
 use support::*;
+use tokio::sync::Semaphore;
 
 /// Longer than any test runs.
 const NO_SUSPICION: Duration = Duration::from_mins(10);
+/// More turns than an owner finishes before it is suspected.
+const MOST_TURNS: u64 = 5000;
 
 fn memory_store() -> Arc<dyn ObjectStore> {
     Arc::new(MemoryStore::new())
@@ -25,13 +28,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_takes_over_from_an_earlier_incarnation_of_its_address() {
     let store = memory_store();
-    let address = free_address();
-    write_members(store.as_ref(), 2, vec![member(1, address, MemberState::Live)]).await;
+    let own_address = free_address();
+    write_members(store.as_ref(), 2, vec![member(1, own_address, MemberState::Live)]).await;
     let earlier = open_journal(&store, 1);
     let program = program_key(1, 1);
     let records = vec![JournalRecord::Started(new_program(program)), turn(program, 1)];
     earlier.append(records).await.expect("append");
-    let entry = RunningEntry::start(Arc::clone(&store), address, NO_SUSPICION).await;
+    let entry = RunningEntry::start(Arc::clone(&store), own_address, NO_SUSPICION).await;
     expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
     // The earlier process was only paused and wakes up.
     let late = earlier.append(vec![turn(program, 2)]).await;
@@ -51,7 +54,7 @@
     write_members(
         store.as_ref(),
         2,
-        vec![member(1, free_address(), MemberState::Live)],
+        vec![member(1, lost_address(), MemberState::Live)],
     )
     .await;
     let owner = open_journal(&store, 1);
@@ -60,22 +63,73 @@
         .append(vec![JournalRecord::Started(new_program(program))])
         .await
         .expect("append");
-    let entry = RunningEntry::start(Arc::clone(&store), free_address(), Duration::from_millis(200)).await;
+    let entry = RunningEntry::start(Arc::clone(&store), any_address(), Duration::from_millis(200)).await;
     let mut acknowledged = Vec::new();
-    let fenced = loop {
-        let call = acknowledged.len() as u64 + 1;
+    let mut fenced = None;
+    for call in 1..=MOST_TURNS {
         match owner.append(vec![turn(program, call)]).await {
             Ok(()) => acknowledged.push(call.to_string()),
-            Err(error) => break error,
+            Err(error) => {
+                fenced = Some(error);
+                break;
+            }
         }
-    };
+    }
+    let heirs = vec![IncarnationId(2)];
+    expect_that!(fenced, some(eq(&JournalError::Sealed { heirs })));
+    expect_that!(entry.history(program).await, ok(eq(&acknowledged)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn heir_seals_a_journal_whose_sealer_died_before_it_could() {
+    let store = memory_store();
+    write_members(
+        store.as_ref(),
+        2,
+        vec![member(1, lost_address(), sealed_for(&[2]))],
+    )
+    .await;
+    let owner = open_journal(&store, 1);
+    let program = program_key(1, 1);
+    let records = vec![JournalRecord::Started(new_program(program)), turn(program, 1)];
+    owner.append(records).await.expect("append");
+    let entry = RunningEntry::start(Arc::clone(&store), any_address(), NO_SUSPICION).await;
+    expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
+    let late = owner.append(vec![turn(program, 2)]).await;
+    expect_that!(late, err(matches_pattern!(JournalError::Sealed { .. })));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn heir_uses_no_call_number_that_the_earlier_owner_may_have_handed_out() {
+    let store = memory_store();
+    write_members(
+        store.as_ref(),
+        2,
+        vec![member(1, lost_address(), sealed_for(&[2]))],
+    )
+    .await;
+    let owner = open_journal(&store, 1);
+    let program = program_key(1, 1);
+    owner
+        .append(vec![
+            JournalRecord::Started(new_program(program)),
+            turn(program, 1),
+        ])
+        .await
+        .expect("append");
+    // Call 2 reached an agent, but the owner was fenced before its intent was in the journal.
+    let entry = RunningEntry::start(Arc::clone(&store), any_address(), NO_SUSPICION).await;
+    expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
+    let adopted = replay_journal(store.as_ref(), IncarnationId(2))
+        .await
+        .expect("replay")
+        .ledger;
     expect_that!(
-        fenced,
-        eq(&JournalError::Sealed {
-            heirs: vec![IncarnationId(2)]
-        })
+        adopted.program(program).map(|program| program.next_call),
+        some(gt(2))
     );
-    expect_that!(entry.history(program).await, ok(eq(&acknowledged)));
 }
 
 /// How far the first heir came before it died.
@@ -161,11 +215,11 @@
         }
         heir.seal_own(vec![IncarnationId(4)]).await.expect("seal");
         let members = vec![
-            member(1, free_address(), sealed_for(&[2, 4])),
-            member(2, free_address(), sealed_for(&[4])),
+            member(1, lost_address(), sealed_for(&[2, 4])),
+            member(2, lost_address(), sealed_for(&[4])),
         ];
         write_members(store.as_ref(), 4, members).await;
-        let entry = RunningEntry::start(Arc::clone(&store), free_address(), NO_SUSPICION).await;
+        let entry = RunningEntry::start(Arc::clone(&store), any_address(), NO_SUSPICION).await;
         expect_that!(
             entry.history(fallen).await,
             ok(eq(&case.expected)),
@@ -185,22 +239,25 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn programs_have_an_owner_when_two_members_are_sealed_at_once() {
     let store = memory_store();
-    let address = free_address();
+    let own_address = free_address();
     let members = vec![
-        member(1, address, MemberState::Live),
-        member(2, free_address(), MemberState::Live),
+        member(1, own_address, MemberState::Live),
+        member(2, lost_address(), MemberState::Live),
     ];
     write_members(store.as_ref(), 3, members).await;
     let first = open_journal(&store, 1);
     let program = program_of_heir(&[2, 3], 2);
     let records = vec![JournalRecord::Started(new_program(program)), turn(program, 1)];
     first.append(records).await.expect("append");
-    // Another entry seals 2 and still takes 1 for live while this one is about to seal 1.
-    let racing = Arc::new(RacingStore {
-        inner: Arc::clone(&store),
-        writes: AtomicU32::new(0),
-    });
-    let entry = RunningEntry::start(racing, address, NO_SUSPICION).await;
+    let hosts = publish_member(member(2, lost_address(), MemberState::Live)).await;
+    let racing = Arc::new(RacingStore::new(Arc::clone(&store)));
+    let shared: Arc<dyn ObjectStore> = Arc::<RacingStore>::clone(&racing);
+    let entry = RunningEntry::start_listening(shared, own_address, NO_SUSPICION, hosts).await;
+    while !entry.hears("entry-2").await {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Another entry seals 2 and still takes 1 for live while this one, which hears 2, is about to seal 1.
+    racing.sealing.add_permits(Semaphore::MAX_PERMITS);
     expect_that!(entry.history(program).await, ok(elements_are![eq("1")]));
 }
 
@@ -208,10 +265,24 @@
 #[derive(Debug)]
 struct RacingStore {
     inner: Arc<dyn ObjectStore>,
+    reads: AtomicU32,
     writes: AtomicU32,
+    /// Reads behind those of the join wait for a permit.
+    sealing: Semaphore,
 }
 
 impl RacingStore {
+    const READS_OF_A_JOIN: u32 = 2;
+
+    fn new(inner: Arc<dyn ObjectStore>) -> Self {
+        Self {
+            inner,
+            reads: AtomicU32::new(0),
+            writes: AtomicU32::new(0),
+            sealing: Semaphore::new(0),
+        }
+    }
+
     async fn seal_second(&self) {
         let store = self.inner.as_ref();
         let heirs = [1, 3].map(IncarnationId).to_vec();
@@ -227,6 +298,9 @@
 #[async_trait]
 impl ObjectStore for RacingStore {
     async fn read(&self, key: &str) -> StoreResult<Option<VersionedObject>> {
+        if key == "members" && self.reads.fetch_add(1, Ordering::SeqCst) >= Self::READS_OF_A_JOIN {
+            self.sealing.acquire().await.expect("semaphore").forget();
+        }
         self.inner.read(key).await
     }
 
