Let no process be taken back by a lagging entry or by effects out of order

Cause: (1) an agent that restarted in an outage of the object API and heard only a lagging entry took that entry's generation, earlier than the one of its former start. (2) Two tasks of an entry could put two generations in force at once; the effects of the earlier one (the teams' budgets, the log) could then follow those of the later one.

Change: (1) an entry hands its text to nobody while an agent's heartbeat carries a later generation (7007); the restarted agent waits. (2) A guard orders raise and effects, also when a new incarnation's owner is installed; it is held across no await and off the request path.

--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use config::parse_configuration;
-use domain::{AppliedConfiguration, Generation};
+use domain::{AppliedConfiguration, Generation, HostRole};
 use errors::{CallError, ResultCode};
 use platform::{ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use slog::{error, info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::context::EntryContext;
+use crate::owner::OwnerCore;
 use crate::pool::{CALL_TIMEOUT, call_context};
 
 const CONFIGURATION_KEY: &str = "config/text";
@@ -84,15 +85,31 @@
     }
 }
 
+/// Puts a configuration and what follows from it in force, unless a later one is.
 fn raise_applied(context: &EntryContext, applied: AppliedConfiguration) {
     let applied = Arc::new(applied);
+    // Without the guard, the effects of an earlier generation could follow those of a later one.
+    let _in_order = context.order_effects();
     if context.board.raise_configuration(&applied) {
-        let owners = u32::try_from(context.board.members().table.live().len()).unwrap_or(u32::MAX);
-        context.budget().set_teams(&applied.content.teams, owners);
+        set_teams(context, &context.owner(), &applied);
         info!(context.options.log, "configuration in force"; "generation" => applied.generation.0);
     }
 }
 
+/// Puts a new incarnation's owner in the place of a sealed one, with the teams of the configuration in force.
+pub(crate) fn install_owner(context: &EntryContext, owner: Arc<OwnerCore>) {
+    let _in_order = context.order_effects();
+    if let Some(applied) = context.board.configuration() {
+        set_teams(context, &owner, &applied);
+    }
+    context.replace_owner(owner);
+}
+
+fn set_teams(context: &EntryContext, owner: &OwnerCore, applied: &AppliedConfiguration) {
+    let owners = u32::try_from(context.board.members().table.live().len()).unwrap_or(u32::MAX);
+    owner.budget().set_teams(&applied.content.teams, owners);
+}
+
 /// Fetches a later configuration from the peer whose heartbeat announced it.
 pub(crate) async fn fetch_announced(context: Arc<EntryContext>) {
     let mut announced = context.watch_configuration();
@@ -114,6 +131,29 @@
     }
 }
 
+/// Returns the configuration in force for a peer that asks for it.
+///
+/// # Errors
+///
+/// Returns 7007 while an agent is known to be further: a peer that has restarted may have been so too, and would be
+/// taken back.
+pub(crate) fn configuration_to_hand_out(
+    context: &EntryContext,
+) -> Result<Option<AppliedConfiguration>, CallError> {
+    let own = context.board.generation();
+    let fleet = context.board.fleet();
+    let agents = fleet
+        .peers()
+        .iter()
+        .filter(|peer| peer.heartbeat.role == HostRole::Agent);
+    let furthest = agents.map(|peer| peer.heartbeat.generation).max();
+    if let Some(furthest) = furthest.filter(|furthest| *furthest > own) {
+        let message = format!("this entry has generation {own}, an agent {furthest}");
+        return Err(CallError::not_run(ResultCode::NoConfiguration, message));
+    }
+    Ok(context.board.configuration().map(|applied| (*applied).clone()))
+}
+
 /// Writes a checked text over its base generation and puts it in force here.
 ///
 /// # Errors
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -1,7 +1,7 @@
 //! Everything that the tasks of one entry share.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use budget::BudgetKeeper;
@@ -31,6 +31,7 @@
     newer_configuration: watch::Sender<Option<(Generation, SocketAddr)>>,
     newer_members: watch::Sender<Generation>,
     owner: ArcSwap<OwnerCore>,
+    effects: Mutex<()>,
 }
 
 impl EntryContext {
@@ -52,6 +53,7 @@
             newer_configuration: watch::channel(None).0,
             newer_members: watch::channel(Generation(0)).0,
             owner: ArcSwap::new(owner),
+            effects: Mutex::new(()),
         }
     }
 
@@ -60,6 +62,11 @@
         self.owner.load_full()
     }
 
+    /// Orders the effects of configurations; the guard is never held across an await or on the path of a request.
+    pub(crate) fn order_effects(&self) -> MutexGuard<'_, ()> {
+        self.effects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a new incarnation in the place of a sealed one.
     pub(crate) fn replace_owner(&self, owner: Arc<OwnerCore>) {
         self.owner.store(owner);
--- a/components/entry/src/owner/port.rs
+++ b/components/entry/src/owner/port.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 use wire::{CallAttachment, OutputChunk, OutputRequest, OwnerPort, ProgramSummary, SubmittedCall};
 
+use crate::configuration::configuration_to_hand_out;
 use crate::context::EntryContext;
 use crate::owner::cell::CallIntake;
 use crate::owner::core::{OwnerCore, finished_outcome, not_owner, unknown_program};
@@ -190,11 +191,7 @@
     }
 
     async fn fetch_configuration(self, _: Context) -> Result<Option<AppliedConfiguration>, CallError> {
-        Ok(self
-            .context
-            .board
-            .configuration()
-            .map(|applied| (*applied).clone()))
+        configuration_to_hand_out(&self.context)
     }
 
     async fn await_adoption(
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -18,7 +18,7 @@
 
 use crate::adoption::follow_seals;
 use crate::blackboard::Blackboard;
-use crate::configuration::{fetch_announced, watch_configuration};
+use crate::configuration::{fetch_announced, install_owner, watch_configuration};
 use crate::context::EntryContext;
 use crate::fleet::{follow_host_list, publish_heartbeats, record_heartbeats};
 use crate::http::serve_http;
@@ -146,13 +146,7 @@
         owner.fence();
         let incarnation = join_members(&context.options, context.process_address, &context.board).await;
         let successor = Arc::new(new_owner(&context.options, incarnation));
-        if let Some(applied) = context.board.configuration() {
-            let live = context.board.members().table.live().len();
-            successor
-                .budget()
-                .set_teams(&applied.content.teams, u32::try_from(live).unwrap_or(u32::MAX));
-        }
-        context.replace_owner(successor);
+        install_owner(&context, successor);
     }
 }
 
--- a/tests/rollout/main.rs
+++ b/tests/rollout/main.rs
@@ -266,6 +266,36 @@
     rollout.expect_no_step_back();
 }
 
+#[gtest]
+#[tokio::test]
+async fn an_agent_restarted_in_an_outage_takes_nothing_from_a_lagging_entry() {
+    let mut rollout = Rollout::start(&[]).await;
+    rollout.testbed.freeze("entry-2").expect("the process runs");
+    let base = rollout.testbed.generation();
+    let last = rollout.apply_many(base, 3).await;
+    let awake = ["entry-1", "matcher-1", "matcher-2", "ledger-1", "notices-1"];
+    rollout.log.wait_generation(&awake, 0, last).await;
+    rollout.set_object_faults(&json!({ "outage": true })).await;
+    rollout.testbed.kill("entry-1").await.expect("the process runs");
+    let mark = rollout.log.mark();
+    rollout.testbed.wake("entry-2").expect("the process is frozen");
+    rollout.log.wait_beats("entry-2", mark, 10).await;
+    rollout.testbed.kill("matcher-1").await.expect("the process runs");
+    rollout
+        .testbed
+        .start_host("matcher-1")
+        .expect("the process starts");
+    let mark = rollout.log.mark();
+    rollout.log.wait_beats("matcher-1", mark, 40).await;
+    rollout.expect_no_step_back();
+    rollout.set_object_faults(&json!({})).await;
+    rollout
+        .log
+        .wait_generation(&["entry-2", "matcher-1"], mark, last)
+        .await;
+    rollout.expect_no_step_back();
+}
+
 #[gtest]
 #[tokio::test]
 async fn an_entry_restarted_in_an_outage_takes_no_earlier_generation() {
