Split the choice of the next orders into shorter functions

Cause: OrderBook::next_orders was the longest function of the crate.

Change: demands() and agent_at() are functions of their own; no change of behaviour.

--- a/components/controller/src/book.rs
+++ b/components/controller/src/book.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use domain::{ClusterConfiguration, FailureDomain, HostName, ModelState, ServiceKind, ServiceName};
+use domain::{
+    ClusterConfiguration, FailureDomain, HostName, ModelState, ServiceConfig, ServiceKind, ServiceName,
+};
 use errors::{CallError, ResultCode, RunState};
 use policy::{EngineView, PlacementLimits, PlacementOrder, ServiceDemand, place_models};
 use rand::{Rng, RngExt as _};
@@ -121,43 +123,48 @@
             .enumerate()
             .map(|(key, (agent, service))| self.view(key, agent, *service, now))
             .collect();
-        let demands: Vec<_> = services
-            .iter()
-            .enumerate()
-            .map(|(index, service)| {
-                let mut demand = ServiceDemand {
-                    replicas: service.replicas,
-                    failure_domains: &service.failure_domains,
-                    surplus_ms: 0,
-                };
-                let lasting = self.track_surplus(&service.name, demand.has_surplus(index, &views), now);
-                demand.surplus_ms = millis(lasting);
-                demand
-            })
-            .collect();
+        let demands = self.demands(&services, &views, now);
         let limits = PlacementLimits {
             loads_in_progress: configuration.loads_in_progress,
             surplus_hold_ms: millis(self.timing.surplus_hold),
         };
-        let announcements = agents
+        let unaware = views
             .iter()
-            .zip(&views)
-            .filter(|(_, view)| !view.fenced && !view.backing_off && view.model != ModelState::Fixed);
-        let mut orders: Vec<_> = announcements
-            .map(|((agent, _), _)| (agent.target.clone(), EngineAction::Announce))
+            .filter(|view| !view.fenced && !view.backing_off && view.model != ModelState::Fixed);
+        let mut orders: Vec<_> = unaware
+            .map(|view| (agent_at(&agents, view.key).target.clone(), EngineAction::Announce))
             .collect();
-        for order in place_models(&demands, &views, &limits) {
+        orders.extend(place_models(&demands, &views, &limits).into_iter().map(|order| {
             let (PlacementOrder::Load(key) | PlacementOrder::Unload(key)) = order;
-            let (agent, _) = agents[usize::try_from(key).unwrap_or(usize::MAX)];
+            let agent = agent_at(&agents, key);
             let action = match order {
                 PlacementOrder::Load(_) => EngineAction::Load(agent.service.clone()),
                 PlacementOrder::Unload(_) => EngineAction::Unload(agent.service.clone()),
             };
-            orders.push((agent.target.clone(), action));
-        }
+            (agent.target.clone(), action)
+        }));
         orders
     }
 
+    fn demands<'a>(
+        &mut self,
+        services: &[&'a ServiceConfig],
+        views: &[EngineView<'_>],
+        now: Instant,
+    ) -> Vec<ServiceDemand<'a>> {
+        let demand_of = |(index, service): (usize, &&'a ServiceConfig)| {
+            let mut demand = ServiceDemand {
+                replicas: service.replicas,
+                failure_domains: &service.failure_domains,
+                surplus_ms: 0,
+            };
+            let has_surplus = demand.has_surplus(index, views);
+            demand.surplus_ms = millis(self.track_surplus(&service.name, has_surplus, now));
+            demand
+        };
+        services.iter().enumerate().map(demand_of).collect()
+    }
+
     /// Notes the answer to an order.
     pub fn note_answer(
         &mut self,
@@ -248,6 +255,10 @@
     }
 }
 
+fn agent_at<'a>(agents: &[(&'a AgentFacts, usize)], key: u32) -> &'a AgentFacts {
+    agents[usize::try_from(key).unwrap_or(usize::MAX)].0
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
