Prove that a surplus goes without the loss of a call

Cause: nothing showed the unload of a surplus over real processes.

Change: three engines serve where two are wanted, while programs run through both entries; one model is unloaded, once, and no completion meets an engine without the model.

With agents that take calls and entries that choose them whatever the model's state: failed. Without the floor of the surplus it passes; that is what the property in policy/tests/placement.rs is for.

--- a/components/standins/tests/engine_orders.rs
+++ b/components/standins/tests/engine_orders.rs
@@ -173,6 +173,36 @@
     expect_false!(testbed.log("matcher-2").contains("dispatch refused"));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_surplus_is_unloaded_without_the_loss_of_a_call() {
+    let (testbed, _permit) = start(deployment(vec![loaded(), loaded(), loaded()], 2)).await;
+    wait_serving(&testbed, "entry-2", &["matcher-1", "matcher-2", "matcher-3"]).await;
+    let hosts = matchers(3);
+    let until = Instant::now() + PATIENCE;
+    let mut unloads = 0;
+    while unloads == 0 {
+        assert!(Instant::now() < until, "no model was unloaded");
+        let mut session = session(&testbed, 0).await;
+        session.turn("user", "while one goes", 20).await.unwrap();
+        session.finish().await.unwrap();
+        for host in &hosts {
+            unloads += orders(&testbed, host).await.len();
+        }
+    }
+    for _ in 0..10 {
+        let mut session = session(&testbed, 1).await;
+        session.turn("user", "after one has gone", 20).await.unwrap();
+        session.finish().await.unwrap();
+    }
+    let mut orders_in_all = 0;
+    for host in &hosts {
+        expect_that!(testbed.engine_unserved(host).await.unwrap(), eq(0), "{host}");
+        orders_in_all += orders(&testbed, host).await.len();
+    }
+    expect_that!(orders_in_all, eq(1));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn loads_in_progress_stay_within_the_weight_stores_limit() {
