--- a/components/standins/src/measure.rs
+++ b/components/standins/src/measure.rs
@@ -44,13 +44,37 @@
     /// Number of seeds
     #[bpaf(argument("N"), fallback(3))]
     seeds: u64,
-    /// Measure fleets at rest only
-    rest_only: bool,
+    /// Only this load, in percent of the engines' capacity, without faults; 0 for fleets at rest
+    #[bpaf(argument("PERCENT"))]
+    load: Option<u64>,
     /// File for the figures, in JSON
     #[bpaf(argument("FILE"), fallback(PathBuf::from("measure.json")))]
     output: PathBuf,
 }
 
+impl MeasureOptions {
+    fn cases(&self) -> Vec<RunCase> {
+        let all_loads = LOADS.map(|load_percent| (load_percent, false));
+        let loads = match self.load {
+            None => [&all_loads[..], &[(KNEE_PERCENT, true)]].concat(),
+            Some(0) => Vec::new(),
+            Some(load_percent) => vec![(load_percent, false)],
+        };
+        let mut cases = Vec::new();
+        for workload in WORKLOADS {
+            for (load_percent, with_faults) in &loads {
+                cases.extend((1..=self.seeds).map(|seed| RunCase {
+                    workload,
+                    load_percent: *load_percent,
+                    with_faults: *with_faults,
+                    seed,
+                }));
+            }
+        }
+        cases
+    }
+}
+
 /// Runs every workload at every load and prints the figures.
 ///
 /// # Errors
@@ -58,27 +82,23 @@
 /// Fails when a testbed does not start or the figures cannot be read or written.
 pub async fn run_measure(options: MeasureOptions) -> anyhow::Result<()> {
     let mut reports = Vec::new();
-    let workloads = if options.rest_only {
-        &[][..]
-    } else {
-        &WORKLOADS[..]
-    };
-    for workload in workloads.iter().copied() {
-        let faulty = LOADS.map(|load_percent| (load_percent, false));
-        for (load_percent, with_faults) in faulty.into_iter().chain([(KNEE_PERCENT, true)]) {
-            for seed in 1..=options.seeds {
-                let case = RunCase {
-                    workload,
-                    load_percent,
-                    with_faults,
-                    seed,
-                };
-                let report = run_case(case, options.seconds).await?;
-                println!("{}", run_table(std::slice::from_ref(&report)));
-                reports.push(report);
-            }
-        }
+    for case in options.cases() {
+        let report = run_case(case, options.seconds).await?;
+        println!("{}", run_table(std::slice::from_ref(&report)));
+        reports.push(report);
     }
+    let rest = match options.load {
+        None | Some(0) => measure_fleets_at_rest().await?,
+        Some(_) => Vec::new(),
+    };
+    println!("{}", run_table(&reports));
+    println!("baselines: not run; the daemon offers no way to choose them");
+    let figures = json!({"runs": reports, "rest": rest});
+    let text = serde_json::to_string_pretty(&figures).context("encoding the figures")?;
+    std::fs::write(&options.output, text).with_context(|| format!("writing {}", options.output.display()))
+}
+
+async fn measure_fleets_at_rest() -> anyhow::Result<Vec<serde_json::Value>> {
     let mut rest = Vec::new();
     for heartbeat_ms in REST_HEARTBEATS_MS {
         for engines in REST_ENGINES {
@@ -87,11 +107,7 @@
             rest.push(figures);
         }
     }
-    println!("{}", run_table(&reports));
-    println!("baselines: not run; the daemon offers no way to choose them");
-    let figures = json!({"runs": reports, "rest": rest});
-    let text = serde_json::to_string_pretty(&figures).context("encoding the figures")?;
-    std::fs::write(&options.output, text).with_context(|| format!("writing {}", options.output.display()))
+    Ok(rest)
 }
 
 async fn run_case(case: RunCase, seconds: u64) -> anyhow::Result<RunReport> {
