Predict the wait by the calls that must end before a slot is free

The wait took all reported work to lie ahead of a call, also while slots were free, so that programs were refused for it and moved away from their cache. Change: a call waits for calls - slots + 1 ends; with a slot free, running calls only slow the steps down.

--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -4,6 +4,8 @@
 use rand::{Rng, RngExt as _};
 
 const MICROS_PER_MILLI: u64 = 1_000;
+/// Divisor of the work of running calls that gives the time by which they slow another one down.
+const SLOWDOWN_DIVISOR: u64 = 8;
 /// Servers for which one random number is drawn, one bit each.
 const BLOCK_SERVERS: usize = 64;
 /// Number of servers from which on a quarter of them is enough to draw from.
@@ -186,6 +188,13 @@
     best.view
 }
 
+/// Calls that go before another, and their work.
+#[derive(Debug, Clone, Copy)]
+struct CallsAhead {
+    calls: u64,
+    work_us: u64,
+}
+
 /// Prices of one call at any of the servers, in microseconds times a weight in thousandths.
 struct CostPricing<'a> {
     shape: &'a CallShape,
@@ -251,7 +260,8 @@
         }
     }
 
-    /// Predicts the wait: the work not done, shared by the server's slots, as far as the slots are occupied.
+    /// Predicts the wait: as many calls must end as there are too many for a slot to be free. While one is
+    /// free, the calls that run only slow the steps down.
     fn wait_us(&self, view: &ServerView) -> u64 {
         let decode_us = self.costs.decode_us_per_token;
         let age_us = view.report_age_ms.saturating_mul(MICROS_PER_MILLI);
@@ -261,21 +271,32 @@
             .saturating_mul(decode_us)
             .saturating_sub(done_us);
         let own_us = view.own_in_flight_tokens.saturating_mul(decode_us);
-        let ahead_us = self.share_ahead(view, reported_us).saturating_add(own_us);
+        let ahead = self.calls_ahead(view, reported_us);
+        let work_us = ahead.work_us.saturating_add(own_us);
+        let calls = ahead.calls + u64::from(view.own_in_flight);
         let slots = u64::from(view.capacity.max(1));
-        let calls = u64::from(view.running) + u64::from(view.queued) + u64::from(view.own_in_flight);
-        ahead_us.saturating_mul(calls.min(slots)) / (slots * slots)
+        if calls < slots {
+            return work_us.saturating_mul(calls)
+                / slots.saturating_mul(slots).saturating_mul(SLOWDOWN_DIVISOR);
+        }
+        work_us.saturating_mul(calls - slots + 1) / calls.saturating_mul(slots)
     }
 
-    /// Returns the part of the reported work that goes first; an urgent call overtakes the calls that wait,
-    /// since those that wait long are of the lower classes.
-    fn share_ahead(&self, view: &ServerView, reported_us: u64) -> u64 {
-        let calls = u64::from(view.running) + u64::from(view.queued);
+    /// Returns the reported calls that go first; an urgent call overtakes those that wait, since those that
+    /// wait long are of the lower classes.
+    fn calls_ahead(&self, view: &ServerView, reported_us: u64) -> CallsAhead {
+        let (running, queued) = (u64::from(view.running), u64::from(view.queued));
         let is_urgent = self.shape.urgency <= UrgencyClass::Interactive;
-        if !is_urgent || calls == 0 {
-            return reported_us;
+        if !is_urgent || queued == 0 {
+            return CallsAhead {
+                calls: running + queued,
+                work_us: reported_us,
+            };
+        }
+        CallsAhead {
+            calls: running,
+            work_us: reported_us.saturating_mul(running) / (running + queued),
         }
-        reported_us.saturating_mul(u64::from(view.running)) / calls
     }
 
     fn prefill_us(&self, view: &ServerView) -> u64 {
