Refuse an announced body over the limit before its bytes arrive

Ruled out: the limiting body reader, which sees lengths only as bytes come. Change: the announced length is checked first.

--- a/components/entry/src/http/request.rs
+++ b/components/entry/src/http/request.rs
@@ -6,7 +6,7 @@
 use domain::ProgramKey;
 use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request};
 use serde::de::DeserializeOwned;
@@ -34,16 +34,23 @@
     /// Returns 1002 for a body over the limit, 1011 for a slow sender and 1001 for a broken body.
     pub(crate) async fn read(request: Request<Incoming>, limit: usize) -> Result<Self, CallError> {
         let (parts, body) = request.into_parts();
+        let too_large = || {
+            CallError::not_run(
+                ResultCode::BodyTooLarge,
+                format!("a body has at most {limit} bytes"),
+            )
+        };
+        // An announced length over the limit is refused without waiting for the bytes.
+        if body.size_hint().lower() > limit as u64 {
+            return Err(too_large());
+        }
         let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
         let collected = collected.map_err(|_elapsed| {
             CallError::not_run(ResultCode::RequestTimeout, "the body did not arrive in time")
         })?;
         let body = collected.map_err(|error| {
             if error.is::<LengthLimitError>() {
-                CallError::not_run(
-                    ResultCode::BodyTooLarge,
-                    format!("a body has at most {limit} bytes"),
-                )
+                too_large()
             } else {
                 malformed("the body is broken off")
             }
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -81,6 +81,11 @@
         Self { http, stop }
     }
 
+    /// Returns the address of the callers' port.
+    pub const fn http_address(&self) -> SocketAddr {
+        self.http
+    }
+
     /// Returns the contents of a program's history as an operator reads it, or the body of the refusal.
     pub async fn history(&self, program: ProgramKey) -> Result<Vec<String>, String> {
         let path = format!("/admin/programs/{program}/history");
