Count repetitions among answered calls only

Ruled out: leaving out repeated keys, since a take-over forgets them. Change: the count is taken from the program's answered calls, which survive a take-over; the table of recent requests is gone.

--- a/components/entry/src/owner/cell.rs
+++ b/components/entry/src/owner/cell.rs
@@ -31,7 +31,6 @@
     running: Option<Arc<OpenCall>>,
     closed: VecDeque<Arc<OpenCall>>,
     holdings: Vec<CacheHolding>,
-    recent_requests: VecDeque<u64>,
     busy: bool,
 }
 
@@ -87,7 +86,6 @@
                 running: None,
                 closed: VecDeque::new(),
                 holdings,
-                recent_requests: VecDeque::new(),
                 busy: false,
             }),
         }
@@ -228,23 +226,6 @@
         }
     }
 
-    /// Records a request and returns how many times in a row it has come.
-    pub(crate) fn count_repetition(&self, fingerprint: u64) -> u32 {
-        const REQUESTS_KEPT: usize = 64;
-        let mut state = self.lock();
-        state.recent_requests.push_back(fingerprint);
-        if state.recent_requests.len() > REQUESTS_KEPT {
-            state.recent_requests.pop_front();
-        }
-        let run = state
-            .recent_requests
-            .iter()
-            .rev()
-            .take_while(|request| **request == fingerprint)
-            .count();
-        u32::try_from(run).unwrap_or(u32::MAX)
-    }
-
     /// Returns one row for listings.
     pub(crate) fn summary(&self) -> ProgramSummary {
         let state = self.lock();
@@ -296,3 +277,21 @@
     let last = turns.max_by_key(|(sequence, _)| *sequence);
     last.map_or(0, |(_, usage)| usage.prompt_tokens + usage.completion_tokens)
 }
+
+/// Returns how many of the program's latest answered calls, one after the other, made the same request.
+pub(crate) fn repetitions(program: &ProgramState, fingerprint: u64) -> u32 {
+    let answered = program
+        .finished
+        .iter()
+        .filter(|finished| matches!(finished.outcome, CallOutcome::Answered(_)));
+    let mut calls: Vec<_> = answered
+        .map(|finished| (finished.call.sequence, finished.fingerprint))
+        .collect();
+    calls.sort_unstable();
+    let run = calls
+        .iter()
+        .rev()
+        .take_while(|(_, made)| *made == fingerprint)
+        .count();
+    u32::try_from(run).unwrap_or(u32::MAX)
+}
--- a/components/entry/src/owner/limits.rs
+++ b/components/entry/src/owner/limits.rs
@@ -13,7 +13,7 @@
 use crate::context::EntryContext;
 use crate::fleet::{PeerRecord, is_listed_leaving};
 use crate::owner::call::OpenCall;
-use crate::owner::cell::{ProgramCell, context_tokens};
+use crate::owner::cell::{ProgramCell, context_tokens, repetitions};
 use crate::owner::core::OwnerCore;
 
 /// Tokens that an engine adds around one message, at most.
@@ -158,7 +158,6 @@
         .depends
         .iter()
         .find(|name| configuration.service(name).is_some() && !is_up(name));
-    let repetitions = cell.count_repetition(call.fingerprint).saturating_sub(1);
     let now = TimeMillis::now();
     let facts = cell.with_program(|program| AdmissionFacts {
         now,
@@ -166,7 +165,7 @@
         started: program.started,
         turns: program.finished.len() as u64,
         repetitions: if service.kind == ServiceKind::Model {
-            repetitions
+            repetitions(program, call.fingerprint)
         } else {
             0
         },
