--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -83,6 +83,7 @@
         .filter(|program| heir_of(program.key, heirs) == Some(own));
     let programs: Vec<_> = mine.map(|program| inherit(program, from)).collect();
     let count = programs.len();
+    context.metrics().record_adoption(count);
     let cells = owner.adopt(from, programs).await?;
     resume_intents(context, owner, &cells);
     tokio::spawn(adopt_budget(owner.budget().clone(), from, proven));
--- a/components/entry/src/context.rs
+++ b/components/entry/src/context.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::blackboard::Blackboard;
+use crate::metrics::EntryMetrics;
 use crate::options::EntryOptions;
 use crate::owner::OwnerCore;
 use crate::pool::PeerPool;
@@ -77,6 +78,11 @@
         self.started.elapsed() > self.options.suspect_after * 2
     }
 
+    /// Returns the metrics.
+    pub(crate) fn metrics(&self) -> EntryMetrics<'_> {
+        EntryMetrics::new(&self.options.metrics, &self.options.log)
+    }
+
     /// Returns the present incarnation.
     pub(crate) fn incarnation(&self) -> IncarnationId {
         self.owner.load().incarnation()
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http;
 mod member;
+mod metrics;
 mod options;
 mod orders;
 mod owner;
--- /dev/null
+++ b/components/entry/src/metrics.rs
@@ -0,0 +1,62 @@
+//! Metrics of an entry, sent by cadence.
+
+use cadence::{Counted as _, Gauged as _, MetricResult, StatsdClient, Timed as _};
+use domain::{CallOutcome, TimeMillis};
+use slog::{Logger, debug};
+
+use crate::owner::OpenCall;
+
+/// Names the entry's metrics.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EntryMetrics<'a> {
+    client: &'a StatsdClient,
+    log: &'a Logger,
+}
+
+impl<'a> EntryMetrics<'a> {
+    /// Creates the metrics over a client.
+    pub(crate) const fn new(client: &'a StatsdClient, log: &'a Logger) -> Self {
+        Self { client, log }
+    }
+
+    /// Counts the end of a call and times it from its intake, in milliseconds.
+    pub(crate) fn record_call(self, call: &OpenCall, outcome: &CallOutcome) {
+        let service = call.request.service.as_str();
+        let code = match outcome {
+            CallOutcome::Answered(_) => "0".to_owned(),
+            CallOutcome::Failed(error) => error.code.number().to_string(),
+        };
+        let count = self
+            .client
+            .count_with_tags("calls", 1)
+            .with_tag("service", service)
+            .with_tag("code", &code);
+        self.note(count.try_send());
+        let elapsed_ms = TimeMillis::now().since(call.queued_at);
+        let time = self
+            .client
+            .time_with_tags("call.time", elapsed_ms)
+            .with_tag("service", service);
+        self.note(time.try_send());
+    }
+
+    /// Counts a take-over of programs from a sealed incarnation.
+    pub(crate) fn record_adoption(self, programs: usize) {
+        self.note(self.client.count("adoptions", 1));
+        self.note(
+            self.client
+                .count("adopted.programs", i64::try_from(programs).unwrap_or(i64::MAX)),
+        );
+    }
+
+    /// States the number of programs of this entry.
+    pub(crate) fn record_programs(self, programs: usize) {
+        self.note(self.client.gauge("programs", programs as u64));
+    }
+
+    fn note<Metric>(self, sent: MetricResult<Metric>) {
+        if let Err(error) = sent {
+            debug!(self.log, "metric not sent"; "error" => %error);
+        }
+    }
+}
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod settle;
 mod table;
 
+pub(crate) use call::OpenCall;
 pub(crate) use ceiling::proven_spend;
 pub(crate) use core::{OwnerCore, unknown_program};
 pub(crate) use port::OwnerServer;
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -84,8 +84,10 @@
     }
 }
 
+/// Writes the end of a call to the log and the metrics.
 fn log_call(context: &EntryContext, call: &OpenCall, outcome: &CallOutcome) {
     let log = &context.options.log;
+    context.metrics().record_call(call, outcome);
     match outcome {
         CallOutcome::Answered(_) => info!(log, "call answered"; "call" => %call.key),
         CallOutcome::Failed(error) => {
--- a/components/entry/src/upkeep.rs
+++ b/components/entry/src/upkeep.rs
@@ -32,6 +32,7 @@
         }
         end_idle_programs(&context, &owner).await;
         forget_ended_programs(&owner);
+        context.metrics().record_programs(owner.table.all().len());
         settle_unknown_calls(&context, &owner).await;
         if let Err(error) = owner.budget().flush().await {
             debug!(context.options.log, "budget not flushed"; "error" => %error);
