--- a/components/entry/src/http/request.rs
+++ b/components/entry/src/http/request.rs
@@ -15,6 +15,8 @@
 use crate::relay::StreamPosition;
 
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 const MAX_KEY_BYTES: usize = 200;
 
 /// A request with its whole body.
@@ -40,8 +42,8 @@
                 format!("a body has at most {limit} bytes"),
             )
         };
-        // An announced length over the limit is refused without waiting for the bytes.
         if body.size_hint().lower() > limit as u64 {
+            discard_body(body).await;
             return Err(too_large());
         }
         let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
@@ -145,6 +147,20 @@
     }
 }
 
+/// Reads a refused body for a short while: a client that is still sending would lose the refusal with the connection.
+async fn discard_body(mut body: Incoming) {
+    let discarding = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+            if discarded > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
+}
+
 /// Returns a header as text.
 pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
