Count the silence of others from the end of an own pause

Change: the loop that suspects notices when it was held up itself and listens anew; the test of the frozen entry also reads its log.

--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -242,21 +242,28 @@
 
 /// Seals members that have fallen silent, and earlier incarnations of this entry's own address.
 pub(crate) async fn suspect_members(context: Arc<EntryContext>) {
-    let started = Instant::now();
+    let mut listening_since = Instant::now();
+    let mut last = listening_since;
     let mut ticks = interval(context.options.heartbeat_interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        for incarnation in suspects(&context, started) {
+        let now = Instant::now();
+        if now.duration_since(last) > context.options.suspect_after / 2 {
+            // This process was paused: the silence of the others is its own.
+            listening_since = now;
+        }
+        for incarnation in suspects(&context, listening_since) {
             if let Err(error) = seal_member(&context, incarnation).await {
                 warn!(context.options.log, "seal failed"; "incarnation" => incarnation.0, "error" => format!("{error:#}"));
             }
         }
+        last = Instant::now();
     }
 }
 
 /// Returns the live members that are to be sealed now.
-fn suspects(context: &EntryContext, started: Instant) -> Vec<IncarnationId> {
+fn suspects(context: &EntryContext, listening_since: Instant) -> Vec<IncarnationId> {
     let members = context.board.members();
     let own = context.incarnation();
     let live: Vec<&MemberRecord> = members
@@ -274,9 +281,9 @@
     }
     let others: Vec<_> = live.iter().filter(|member| member.incarnation != own).collect();
     let is_silent =
-        |member: &MemberRecord| silence_of(context, member.incarnation, started) > patience(context);
+        |member: &MemberRecord| silence_of(context, member.incarnation, listening_since) > patience(context);
     let silent: Vec<_> = others.iter().filter(|member| is_silent(member)).collect();
-    if hears_most(context, &others, &silent, started) {
+    if hears_most(context, &others, &silent, listening_since) {
         suspects.extend(silent.iter().map(|member| member.incarnation));
     }
     suspects.sort_unstable();
@@ -288,11 +295,11 @@
     member.address == context.process_address
 }
 
-fn silence_of(context: &EntryContext, incarnation: IncarnationId, started: Instant) -> Duration {
+fn silence_of(context: &EntryContext, incarnation: IncarnationId, listening_since: Instant) -> Duration {
     let fleet = context.board.fleet();
     let heard = fleet
         .entry(incarnation.0)
-        .map_or(started, |peer| peer.heard.max(started));
+        .map_or(listening_since, |peer| peer.heard.max(listening_since));
     Instant::now().duration_since(heard)
 }
 
@@ -319,7 +326,7 @@
     context: &EntryContext,
     others: &[&&MemberRecord],
     silent: &[&&&MemberRecord],
-    started: Instant,
+    listening_since: Instant,
 ) -> bool {
     const LAPSE_FACTOR: u32 = 6;
     let listed = context.board.listed();
@@ -336,6 +343,6 @@
     let lapsed = !silent.is_empty()
         && silent
             .iter()
-            .all(|member| silence_of(context, member.incarnation, started) > lapse);
+            .all(|member| silence_of(context, member.incarnation, listening_since) > lapse);
     single || majority || lapsed
 }
--- a/components/standins/tests/entry_loss.rs
+++ b/components/standins/tests/entry_loss.rs
@@ -111,6 +111,10 @@
         "{}",
         reply.text()
     );
+    // The silence that the woken entry noticed was its own.
+    let log = testbed.log("entry-1");
+    expect_that!(log, not(contains_substring("member sealed")));
+    expect_that!(log, not(contains_substring("seal failed")));
     expect_that!(testbed.service_calls("notices-1").await.unwrap().len(), eq(2));
     expect_single_runs(&testbed, "notices-1").await;
     let history = woken.read_history(&program).await.unwrap();
