Archive programs that ended instead of forgetting them

Ruled out: keeping all in memory (57,000 programs at a time, ended ones more). Nothing deletes archives: their retention is the operators'.

--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -11,6 +11,9 @@
 use slog::Logger;
 use wire::ClusterSecret;
 
+/// Time for which an ended program stays in memory by default.
+const ENDED_KEPT: Duration = Duration::from_hours(1);
+
 /// Options of an entry.
 #[derive(Debug, Clone, Builder)]
 pub struct EntryOptions {
@@ -40,6 +43,9 @@
     pub append_spacing: Duration,
     /// Longest time that a planned stop waits for running calls.
     pub stop_grace: Duration,
+    /// Time for which an ended program stays in memory before it is archived.
+    #[builder(default = ENDED_KEPT)]
+    pub ended_kept: Duration,
     /// Largest request body in bytes.
     pub body_bytes: usize,
     /// Largest number of connections of callers and operators.
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Programs and calls of one incarnation.
 
+mod archive;
 mod attempt;
 mod call;
 mod ceiling;
@@ -15,6 +16,7 @@
 mod settle;
 mod table;
 
+pub(crate) use archive::archive_program;
 pub(crate) use call::OpenCall;
 pub(crate) use ceiling::proven_spend;
 pub(crate) use core::{OwnerCore, unknown_program};
--- a/components/entry/src/owner/port.rs
+++ b/components/entry/src/owner/port.rs
@@ -14,12 +14,14 @@
 
 use crate::configuration::configuration_to_hand_out;
 use crate::context::EntryContext;
+use crate::owner::archive::read_archive;
 use crate::owner::cell::CallIntake;
 use crate::owner::core::{OwnerCore, finished_outcome, not_owner, unknown_program};
 use crate::owner::limits::find_service;
 use crate::owner::release::release_cache;
 use crate::owner::run::run_calls;
 
+const ARCHIVE_RETRY_MS: u64 = 1000;
 const ADOPTION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Answers peers and the entry's own callers for the programs it owns.
@@ -96,14 +98,33 @@
         Ok(summary)
     }
 
-    /// Returns the state of a program.
-    pub(crate) fn read(
+    /// Returns the state of a program, from the archive when it ended long ago.
+    pub(crate) async fn read(
         &self,
         team: Option<&TeamName>,
         program: ProgramKey,
     ) -> Result<ProgramState, CallError> {
-        let owner = self.owner_of(program)?;
-        Ok(owner.find_program(team, program)?.program())
+        let found = self
+            .owner_of(program)
+            .and_then(|owner| owner.find_program(team, program));
+        match found {
+            Err(error) if error.code == ResultCode::UnknownProgram => self.read_archived(team, program).await,
+            found => Ok(found?.program()),
+        }
+    }
+
+    async fn read_archived(
+        &self,
+        team: Option<&TeamName>,
+        program: ProgramKey,
+    ) -> Result<ProgramState, CallError> {
+        let archived = read_archive(self.context.options.store.as_ref(), program).await;
+        let archived = archived.map_err(|error| {
+            let refusal = CallError::not_run(ResultCode::PlatformUnavailable, format!("{error:#}"));
+            refusal.with_retry_after_ms(ARCHIVE_RETRY_MS)
+        })?;
+        let permitted = archived.filter(|state| team.is_none_or(|team| state.team == *team));
+        permitted.ok_or_else(|| unknown_program(program))
     }
 
     /// Returns output of a call.
@@ -139,7 +160,7 @@
         team: Option<TeamName>,
         program: ProgramKey,
     ) -> Result<ProgramState, CallError> {
-        self.read(team.as_ref(), program)
+        self.read(team.as_ref(), program).await
     }
 
     async fn end_program(
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -359,7 +359,7 @@
     program: ProgramKey,
 ) -> Result<ProgramState, CallError> {
     ask_owner!(context, program,
-        server => server.read(team, program),
+        server => server.read(team, program).await,
         client => client.read_program(call_context(CALL_TIMEOUT), team.cloned(), program).await)
 }
 
--- a/components/entry/src/upkeep.rs
+++ b/components/entry/src/upkeep.rs
@@ -9,7 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::context::EntryContext;
-use crate::owner::{OwnerCore, release_cache, settle_unknown_calls};
+use crate::owner::{OwnerCore, archive_program, release_cache, settle_unknown_calls};
 
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 const MILLIS_PER_SECOND: u64 = 1000;
@@ -17,9 +17,6 @@
 /// Segments after which the journal is folded.
 const SEGMENTS_PER_FOLD: u64 = 128;
 
-/// Time for which an ended program stays readable.
-const ENDED_KEPT_MS: u64 = 3_600_000;
-
 /// Runs the periodic work until the entry stops.
 pub(crate) async fn keep_up(context: Arc<EntryContext>) {
     let mut ticks = interval(UPKEEP_INTERVAL);
@@ -31,7 +28,7 @@
             continue;
         }
         end_idle_programs(&context, &owner).await;
-        forget_ended_programs(&owner);
+        archive_ended_programs(&context, &owner).await;
         context.metrics().record_programs(owner.table.all().len());
         settle_unknown_calls(&context, &owner).await;
         if let Err(error) = owner.budget().flush().await {
@@ -105,14 +102,23 @@
     idle.map(|cell| cell.key).collect()
 }
 
-fn forget_ended_programs(owner: &OwnerCore) {
+/// Moves programs that ended a while ago from memory to the archive.
+async fn archive_ended_programs(context: &EntryContext, owner: &OwnerCore) {
     let now = TimeMillis::now();
     for cell in owner.table.all() {
-        let forget = cell.with_program(|program| {
-            program.phase != ProgramPhase::Running && now.since(program.touched) > ENDED_KEPT_MS
+        let is_over = cell.with_program(|program| {
+            let kept = u128::from(now.since(program.touched)) <= context.options.ended_kept.as_millis();
+            program.phase != ProgramPhase::Running && !kept
         });
-        if forget {
-            owner.table.remove(cell.key);
+        if !is_over {
+            continue;
+        }
+        match archive_program(context.options.store.as_ref(), &cell.program()).await {
+            Ok(()) => owner.table.remove(cell.key),
+            Err(error) => {
+                debug!(context.options.log, "program not archived"; "program" => %cell.key, "error" => format!("{error:#}"));
+                return;
+            }
         }
     }
 }
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -68,6 +68,7 @@
             .suspect_after(suspect_after)
             .append_spacing(SPACING)
             .stop_grace(Duration::from_millis(100))
+            .ended_kept(Duration::ZERO)
             .body_bytes(1 << 20)
             .connections(16)
             .header_timeout(Duration::from_secs(5))
@@ -110,6 +111,24 @@
         Ok(program["program"].as_str().expect("program").to_owned())
     }
 
+    /// Tells whether the entry lists a program among those in memory.
+    pub async fn lists(&self, program: ProgramKey) -> bool {
+        let programs = self
+            .request("GET", "/admin/programs", OPERATOR_KEY, "")
+            .await
+            .expect("programs");
+        let mut rows = programs.as_array().expect("rows").iter();
+        rows.any(|row| row["program"] == program.to_string())
+    }
+
+    /// Ends a program of the team.
+    pub async fn end_program(&self, program: &str) {
+        let ended = self
+            .request("DELETE", &format!("/v1/programs/{program}"), TEAM_KEY, "")
+            .await;
+        ended.expect("ended");
+    }
+
     /// Puts a configuration with one team in force.
     pub async fn apply_configuration(&self) {
         let key = hex::encode(Sha256::digest(TEAM_KEY));
