--- a/components/entry/src/http/admin.rs
+++ b/components/entry/src/http/admin.rs
@@ -17,8 +17,8 @@
 use crate::http::reply::{HttpReply, ProgramBody, full_body, json_reply, malformed};
 use crate::http::request::WholeRequest;
 use crate::http::route::unknown_route;
+use crate::link::{end_program, list_programs};
 use crate::pool::{CALL_TIMEOUT, call_context, lost_answer};
-use crate::relay::{end_program, list_programs};
 
 const GENERATION_HEADER: HeaderName = HeaderName::from_static("azuretide-generation");
 const MAX_CONFIGURATION_BYTES: usize = 1024 * 1024;
--- a/components/entry/src/http/programs.rs
+++ b/components/entry/src/http/programs.rs
@@ -11,7 +11,7 @@
 use crate::context::EntryContext;
 use crate::http::reply::{HttpReply, ProgramBody, json_reply, malformed};
 use crate::http::request::WholeRequest;
-use crate::relay::{end_program, read_program};
+use crate::link::{end_program, read_program};
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod context;
 mod fleet;
 mod http;
+mod link;
 mod member;
 mod metrics;
 mod options;
--- /dev/null
+++ b/components/entry/src/link.rs
@@ -0,0 +1,204 @@
+//! The way to the owner of a program: this process or another entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{IncarnationId, ProgramKey, ProgramState, TeamName};
+use errors::{CallError, ResultCode};
+use tokio::time::{Instant, sleep};
+use wire::{CallAttachment, OutputChunk, OutputRequest, OwnerPortClient, ProgramSummary, SubmittedCall};
+
+use crate::context::EntryContext;
+use crate::member::read_members;
+use crate::owner::{OwnerServer, unknown_program};
+use crate::pool::{CALL_TIMEOUT, call_context, lost_answer};
+
+/// Time for which a request looks for the owner of its program.
+pub(crate) const OWNER_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Longest wait of one request for output.
+pub(crate) const READ_WAIT: Duration = Duration::from_secs(5);
+const READ_GRACE: Duration = Duration::from_secs(1);
+const OWNER_PAUSE: Duration = Duration::from_millis(100);
+
+/// Way to the owner of a program.
+#[derive(Debug, Clone)]
+pub(crate) enum OwnerLink {
+    /// This process.
+    Local(OwnerServer),
+    /// Another entry.
+    Remote(OwnerPortClient, SocketAddr),
+}
+
+/// Tells whether an error passes once the program has a reachable owner again.
+pub(crate) fn is_passing(error: &CallError) -> bool {
+    matches!(
+        error.code,
+        ResultCode::NotOwner
+            | ResultCode::JournalSealed
+            | ResultCode::PeerUnreachable
+            | ResultCode::UnknownCall
+    )
+}
+
+/// Finds the owner of a program by the member table.
+///
+/// # Errors
+///
+/// Returns 1005 for an unknown program and 8001 when the owner cannot be reached.
+pub(crate) async fn find_owner(
+    context: &Arc<EntryContext>,
+    program: ProgramKey,
+) -> Result<OwnerLink, CallError> {
+    let mut members = context.board.members();
+    if program.incarnation >= members.table.next {
+        if let Ok(view) = read_members(context.options.store.as_ref()).await {
+            context.board.raise_members(view);
+        }
+        members = context.board.members();
+    }
+    let Some(owner) = members.table.owner_of(program) else {
+        return Err(unknown_program(program));
+    };
+    if owner == context.incarnation() {
+        return Ok(OwnerLink::Local(OwnerServer::new(Arc::clone(context))));
+    }
+    let Some(member) = members.table.member(owner) else {
+        return Err(unknown_program(program));
+    };
+    let client = context.pool.owner(member.address).await?;
+    Ok(OwnerLink::Remote(client, member.address))
+}
+
+impl OwnerLink {
+    /// Submits a call to the owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns the owner's refusal, or 8001, outcome unknown, when it gave no answer.
+    pub(crate) async fn submit(
+        &self,
+        context: &EntryContext,
+        submitted: SubmittedCall,
+    ) -> Result<CallAttachment, CallError> {
+        match self {
+            Self::Local(server) => server.submit(submitted),
+            Self::Remote(client, address) => {
+                let answered = client.submit_call(call_context(CALL_TIMEOUT), submitted).await;
+                unwrap_answer(context, *address, answered)
+            }
+        }
+    }
+
+    /// Reads output of a call and waits until there is some.
+    ///
+    /// # Errors
+    ///
+    /// Returns the owner's refusal, or 8001, outcome unknown, when it gave no answer.
+    pub(crate) async fn read(
+        &self,
+        context: &EntryContext,
+        request: OutputRequest,
+    ) -> Result<OutputChunk, CallError> {
+        match self {
+            Self::Local(server) => server.output(request).await,
+            Self::Remote(client, address) => {
+                let answered = client
+                    .read_output(call_context(READ_WAIT + READ_GRACE), request)
+                    .await;
+                unwrap_answer(context, *address, answered)
+            }
+        }
+    }
+}
+
+fn unwrap_answer<T>(
+    context: &EntryContext,
+    address: SocketAddr,
+    answered: Result<Result<T, CallError>, tarpc::client::RpcError>,
+) -> Result<T, CallError> {
+    answered.map_err(|error| {
+        context.pool.forget(address);
+        lost_answer(&error)
+    })?
+}
+
+/// Repeats a request to the owner of a program while the owner changes.
+macro_rules! ask_owner {
+    ($context:expr, $program:expr, $link:ident => $local:expr, $client:ident => $remote:expr) => {{
+        let until = Instant::now() + OWNER_PATIENCE;
+        loop {
+            let answered = match find_owner($context, $program).await {
+                Ok(OwnerLink::Local($link)) => $local,
+                Ok(OwnerLink::Remote($client, address)) => unwrap_answer($context, address, $remote),
+                Err(error) => Err(error),
+            };
+            match answered {
+                Err(error) if is_passing(&error) && Instant::now() < until => {
+                    sleep(OWNER_PAUSE).await;
+                }
+                answered => break answered,
+            }
+        }
+    }};
+}
+
+/// Reads the state of a program from its owner.
+///
+/// # Errors
+///
+/// Returns 1005 for an unknown program and 8001 or 3011 when the owner is not found in time.
+pub(crate) async fn read_program(
+    context: &Arc<EntryContext>,
+    team: Option<&TeamName>,
+    program: ProgramKey,
+) -> Result<ProgramState, CallError> {
+    ask_owner!(context, program,
+        server => server.read(team, program).await,
+        client => client.read_program(call_context(CALL_TIMEOUT), team.cloned(), program).await)
+}
+
+/// Ends a program at its owner; `None` as team stands for an operator, who cancels it.
+///
+/// # Errors
+///
+/// Returns 1005 for an unknown program and 8001 or 3011 when the owner is not found in time.
+pub(crate) async fn end_program(
+    context: &Arc<EntryContext>,
+    team: Option<&TeamName>,
+    program: ProgramKey,
+) -> Result<ProgramSummary, CallError> {
+    ask_owner!(context, program,
+        server => server.end(team.cloned(), program).await,
+        client => client.end_program(call_context(CALL_TIMEOUT), team.cloned(), program).await)
+}
+
+/// Lists the programs of every live entry that answers.
+pub(crate) async fn list_programs(context: &Arc<EntryContext>) -> Vec<ProgramSummary> {
+    let mut programs = OwnerServer::new(Arc::clone(context)).list();
+    let members = context.board.members();
+    for incarnation in members.table.live() {
+        programs.extend(list_remote(context, incarnation).await);
+    }
+    programs.sort_unstable_by_key(|program| program.key);
+    programs
+}
+
+async fn list_remote(context: &EntryContext, incarnation: IncarnationId) -> Vec<ProgramSummary> {
+    let members = context.board.members();
+    let Some(member) = members
+        .table
+        .member(incarnation)
+        .filter(|_| incarnation != context.incarnation())
+    else {
+        return Vec::new();
+    };
+    let Ok(client) = context.pool.owner(member.address).await else {
+        return Vec::new();
+    };
+    match client.list_programs(call_context(CALL_TIMEOUT)).await {
+        Ok(Ok(programs)) => programs,
+        Ok(Err(_)) | Err(_) => Vec::new(),
+    }
+}
--- a/components/entry/src/owner/mod.rs
+++ b/components/entry/src/owner/mod.rs
@@ -9,6 +9,8 @@
 mod core;
 mod flight;
 mod limits;
+mod order;
+mod outcome;
 mod port;
 mod release;
 mod resume;
--- /dev/null
+++ b/components/entry/src/owner/outcome.rs
@@ -0,0 +1,93 @@
+//! The final state of a call: its record, its price and its messages.
+
+use budget::BudgetReservation;
+use domain::{
+    CallOutcome, CallPayload, CallReply, ChatMessage, ChatRole, FinishedCall, HostName, MicroUnits,
+    ServiceConfig, TimeMillis, TokenCount, UnsettledAttempt,
+};
+use errors::{CallError, ResultCode};
+use journal::JournalRecord;
+use policy::exact_price;
+
+use crate::owner::call::OpenCall;
+use crate::owner::run::CallRunner;
+
+/// Time after which an answer that waits for the object API may be asked for again, in milliseconds.
+const PLATFORM_RETRY_MS: u64 = 2000;
+
+impl CallRunner {
+    /// Returns the record of the final state.
+    pub(crate) fn finished_record(
+        &self,
+        host: &HostName,
+        outcome: CallOutcome,
+        charged: MicroUnits,
+        unsettled: Option<UnsettledAttempt>,
+    ) -> JournalRecord {
+        JournalRecord::Finished {
+            new_messages: new_messages(&self.call, &outcome),
+            served_tokens: served_tokens(&outcome),
+            finished: FinishedCall {
+                call: self.call.key,
+                idempotency_key: self.call.request.idempotency_key.clone(),
+                fingerprint: self.call.fingerprint,
+                outcome,
+                charged,
+                unsettled,
+            },
+            host: Some(host.clone()),
+            at: TimeMillis::now(),
+        }
+    }
+}
+
+/// Tells whether an attempt ended because its backend server was lost or failed: another one may answer.
+pub(crate) fn is_backend_loss(error: &CallError) -> bool {
+    matches!(error.code, ResultCode::OutcomeUnknown | ResultCode::BackendFailed)
+}
+
+/// Returns the price of a call by its final state; what cannot be proven unspent counts as spent.
+pub(crate) fn charge(
+    service: &ServiceConfig,
+    reservation: &BudgetReservation,
+    outcome: &CallOutcome,
+) -> MicroUnits {
+    match outcome {
+        CallOutcome::Answered(CallReply::Chat { usage, .. }) => exact_price(&service.prices, usage),
+        CallOutcome::Answered(CallReply::Plain(_)) => service.prices.per_call,
+        CallOutcome::Failed(_) => reservation.amount(),
+    }
+}
+
+fn new_messages(call: &OpenCall, outcome: &CallOutcome) -> Vec<ChatMessage> {
+    let (CallPayload::Chat { messages, .. }, CallOutcome::Answered(CallReply::Chat { text, .. })) =
+        (&call.request.payload, outcome)
+    else {
+        return Vec::new();
+    };
+    let mut added = messages.clone();
+    added.push(ChatMessage {
+        role: ChatRole::Assistant,
+        content: text.clone(),
+    });
+    added
+}
+
+/// Returns the answer for readers while a final state waits for the journal.
+pub(crate) fn waiting_answer(outcome: &CallOutcome) -> CallError {
+    let mut waiting = CallError::ran(
+        ResultCode::PlatformUnavailable,
+        "the answer waits for the object API",
+    );
+    if let CallOutcome::Failed(error) = outcome {
+        waiting.run = error.run;
+    }
+    waiting.with_retry_after_ms(PLATFORM_RETRY_MS)
+}
+
+const fn served_tokens(outcome: &CallOutcome) -> TokenCount {
+    match outcome {
+        CallOutcome::Answered(CallReply::Chat { usage, .. }) => usage.prompt_tokens + usage.completion_tokens,
+        CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => 0,
+    }
+}
--- a/components/entry/src/owner/resume.rs
+++ b/components/entry/src/owner/resume.rs
@@ -16,7 +16,8 @@
 use crate::owner::cell::ProgramCell;
 use crate::owner::core::{OwnerCore, journal_refusal, not_owner};
 use crate::owner::limits::find_service;
-use crate::owner::run::{CallRunner, is_backend_loss, run_calls, waiting_answer};
+use crate::owner::outcome::{is_backend_loss, waiting_answer};
+use crate::owner::run::{CallRunner, run_calls};
 use crate::pool::{CALL_TIMEOUT, call_context};
 
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -4,13 +4,12 @@
 
 use budget::BudgetReservation;
 use domain::{
-    AttemptKey, AttemptNumber, CallOutcome, CallPayload, CallReply, ChatMessage, ChatRole, FinishedCall,
-    HostName, IntentRecord, MicroUnits, ProgramPhase, ServiceConfig, TimeMillis, TokenCount,
-    UnsettledAttempt,
+    AttemptKey, AttemptNumber, CallOutcome, CallReply, HostName, IntentRecord, MicroUnits, ProgramPhase,
+    ServiceConfig, UnsettledAttempt,
 };
 use errors::{CallError, ResultCode, RunState};
 use journal::{JournalError, JournalRecord};
-use policy::{CallFacts, CallShape, call_priority, exact_price};
+use policy::CallShape;
 use slog::{info, warn};
 use wire::DispatchOrder;
 
@@ -19,14 +18,10 @@
 use crate::owner::call::OpenCall;
 use crate::owner::cell::ProgramCell;
 use crate::owner::core::{OwnerCore, cancelled, close_call, journal_refusal, not_owner};
-use crate::owner::limits::{
-    ChosenServer, call_shape, check_admission, choose_agent, find_service, worst_price,
-};
+use crate::owner::limits::{call_shape, check_admission, choose_agent, find_service, worst_price};
+use crate::owner::outcome::{charge, is_backend_loss, waiting_answer};
 use crate::pool::{CALL_TIMEOUT, call_context};
 
-/// Time after which an answer that waits for the object API may be asked for again, in milliseconds.
-const PLATFORM_RETRY_MS: u64 = 2000;
-
 /// Attempts at one call before it is given up.
 const MAX_ATTEMPTS: u64 = 6;
 
@@ -339,30 +334,6 @@
         self.owner.commit_surely(record, on_delay).await
     }
 
-    /// Returns the record of the final state.
-    pub(crate) fn finished_record(
-        &self,
-        host: &HostName,
-        outcome: CallOutcome,
-        charged: MicroUnits,
-        unsettled: Option<UnsettledAttempt>,
-    ) -> JournalRecord {
-        JournalRecord::Finished {
-            new_messages: new_messages(&self.call, &outcome),
-            served_tokens: served_tokens(&outcome),
-            finished: FinishedCall {
-                call: self.call.key,
-                idempotency_key: self.call.request.idempotency_key.clone(),
-                fingerprint: self.call.fingerprint,
-                outcome,
-                charged,
-                unsettled,
-            },
-            host: Some(host.clone()),
-            at: TimeMillis::now(),
-        }
-    }
-
     async fn cancel_attempt(&self, live: &LiveAttempt) {
         let Ok(client) = self.context.pool.agent(live.seat.address).await else {
             return;
@@ -374,92 +345,4 @@
             warn!(self.context.options.log, "cancel unanswered"; "call" => %self.call.key, "error" => %error);
         }
     }
-
-    fn order(&self, attempt: AttemptKey, service: &ServiceConfig, chosen: &ChosenServer) -> DispatchOrder {
-        let program = self.cell.program();
-        let now = TimeMillis::now();
-        let facts = CallFacts {
-            urgency: program.urgency,
-            deadline: program.deadline,
-            queued_at: self.call.queued_at,
-            served_tokens: program.served_tokens,
-            predicted_ms: chosen.choice.predicted_ms.saturating_sub(chosen.choice.wait_ms),
-        };
-        let priority = call_priority(&facts, now);
-        let timeout_ms = service.limits.call_timeout_ms;
-        match &self.call.request.payload {
-            CallPayload::Chat { messages, max_tokens } => {
-                let mut history = program.history;
-                history.extend_from_slice(messages);
-                DispatchOrder::Chat {
-                    attempt,
-                    service: service.name.clone(),
-                    messages: history,
-                    prefix: self.call.text(),
-                    max_tokens: *max_tokens,
-                    priority,
-                    start_before: program.deadline,
-                    timeout_ms,
-                }
-            }
-            CallPayload::Plain(request) => DispatchOrder::Plain {
-                attempt,
-                service: service.name.clone(),
-                request: request.clone(),
-                idempotency_key: format!("{}-{}", self.call.key.program, self.call.request.idempotency_key),
-                repeatable: service.repeatable,
-                agent_start: chosen.peer.heartbeat.start,
-                priority,
-                start_before: program.deadline,
-                timeout_ms,
-            },
-        }
-    }
-}
-
-/// Tells whether an attempt ended because its backend server was lost or failed: another one may answer.
-pub(crate) fn is_backend_loss(error: &CallError) -> bool {
-    matches!(error.code, ResultCode::OutcomeUnknown | ResultCode::BackendFailed)
-}
-
-/// Returns the price of a call by its final state; what cannot be proven unspent counts as spent.
-fn charge(service: &ServiceConfig, reservation: &BudgetReservation, outcome: &CallOutcome) -> MicroUnits {
-    match outcome {
-        CallOutcome::Answered(CallReply::Chat { usage, .. }) => exact_price(&service.prices, usage),
-        CallOutcome::Answered(CallReply::Plain(_)) => service.prices.per_call,
-        CallOutcome::Failed(_) => reservation.amount(),
-    }
-}
-
-fn new_messages(call: &OpenCall, outcome: &CallOutcome) -> Vec<ChatMessage> {
-    let (CallPayload::Chat { messages, .. }, CallOutcome::Answered(CallReply::Chat { text, .. })) =
-        (&call.request.payload, outcome)
-    else {
-        return Vec::new();
-    };
-    let mut added = messages.clone();
-    added.push(ChatMessage {
-        role: ChatRole::Assistant,
-        content: text.clone(),
-    });
-    added
-}
-
-/// Returns the answer for readers while a final state waits for the journal.
-pub(crate) fn waiting_answer(outcome: &CallOutcome) -> CallError {
-    let mut waiting = CallError::ran(
-        ResultCode::PlatformUnavailable,
-        "the answer waits for the object API",
-    );
-    if let CallOutcome::Failed(error) = outcome {
-        waiting.run = error.run;
-    }
-    waiting.with_retry_after_ms(PLATFORM_RETRY_MS)
-}
-
-const fn served_tokens(outcome: &CallOutcome) -> TokenCount {
-    match outcome {
-        CallOutcome::Answered(CallReply::Chat { usage, .. }) => usage.prompt_tokens + usage.completion_tokens,
-        CallOutcome::Answered(CallReply::Plain(_)) | CallOutcome::Failed(_) => 0,
-    }
 }
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -3,36 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use domain::{CallKey, CallOutcome, IncarnationId, ProgramKey, ProgramState, TeamName};
+use domain::{CallKey, CallOutcome};
 use errors::{CallError, ResultCode, RunState};
 use rand::RngExt as _;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
-use wire::{CallAttachment, OutputChunk, OutputRequest, OwnerPortClient, ProgramSummary, SubmittedCall};
+use wire::{OutputRequest, SubmittedCall};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::context::EntryContext;
-use crate::member::read_members;
-use crate::owner::{OwnerServer, unknown_program};
-use crate::pool::{CALL_TIMEOUT, call_context, lost_answer};
+use crate::link::{OWNER_PATIENCE, OwnerLink, READ_WAIT, find_owner, is_passing};
 
-/// Time for which a request looks for the owner of its program.
-const OWNER_PATIENCE: Duration = Duration::from_secs(30);
-const READ_WAIT: Duration = Duration::from_secs(5);
-const READ_GRACE: Duration = Duration::from_secs(1);
 const SHORTEST_PAUSE_MS: u64 = 20;
 const LONGEST_PAUSE_MS: u64 = 400;
 const OWNER_RETRY_MS: u64 = 2000;
 
-/// Way to the owner of a program.
-#[derive(Debug, Clone)]
-enum OwnerLink {
-    /// This process.
-    Local(OwnerServer),
-    /// Another entry.
-    Remote(OwnerPortClient, std::net::SocketAddr),
-}
-
 /// Place in a stream up to which the caller holds the text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct StreamPosition {
@@ -143,7 +128,7 @@
             .await
             .map_err(|error| (None, error))?;
         self.submitted.delivered.clone_from(&self.text);
-        let submitted = submit(&self.context, &link, self.submitted.clone()).await;
+        let submitted = link.submit(&self.context, self.submitted.clone()).await;
         self.sent |= !matches!(&submitted, Err(error) if error.run == RunState::NotRun);
         let attachment = submitted.map_err(|error| (None, error))?;
         let call = attachment.call;
@@ -168,16 +153,16 @@
         loop {
             let offset = self.text.len() as u64;
             let wait_ms = u64::try_from(READ_WAIT.as_millis()).unwrap_or(u64::MAX);
-            let chunk = read(
-                &self.context,
-                link,
-                OutputRequest {
-                    call,
-                    offset,
-                    wait_ms,
-                },
-            )
-            .await?;
+            let chunk = link
+                .read(
+                    &self.context,
+                    OutputRequest {
+                        call,
+                        offset,
+                        wait_ms,
+                    },
+                )
+                .await?;
             if !chunk.text.is_empty() {
                 self.take_text(&chunk.text, events).await?;
             }
@@ -200,7 +185,7 @@
                 offset: offset as u64,
                 wait_ms: 1000,
             };
-            let chunk = read(&self.context, link, request).await?;
+            let chunk = link.read(&self.context, request).await?;
             let shared = chunk.text.len().min(self.text.len() - offset);
             if chunk.text.as_bytes()[..shared] != self.text.as_bytes()[offset..offset + shared] {
                 return Err(broken_stream());
@@ -254,155 +239,3 @@
         "the stream cannot be continued without mixing two answers",
     )
 }
-
-/// Tells whether an error passes once the program has a reachable owner again.
-fn is_passing(error: &CallError) -> bool {
-    matches!(
-        error.code,
-        ResultCode::NotOwner
-            | ResultCode::JournalSealed
-            | ResultCode::PeerUnreachable
-            | ResultCode::UnknownCall
-    )
-}
-
-async fn find_owner(context: &Arc<EntryContext>, program: ProgramKey) -> Result<OwnerLink, CallError> {
-    let mut members = context.board.members();
-    if program.incarnation >= members.table.next {
-        if let Ok(view) = read_members(context.options.store.as_ref()).await {
-            context.board.raise_members(view);
-        }
-        members = context.board.members();
-    }
-    let Some(owner) = members.table.owner_of(program) else {
-        return Err(unknown_program(program));
-    };
-    if owner == context.incarnation() {
-        return Ok(OwnerLink::Local(OwnerServer::new(Arc::clone(context))));
-    }
-    let Some(member) = members.table.member(owner) else {
-        return Err(unknown_program(program));
-    };
-    let client = context.pool.owner(member.address).await?;
-    Ok(OwnerLink::Remote(client, member.address))
-}
-
-async fn submit(
-    context: &EntryContext,
-    link: &OwnerLink,
-    submitted: SubmittedCall,
-) -> Result<CallAttachment, CallError> {
-    match link {
-        OwnerLink::Local(server) => server.submit(submitted),
-        OwnerLink::Remote(client, address) => {
-            let answered = client.submit_call(call_context(CALL_TIMEOUT), submitted).await;
-            unwrap_answer(context, *address, answered)
-        }
-    }
-}
-
-async fn read(
-    context: &EntryContext,
-    link: &OwnerLink,
-    request: OutputRequest,
-) -> Result<OutputChunk, CallError> {
-    match link {
-        OwnerLink::Local(server) => server.output(request).await,
-        OwnerLink::Remote(client, address) => {
-            let answered = client
-                .read_output(call_context(READ_WAIT + READ_GRACE), request)
-                .await;
-            unwrap_answer(context, *address, answered)
-        }
-    }
-}
-
-fn unwrap_answer<T>(
-    context: &EntryContext,
-    address: std::net::SocketAddr,
-    answered: Result<Result<T, CallError>, tarpc::client::RpcError>,
-) -> Result<T, CallError> {
-    answered.map_err(|error| {
-        context.pool.forget(address);
-        lost_answer(&error)
-    })?
-}
-
-/// Repeats a request to the owner of a program while the owner changes.
-macro_rules! ask_owner {
-    ($context:expr, $program:expr, $link:ident => $local:expr, $client:ident => $remote:expr) => {{
-        let until = Instant::now() + OWNER_PATIENCE;
-        loop {
-            let answered = match find_owner($context, $program).await {
-                Ok(OwnerLink::Local($link)) => $local,
-                Ok(OwnerLink::Remote($client, address)) => unwrap_answer($context, address, $remote),
-                Err(error) => Err(error),
-            };
-            match answered {
-                Err(error) if is_passing(&error) && Instant::now() < until => {
-                    sleep(Duration::from_millis(LONGEST_PAUSE_MS / 4)).await;
-                }
-                answered => break answered,
-            }
-        }
-    }};
-}
-
-/// Reads the state of a program from its owner.
-///
-/// # Errors
-///
-/// Returns 1005 for an unknown program and 8001 or 3011 when the owner is not found in time.
-pub(crate) async fn read_program(
-    context: &Arc<EntryContext>,
-    team: Option<&TeamName>,
-    program: ProgramKey,
-) -> Result<ProgramState, CallError> {
-    ask_owner!(context, program,
-        server => server.read(team, program).await,
-        client => client.read_program(call_context(CALL_TIMEOUT), team.cloned(), program).await)
-}
-
-/// Ends a program at its owner; `None` as team stands for an operator, who cancels it.
-///
-/// # Errors
-///
-/// Returns 1005 for an unknown program and 8001 or 3011 when the owner is not found in time.
-pub(crate) async fn end_program(
-    context: &Arc<EntryContext>,
-    team: Option<&TeamName>,
-    program: ProgramKey,
-) -> Result<ProgramSummary, CallError> {
-    ask_owner!(context, program,
-        server => server.end(team.cloned(), program).await,
-        client => client.end_program(call_context(CALL_TIMEOUT), team.cloned(), program).await)
-}
-
-/// Lists the programs of every live entry that answers.
-pub(crate) async fn list_programs(context: &Arc<EntryContext>) -> Vec<ProgramSummary> {
-    let mut programs = OwnerServer::new(Arc::clone(context)).list();
-    let members = context.board.members();
-    for incarnation in members.table.live() {
-        programs.extend(list_remote(context, incarnation).await);
-    }
-    programs.sort_unstable_by_key(|program| program.key);
-    programs
-}
-
-async fn list_remote(context: &EntryContext, incarnation: IncarnationId) -> Vec<ProgramSummary> {
-    let members = context.board.members();
-    let Some(member) = members
-        .table
-        .member(incarnation)
-        .filter(|_| incarnation != context.incarnation())
-    else {
-        return Vec::new();
-    };
-    let Ok(client) = context.pool.owner(member.address).await else {
-        return Vec::new();
-    };
-    match client.list_programs(call_context(CALL_TIMEOUT)).await {
-        Ok(Ok(programs)) => programs,
-        Ok(Err(_)) | Err(_) => Vec::new(),
-    }
-}
