Summarize a program in one place

Cause: the owner's table and the callers' port each built the same row. Change: ProgramSummary::new in wire serves both; behaviour unchanged.

--- a/components/entry/src/http/programs.rs
+++ b/components/entry/src/http/programs.rs
@@ -86,7 +86,7 @@
     let program = read_program(context, Some(team), parse_program(id)?).await?;
     Ok(json_reply(
         StatusCode::OK,
-        &ProgramBody::from(summarize(&program)),
+        &ProgramBody::from(ProgramSummary::new(&program, program.intents.len())),
     ))
 }
 
@@ -148,19 +148,3 @@
         refusal
     })
 }
-
-fn summarize(program: &ProgramState) -> ProgramSummary {
-    ProgramSummary {
-        key: program.key,
-        team: program.team.clone(),
-        parent: program.parent,
-        urgency: program.urgency,
-        deadline: program.deadline,
-        phase: program.phase,
-        tenure: program.tenure,
-        finished_calls: program.finished.len() as u64,
-        open_calls: program.intents.len() as u64,
-        charged: program.charged,
-        messages: program.history.len() as u64,
-    }
-}
--- a/components/entry/src/owner/cell.rs
+++ b/components/entry/src/owner/cell.rs
@@ -231,19 +231,7 @@
         let state = self.lock();
         let program = &state.program;
         let open = state.waiting.len() + usize::from(state.running.is_some());
-        ProgramSummary {
-            key: program.key,
-            team: program.team.clone(),
-            parent: program.parent,
-            urgency: program.urgency,
-            deadline: program.deadline,
-            phase: program.phase,
-            tenure: program.tenure,
-            finished_calls: program.finished.len() as u64,
-            open_calls: open as u64,
-            charged: program.charged,
-            messages: program.history.len() as u64,
-        }
+        ProgramSummary::new(program, open)
     }
 
     fn lock(&self) -> MutexGuard<'_, CellState> {
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -2,7 +2,8 @@
 
 use domain::{
     AttemptKey, CallKey, CallOutcome, CallRequest, ChatMessage, Generation, MicroUnits, PlainRequest,
-    ProgramKey, ProgramPhase, ServiceName, TeamName, TenureNumber, TimeMillis, TokenCount, UrgencyClass,
+    ProgramKey, ProgramPhase, ProgramState, ServiceName, TeamName, TenureNumber, TimeMillis, TokenCount,
+    UrgencyClass,
 };
 use errors::CallError;
 use serde::{Deserialize, Serialize};
@@ -97,6 +98,25 @@
     pub messages: u64,
 }
 
+impl ProgramSummary {
+    /// Summarizes a program's durable state; `open_calls` are those under way or waiting.
+    pub fn new(program: &ProgramState, open_calls: usize) -> Self {
+        Self {
+            key: program.key,
+            team: program.team.clone(),
+            parent: program.parent,
+            urgency: program.urgency,
+            deadline: program.deadline,
+            phase: program.phase,
+            tenure: program.tenure,
+            finished_calls: program.finished.len() as u64,
+            open_calls: open_calls as u64,
+            charged: program.charged,
+            messages: program.history.len() as u64,
+        }
+    }
+}
+
 /// What an agent is to run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
