Choose staying heirs in one place, and copy no history for the admission check

Cause: the planned stop and the sealer each filtered the heirs by the same rule; the time to come back after a platform refusal stood twice; the admission check cloned the whole program again to work out a shape that its caller held. Change: staying_heirs in member.rs serves both, one constant, the shape is passed in.

--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -191,9 +191,22 @@
     context: &EntryContext,
     table: &MemberTable,
     incarnation: IncarnationId,
+) -> Vec<IncarnationId> {
+    let present = staying_heirs(context, table, incarnation);
+    if present.is_empty() {
+        heirs_of(table, incarnation)
+    } else {
+        present
+    }
+}
+
+/// Returns the heirs that are neither silent nor leaving.
+pub(crate) fn staying_heirs(
+    context: &EntryContext,
+    table: &MemberTable,
+    incarnation: IncarnationId,
 ) -> Vec<IncarnationId> {
     let fleet = context.board.fleet();
-    let heirs = heirs_of(table, incarnation);
     let is_present = |heir: &IncarnationId| {
         if *heir == context.incarnation() {
             return !context.board.is_leaving();
@@ -203,8 +216,10 @@
             !peer.heartbeat.leaving && peer.heard.elapsed() <= context.options.suspect_after
         })
     };
-    let present: Vec<_> = heirs.iter().copied().filter(is_present).collect();
-    if present.is_empty() { heirs } else { present }
+    heirs_of(table, incarnation)
+        .into_iter()
+        .filter(is_present)
+        .collect()
 }
 
 /// Tells the heirs of a seal and waits until they have adopted, or have had the time to.
--- a/components/entry/src/owner/commit.rs
+++ b/components/entry/src/owner/commit.rs
@@ -23,7 +23,7 @@
 const FULL_BUFFER_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time after which a request refused for the object API may come back, in milliseconds.
-const PLATFORM_RETRY_MS: u64 = 2000;
+pub(crate) const PLATFORM_RETRY_MS: u64 = 2000;
 
 /// Commits under way.
 #[derive(Debug)]
--- a/components/entry/src/owner/limits.rs
+++ b/components/entry/src/owner/limits.rs
@@ -139,6 +139,7 @@
     service: &ServiceConfig,
     cell: &ProgramCell,
     call: &OpenCall,
+    shape: &CallShape,
     chosen: Option<&ChosenServer>,
 ) -> Result<(), CallError> {
     let fleet = context.board.fleet();
@@ -175,7 +176,7 @@
         wait_ms: chosen.map_or(0, |chosen| chosen.choice.wait_ms),
     });
     admit_call(&facts, &service.limits)?;
-    check_context(service, &call_shape(&cell.program(), call))
+    check_context(service, shape)
 }
 
 fn check_context(service: &ServiceConfig, shape: &CallShape) -> Result<(), CallError> {
--- a/components/entry/src/owner/outcome.rs
+++ b/components/entry/src/owner/outcome.rs
@@ -10,11 +10,9 @@
 use policy::exact_price;
 
 use crate::owner::call::OpenCall;
+use crate::owner::commit::PLATFORM_RETRY_MS;
 use crate::owner::run::CallRunner;
 
-/// Time after which an answer that waits for the object API may be asked for again, in milliseconds.
-const PLATFORM_RETRY_MS: u64 = 2000;
-
 impl CallRunner {
     /// Returns the record of the final state.
     pub(crate) fn finished_record(
--- a/components/entry/src/owner/run.rs
+++ b/components/entry/src/owner/run.rs
@@ -137,6 +137,7 @@
             &service,
             &self.cell,
             &self.call,
+            &shape,
             chosen.as_ref(),
         )?;
         let Some(chosen) = chosen else {
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context as _, Result};
 use budget::BudgetKeeper;
-use domain::{HostRole, IncarnationId, MemberTable};
+use domain::IncarnationId;
 use futures::StreamExt as _;
 use journal::{JournalError, JournalWriter};
 use slog::{info, warn};
@@ -22,7 +22,9 @@
 use crate::context::EntryContext;
 use crate::fleet::{follow_host_list, publish_heartbeats, record_heartbeats};
 use crate::http::serve_http;
-use crate::member::{announce_seal, follow_members, heirs_of, join_members, record_seal, suspect_members};
+use crate::member::{
+    announce_seal, follow_members, join_members, record_seal, staying_heirs, suspect_members,
+};
 use crate::options::EntryOptions;
 use crate::orders::order_engines;
 use crate::owner::{OwnerCore, OwnerServer};
@@ -178,7 +180,7 @@
     owner.begin_closing();
     let _ = timeout(options.stop_grace, wait_idle(&owner)).await;
     let own = owner.incarnation();
-    if staying_heirs(context, &context.board.members().table).is_empty() {
+    if staying_heirs(context, &context.board.members().table, own).is_empty() {
         warn!(options.log, "no heir"; "programs" => owner.table.all().len());
         owner.fence();
         return owner.budget().close().await.map_err(Into::into);
@@ -187,7 +189,7 @@
     if let Err(error) = owner.budget().close().await {
         warn!(options.log, "budget not returned"; "error" => %error);
     }
-    let heirs = record_seal(context, own, |table| staying_heirs(context, table)).await?;
+    let heirs = record_seal(context, own, |table| staying_heirs(context, table, own)).await?;
     match owner.journal().seal_own(heirs.clone()).await {
         // An heir that was faster has sealed the journal before it read it.
         Ok(()) | Err(JournalError::Sealed { .. }) => {}
@@ -202,19 +204,3 @@
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
 }
-
-/// Returns the heirs that are not leaving themselves.
-fn staying_heirs(context: &EntryContext, table: &MemberTable) -> Vec<IncarnationId> {
-    let fleet = context.board.fleet();
-    let heirs = heirs_of(table, context.incarnation());
-    let stays = |heir: &IncarnationId| {
-        let peer = fleet.entry(heir.0);
-        peer.is_some_and(|peer| {
-            let silence = tokio::time::Instant::now().duration_since(peer.heard);
-            peer.heartbeat.role == HostRole::Entry
-                && !peer.heartbeat.leaving
-                && silence <= context.options.suspect_after
-        })
-    };
-    heirs.into_iter().filter(stays).collect()
-}
