Run on the users' platform: adapter, routing, and a ledger copied to hosts with a disk

Cause: the platform fixes how callers, backend servers, operators and hosts speak; the product's own daemon speaks none of it.

The crate of the product's own object API is renamed from platform to store.

--- a/components/agent/benches/call.rs
+++ b/components/agent/benches/call.rs
@@ -9,8 +9,8 @@
 };
 use engine::{ChatOrder, EngineClient, EngineOptions};
 use hdrhistogram::Histogram;
-use platform::HostDirectory;
 use standins::{EngineSettings, HostList, HostListSettings, ModelEngine};
+use store::HostDirectory;
 use tokio_util::sync::CancellationToken;
 use wire::{AgentPortClient, ClusterSecret, DispatchOrder};
 
--- a/components/agent/src/options.rs
+++ b/components/agent/src/options.rs
@@ -23,7 +23,7 @@
     /// Key shared by the processes.
     pub(crate) secret: wire::ClusterSecret,
     /// Client of the host list.
-    pub(crate) hosts: platform::HostDirectory,
+    pub(crate) hosts: store::HostDirectory,
     /// Time between two heartbeats.
     pub(crate) heartbeat_interval: Duration,
     /// Silence after which a peer or a stream's connection is taken for lost.
--- a/components/agent/tests/process/support.rs
+++ b/components/agent/tests/process/support.rs
@@ -8,8 +8,8 @@
     AttemptKey, AttemptNumber, CallKey, CallOutcome, ChatMessage, ChatRole, Heartbeat, HostRole, HostState,
     IncarnationId, ListedHost, PlainRequest, ProgramKey, TenureNumber,
 };
-use platform::HostDirectory;
 use standins::{HostList, HostListSettings, ServerHandle, send_json};
+use store::HostDirectory;
 use tarpc::client::Config;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
--- a/components/budget/benches/reservation.rs
+++ b/components/budget/benches/reservation.rs
@@ -8,8 +8,8 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use domain::{CallLimits, IncarnationId, MicroUnits, ServicePrices, TeamConfig, TimeMillis, TokenUsage};
 use futures::FutureExt as _;
-use platform::MemoryStore;
 use policy::{AdmissionFacts, admit_call, exact_price, worst_case_price};
+use store::MemoryStore;
 
 const TEAMS: [usize; 3] = [4, 40, 400];
 const NOW: TimeMillis = TimeMillis(1_800_000_000_000);
--- a/components/budget/src/keeper.rs
+++ b/components/budget/src/keeper.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use domain::{IncarnationId, MicroUnits, TeamConfig, TeamName, TimeMillis};
 use errors::{CallError, ResultCode};
-use platform::ObjectStore;
+use store::ObjectStore;
 use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
 
--- a/components/budget/src/store.rs
+++ b/components/budget/src/store.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use domain::{IncarnationId, TimeMillis};
 use errors::{CallError, ResultCode};
-use platform::{ObjectStore, ObjectVersion, PlatformError, WriteCondition};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
+use store::{ObjectStore, ObjectVersion, PlatformError, WriteCondition};
 
 use crate::account::BudgetObject;
 use crate::ledger::TeamLedger;
--- a/components/budget/src/team.rs
+++ b/components/budget/src/team.rs
@@ -4,8 +4,8 @@
 
 use domain::{IncarnationId, MicroUnits, TeamName, TimeMillis};
 use errors::{CallError, ResultCode};
-use platform::ObjectVersion;
 use policy::next_slice;
+use store::ObjectVersion;
 use tokio::sync::Semaphore;
 
 use crate::account::BudgetObject;
--- a/components/budget/tests/limits.rs
+++ b/components/budget/tests/limits.rs
@@ -9,7 +9,7 @@
 use domain::{MicroUnits, TeamConfig, TimeMillis};
 use errors::{CallError, RunState};
 use googletest::prelude::*;
-use platform::{MemoryFaults, MemoryStore, ObjectStore as _};
+use store::{MemoryFaults, MemoryStore, ObjectStore as _};
 use support::{LIMIT, OUTAGE, WINDOW_S, keeper, report, reserve, team};
 
 const WINDOW_MS: u64 = WINDOW_S * 1_000;
--- a/components/budget/tests/spending.rs
+++ b/components/budget/tests/spending.rs
@@ -8,7 +8,7 @@
 use domain::{IncarnationId, MicroUnits, TimeMillis};
 use futures::future::join_all;
 use googletest::prelude::*;
-use platform::MemoryFaults;
+use store::MemoryFaults;
 use support::{FaultyStore, LIMIT, SpendJudge, keeper, report, reserve, spend, team_name};
 
 const SEEDS: u64 = 12;
--- a/components/budget/tests/support/mod.rs
+++ b/components/budget/tests/support/mod.rs
@@ -12,12 +12,12 @@
 use bytes::Bytes;
 use domain::{IncarnationId, MicroUnits, TeamConfig, TeamName, TimeMillis};
 use errors::CallError;
-use platform::{
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use store::{
     MemoryFaults, MemoryStore, ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject,
     WriteCondition,
 };
-use rand::rngs::StdRng;
-use rand::{RngExt as _, SeedableRng as _};
 
 const PATIENCE: u32 = 6;
 pub const LIMIT: u64 = 1_000_000;
--- a/components/controller/src/lease.rs
+++ b/components/controller/src/lease.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use domain::HostName;
-use platform::{ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use serde::{Deserialize, Serialize};
+use store::{ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use tokio::time::Instant;
 
 const LEASE_KEY: &str = "controller";
--- a/components/controller/tests/lease.rs
+++ b/components/controller/tests/lease.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use controller::{ControllerLease, LeaseOptions, LeaseRecord};
 use googletest::prelude::*;
-use platform::{
+use store::{
     MemoryFaults, MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition,
 };
 use tokio::task::yield_now;
--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -10,9 +10,9 @@
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use config::DaemonSettings;
 use entry::{EntryOptions, EntryProcess};
-use platform::{HostDirectory, RemoteStore};
 use sha2::{Digest as _, Sha256};
 use slog::{Logger, info};
+use store::{HostDirectory, RemoteStore};
 use tokio_util::sync::CancellationToken;
 use wire::ClusterSecret;
 
--- a/components/entry/src/adoption.rs
+++ b/components/entry/src/adoption.rs
@@ -8,8 +8,8 @@
 use domain::{IncarnationId, MemberState, MemberTable, ProgramState, heir_of};
 use errors::{CallError, ResultCode};
 use journal::{BudgetSlice, JournalError, ProgramLedger, replay_journal, seal_journal};
-use platform::ObjectStore;
 use slog::{info, warn};
+use store::ObjectStore;
 use tokio::time::{sleep, timeout};
 
 use crate::context::EntryContext;
--- a/components/entry/src/audit.rs
+++ b/components/entry/src/audit.rs
@@ -3,9 +3,9 @@
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
 use domain::{HostName, TimeMillis};
-use platform::{ObjectStore, PlatformError, WriteCondition};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use store::{ObjectStore, PlatformError, WriteCondition};
 
 use crate::context::EntryContext;
 
--- a/components/entry/src/configuration.rs
+++ b/components/entry/src/configuration.rs
@@ -7,8 +7,8 @@
 use config::parse_configuration;
 use domain::{AppliedConfiguration, Generation, HostRole};
 use errors::{CallError, ResultCode};
-use platform::{ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use slog::{error, info, warn};
+use store::{ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use tokio::time::{sleep, timeout};
 
 use crate::context::EntryContext;
--- a/components/entry/src/member.rs
+++ b/components/entry/src/member.rs
@@ -8,8 +8,8 @@
 use domain::{Generation, HostRole, IncarnationId, MemberRecord, MemberState, MemberTable, TimeMillis};
 use futures::future::join_all;
 use journal::seal_journal;
-use platform::{ObjectStore, PlatformError, VersionedObject, WriteCondition};
 use slog::{debug, info, warn};
+use store::{ObjectStore, PlatformError, VersionedObject, WriteCondition};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::audit::AuditEvent;
@@ -52,7 +52,7 @@
     let value = Bytes::from(serde_json::to_vec(table)?);
     let condition = match read.version {
         Generation(0) => WriteCondition::Absent,
-        Generation(version) => WriteCondition::Version(platform::ObjectVersion(version)),
+        Generation(version) => WriteCondition::Version(store::ObjectVersion(version)),
     };
     match store.write(MEMBERS_KEY, value, condition).await {
         Ok(_) => Ok(true),
--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -7,8 +7,8 @@
 use bon::Builder;
 use cadence::StatsdClient;
 use domain::{FailureDomain, HostName};
-use platform::{HostDirectory, ObjectStore};
 use slog::Logger;
+use store::{HostDirectory, ObjectStore};
 use wire::ClusterSecret;
 
 /// Time for which an ended program stays in memory by default.
--- a/components/entry/src/owner/archive.rs
+++ b/components/entry/src/owner/archive.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context as _, Result, bail};
 use bytes::Bytes;
 use domain::{ProgramKey, ProgramState};
-use platform::{ObjectStore, PlatformError, WriteCondition};
+use store::{ObjectStore, PlatformError, WriteCondition};
 
 /// Largest part of an archived program in bytes; an object holds at most 1 MiB.
 const PART_BYTES: usize = 1000 * 1024;
--- a/components/entry/tests/apply.rs
+++ b/components/entry/tests/apply.rs
@@ -11,11 +11,11 @@
 use hyper::{Method, Request};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use platform::{
+use sha2::{Digest as _, Sha256};
+use store::{
     HostDirectory, MemoryStore, ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject,
     WriteCondition,
 };
-use sha2::{Digest as _, Sha256};
 use tokio_util::sync::CancellationToken;
 
 const KEY: &str = "config/text";
--- a/components/entry/tests/archive.rs
+++ b/components/entry/tests/archive.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use platform::{MemoryFaults, MemoryStore, ObjectStore};
+use store::{MemoryFaults, MemoryStore, ObjectStore};
 use support::{RunningEntry, free_address, new_program, open_journal, program_key, turn};
 
 const SUSPECT_AFTER: Duration = Duration::from_mins(10);
--- a/components/entry/tests/folding.rs
+++ b/components/entry/tests/folding.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use googletest::prelude::*;
-use platform::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
+use store::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
 use support::*;
 use tokio::sync::Notify;
 
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -14,8 +14,8 @@
 };
 use entry::{EntryOptions, EntryProcess};
 use journal::{JournalRecord, JournalWriter};
-use platform::{HostDirectory, ObjectStore, WriteCondition};
 use sha2::{Digest, Sha256};
+use store::{HostDirectory, ObjectStore, WriteCondition};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -11,7 +11,7 @@
 use domain::{IncarnationId, MemberState, ProgramKey, TenureNumber, heir_of};
 use googletest::prelude::*;
 use journal::{JournalError, JournalRecord, apply_to_program, replay_journal, seal_journal};
-use platform::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
+use store::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
 use support::*;
 use tokio::sync::Semaphore;
 
--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -60,6 +60,8 @@
     WrongServiceKind = 1010, 400;
     /// The client took too long to send its request.
     RequestTimeout = 1011, 408;
+    /// The turn that a request continues does not exist.
+    UnknownTurn = 1012, 404;
     /// The bearer token is missing or belongs to no team.
     Unauthorized = 2001, 401;
     /// The program belongs to another team.
@@ -100,6 +102,14 @@
     CallRefused = 3016, 409;
     /// The agent has restarted since the owner chose it and cannot tell what its earlier start ran.
     AgentRestarted = 3017, 503;
+    /// The token budget of the program does not cover one more turn.
+    ProgramBudgetSpent = 3018, 402;
+    /// Too few ledger hosts answer to decide on the request.
+    LedgerUnavailable = 3019, 503;
+    /// Every backend server that was tried refused the request.
+    BackendRefused = 3020, 503;
+    /// No configuration is known yet.
+    NotConfigured = 3021, 503;
     /// The call may have run; its outcome is not known.
     OutcomeUnknown = 4001, 504;
     /// The stream cannot be continued without mixing two answers.
--- a/components/journal/src/error.rs
+++ b/components/journal/src/error.rs
@@ -2,7 +2,7 @@
 
 use domain::IncarnationId;
 use errors::{CallError, ResultCode};
-use platform::PlatformError;
+use store::PlatformError;
 
 const SEALED_RETRY_MS: u64 = 100;
 const UNAVAILABLE_RETRY_MS: u64 = 1000;
--- a/components/journal/src/replay.rs
+++ b/components/journal/src/replay.rs
@@ -5,7 +5,7 @@
 use domain::IncarnationId;
 use futures::StreamExt;
 use futures::stream;
-use platform::{ObjectStore, VersionedObject};
+use store::{ObjectStore, VersionedObject};
 
 use crate::error::JournalError;
 use crate::ledger::ProgramLedger;
--- a/components/journal/src/retry.rs
+++ b/components/journal/src/retry.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use rand::RngExt;
+use store::{ObjectStore, ObjectVersion, PlatformError, StoreResult, VersionedObject, WriteCondition};
 use tokio::sync::watch;
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
--- a/components/journal/src/seal.rs
+++ b/components/journal/src/seal.rs
@@ -1,8 +1,8 @@
 //! Seals: the end of a journal, by which heirs take its programs over.
 
 use domain::IncarnationId;
-use platform::{ObjectStore, ObjectVersion, PlatformError, WriteCondition};
 use serde::{Deserialize, Serialize};
+use store::{ObjectStore, ObjectVersion, PlatformError, WriteCondition};
 
 use crate::error::JournalError;
 use crate::retry::{PatientStore, RetryBackoff, RetryPatience, is_transient};
--- a/components/journal/src/writer.rs
+++ b/components/journal/src/writer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use domain::{IncarnationId, ProgramState};
-use platform::{ObjectStore, PlatformError};
+use store::{ObjectStore, PlatformError};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::commit::{CommitTask, QueueItem};
--- a/components/journal/tests/append.rs
+++ b/components/journal/tests/append.rs
@@ -7,7 +7,7 @@
 
 use googletest::prelude::*;
 use journal::{JournalError, JournalRecord, JournalWriter};
-use platform::{MemoryFaults, MemoryStore};
+use store::{MemoryFaults, MemoryStore};
 use support::*;
 use tokio::time::Instant;
 
--- a/components/journal/tests/corrupt.rs
+++ b/components/journal/tests/corrupt.rs
@@ -7,9 +7,9 @@
 use errors::{CallError, ResultCode};
 use googletest::prelude::*;
 use journal::{JournalError, decode_segment, replay_journal, seal_journal};
-use platform::{MemoryStore, ObjectStore, WriteCondition};
 use proptest::prelude::{ProptestConfig, any, proptest};
 use proptest::test_runner::RngSeed;
+use store::{MemoryStore, ObjectStore, WriteCondition};
 use support::*;
 
 const SEED: u64 = 20_261_203;
--- a/components/journal/tests/fold.rs
+++ b/components/journal/tests/fold.rs
@@ -7,7 +7,7 @@
 use domain::IncarnationId;
 use googletest::prelude::*;
 use journal::{BudgetSlice, ProgramLedger, replay_journal, seal_journal};
-use platform::{MemoryStore, ObjectStore};
+use store::{MemoryStore, ObjectStore};
 use support::*;
 
 const FOLD_AT_SEGMENTS: u64 = 16;
--- a/components/journal/tests/property.rs
+++ b/components/journal/tests/property.rs
@@ -8,9 +8,9 @@
 use domain::{CallKey, ProgramPhase, ProgramState, TenureNumber};
 use googletest::prelude::*;
 use journal::{JournalRecord, JournalWriter, ProgramLedger, seal_journal};
-use platform::{MemoryFaults, MemoryStore};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use store::{MemoryFaults, MemoryStore};
 use support::*;
 
 const SEEDS: std::ops::Range<u64> = 0..300;
--- a/components/journal/tests/seal.rs
+++ b/components/journal/tests/seal.rs
@@ -9,7 +9,7 @@
 use journal::{
     JournalError, JournalSeal, JournalWriter, release_sealed_journal, replay_journal, seal_journal,
 };
-use platform::{MemoryFaults, MemoryStore, ObjectStore};
+use store::{MemoryFaults, MemoryStore, ObjectStore};
 use support::*;
 
 async fn seal_by(store: &dyn ObjectStore, sealer: IncarnationId) -> JournalSeal {
--- a/components/journal/tests/support/mod.rs
+++ b/components/journal/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use domain::*;
 use journal::{JournalRecord, JournalWriter, ReplayedJournal, replay_journal};
-use platform::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
+use store::{MemoryStore, ObjectStore, ObjectVersion, StoreResult, VersionedObject, WriteCondition};
 use tokio::sync::Semaphore;
 
 pub const OWNER: IncarnationId = IncarnationId(7);
--- /dev/null
+++ b/components/ledger/src/host.rs
@@ -0,0 +1,220 @@
+//! A ledger host: a book in memory over a log on the disk.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use slog::{Logger, error, info};
+use tarpc::context::Context;
+
+use crate::book::LedgerBook;
+use crate::log::{DiskLog, LogError};
+use crate::port::{ChangePage, LedgerPort, PortFault, PortResult};
+use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
+
+/// Keys in one page of changes.
+const PAGE_KEYS: usize = 4_096;
+/// Bytes after which an answer with records ends; the reader asks again for the rest.
+const ANSWER_BYTES: usize = 1024 * 1024;
+
+/// What a ledger host needs to start.
+#[derive(Debug, Clone)]
+pub struct HostOptions {
+    /// Folder of the log.
+    pub folder: PathBuf,
+    /// Number that no earlier start of this host had.
+    pub epoch: u64,
+    /// Log for events.
+    pub log: Logger,
+}
+
+/// Position up to which another host has copied.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct ReaderPosition {
+    reader: String,
+    number: u64,
+}
+
+/// A ledger host; clones share it.
+#[derive(Debug, Clone)]
+pub struct LedgerHost {
+    shared: Arc<HostState>,
+}
+
+#[derive(Debug)]
+struct HostState {
+    book: Mutex<LedgerBook>,
+    disk: DiskLog,
+    epoch: u64,
+    /// Whether records that the host missed may still be missing.
+    copying: AtomicBool,
+    readers: Mutex<Vec<ReaderPosition>>,
+    log: Logger,
+}
+
+impl LedgerHost {
+    /// Opens the log and reads it into memory. The host answers no reads until [`Self::finish_copying`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log cannot be opened.
+    pub fn open(options: HostOptions, now_ms: u64) -> Result<Self, LogError> {
+        let (disk, records) = DiskLog::open(&options.folder)?;
+        let mut book = LedgerBook::default();
+        for record in &records {
+            book.apply(record, now_ms);
+        }
+        info!(options.log, "ledger opened"; "records" => records.len(), "epoch" => options.epoch);
+        Ok(Self {
+            shared: Arc::new(HostState {
+                book: Mutex::new(book),
+                disk,
+                epoch: options.epoch,
+                copying: AtomicBool::new(true),
+                readers: Mutex::default(),
+                log: options.log,
+            }),
+        })
+    }
+
+    /// Lets the host answer: it has copied what the others hold.
+    pub fn finish_copying(&self) {
+        self.shared.copying.store(false, Ordering::Release);
+    }
+
+    /// Returns whether records may still be missing.
+    pub fn is_copying(&self) -> bool {
+        self.shared.copying.load(Ordering::Acquire)
+    }
+
+    /// Returns the keys among `keys` that are not known here.
+    pub fn missing(&self, keys: &[RecordKey]) -> Vec<RecordKey> {
+        let book = self.book();
+        keys.iter().filter(|key| !book.contains(key)).copied().collect()
+    }
+
+    /// Adds records copied from another host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk refuses.
+    pub async fn adopt(&self, records: Vec<LedgerRecord>, now_ms: u64) -> Result<(), LogError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        {
+            let mut book = self.book();
+            for record in &records {
+                book.apply(record, now_ms);
+            }
+        }
+        self.shared.disk.write_synced(&records).await
+    }
+
+    /// Forgets what has outlived its retention.
+    pub fn prune(&self, now_ms: u64) {
+        self.book().prune(now_ms);
+    }
+
+    /// Returns the numbers of programs and of kept turns.
+    pub fn sizes(&self) -> (usize, usize) {
+        self.book().sizes()
+    }
+
+    /// Returns whether each of the named hosts has copied every record of this one.
+    pub fn is_copied_by(&self, names: &[String]) -> bool {
+        let end = self.book().next_number();
+        let readers = self.shared.readers.lock().unwrap_or_else(PoisonError::into_inner);
+        names.iter().all(|name| {
+            readers
+                .iter()
+                .any(|position| position.reader == *name && position.number >= end)
+        })
+    }
+
+    fn book(&self) -> MutexGuard<'_, LedgerBook> {
+        self.shared.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn apply_all(&self, records: &[LedgerRecord]) -> Vec<u64> {
+        let now_ms = crate::repair::wall_clock_ms();
+        let mut book = self.book();
+        let mut committed = Vec::with_capacity(records.len());
+        for record in records {
+            book.apply(record, now_ms);
+            committed.push(book.committed(record.program()));
+        }
+        committed
+    }
+
+    fn note_reader(&self, reader: String, number: u64) {
+        let mut readers = self.shared.readers.lock().unwrap_or_else(PoisonError::into_inner);
+        match readers.iter_mut().find(|position| position.reader == reader) {
+            Some(position) => position.number = number,
+            None => readers.push(ReaderPosition { reader, number }),
+        }
+    }
+
+    fn disk_fault(&self, failure: &LogError) -> PortFault {
+        error!(self.shared.log, "ledger not written"; "error" => %failure);
+        PortFault::Disk(failure.to_string())
+    }
+}
+
+impl LedgerPort for LedgerHost {
+    async fn write(self, _: Context, records: Vec<LedgerRecord>, synced: bool) -> PortResult<Vec<u64>> {
+        let committed = self.apply_all(&records);
+        let written = if synced {
+            self.shared.disk.write_synced(&records).await
+        } else {
+            self.shared.disk.write(&records)
+        };
+        if let Err(failure) = written {
+            return Err(self.disk_fault(&failure));
+        }
+        // The records are safe here, but the counts would lack what the host missed.
+        if !synced && self.is_copying() {
+            return Err(PortFault::Copying);
+        }
+        Ok(committed)
+    }
+
+    async fn chain(self, _: Context, turn: TurnKey) -> PortResult<Vec<TurnRecord>> {
+        let chain = self.book().chain(turn);
+        if chain.is_empty() && self.is_copying() {
+            return Err(PortFault::Copying);
+        }
+        Ok(chain)
+    }
+
+    async fn changes(self, _: Context, reader: String, epoch: u64, since: u64) -> PortResult<ChangePage> {
+        let since = if epoch == self.shared.epoch { since } else { 0 };
+        if epoch == self.shared.epoch {
+            self.note_reader(reader, since);
+        }
+        let book = self.book();
+        let (keys, next) = book.arrivals_since(since, PAGE_KEYS);
+        Ok(ChangePage {
+            epoch: self.shared.epoch,
+            keys,
+            next,
+            end: book.next_number(),
+        })
+    }
+
+    async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
+        let book = self.book();
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for record in keys.iter().filter_map(|key| book.record(key)) {
+            if let LedgerRecord::Turn(turn) = &record {
+                bytes += turn.input.len() + turn.output.len();
+            }
+            records.push(record);
+            if bytes >= ANSWER_BYTES {
+                break;
+            }
+        }
+        Ok(records)
+    }
+}
--- /dev/null
+++ b/components/ledger/src/lib.rs
@@ -0,0 +1,21 @@
+//! The ledger of programs: their turns and the tokens reserved and spent for them.
+//!
+//! Its records are immutable and may be applied in any order, any number of times. Each is written to several
+//! hosts with a disk; a host that missed some copies them from the others. No host decides anything for the
+//! others, so there is nothing to elect.
+
+mod book;
+mod client;
+mod host;
+mod log;
+mod port;
+mod record;
+mod repair;
+
+pub use book::LedgerBook;
+pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome};
+pub use host::{HostOptions, LedgerHost};
+pub use log::{DiskLog, LogError};
+pub use port::{ChangePage, LedgerPort, LedgerPortClient, PortFault, PortResult, connect_host, serve_port};
+pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
+pub use repair::CopyLoop;
--- /dev/null
+++ b/components/ledger/src/port.rs
@@ -0,0 +1,93 @@
+//! The port between entries and ledger hosts, and among ledger hosts.
+
+use std::net::SocketAddr;
+
+use futures::StreamExt as _;
+use serde::{Deserialize, Serialize};
+use tarpc::server::{BaseChannel, Channel as _};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
+
+/// Largest message in bytes: a chain of turns at the callers' limits.
+const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a host did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum PortFault {
+    /// The host has not yet copied what it missed while it was away.
+    #[error("the ledger host is still copying records")]
+    Copying,
+    /// The disk refused.
+    #[error("the disk of the ledger host failed: {0}")]
+    Disk(String),
+}
+
+/// Result of a call at the port.
+pub type PortResult<T> = Result<T, PortFault>;
+
+/// Keys of records in the order of their arrival at a host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangePage {
+    /// Start of the host; numbers of another start mean nothing.
+    pub epoch: u64,
+    /// Keys.
+    pub keys: Vec<RecordKey>,
+    /// Number from which the next page goes on.
+    pub next: u64,
+    /// Number after the newest record of the host.
+    pub end: u64,
+}
+
+/// Calls of a ledger host.
+#[tarpc::service]
+pub trait LedgerPort {
+    /// Writes records and returns, for each, the tokens committed for its program after it. With `synced` the
+    /// answer comes once the records survive a power loss.
+    async fn write(records: Vec<LedgerRecord>, synced: bool) -> PortResult<Vec<u64>>;
+
+    /// Returns a turn and those before it, the newest first, as far as the host knows them.
+    async fn chain(turn: TurnKey) -> PortResult<Vec<TurnRecord>>;
+
+    /// Returns keys that arrived at or after `since`; `reader` names the host that copies.
+    async fn changes(reader: String, epoch: u64, since: u64) -> PortResult<ChangePage>;
+
+    /// Returns the records with the keys, as far as the host still holds them.
+    async fn records(keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>>;
+}
+
+fn frames(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_FRAME_BYTES);
+    Framed::new(stream, codec)
+}
+
+/// Starts a client on an open connection.
+pub fn connect_host(stream: TcpStream) -> LedgerPortClient {
+    let transport = tarpc::serde_transport::new(frames(stream), Bincode::default());
+    LedgerPortClient::new(tarpc::client::Config::default(), transport).spawn()
+}
+
+/// Serves the calls of one accepted connection until it ends.
+pub async fn serve_port<Port>(stream: TcpStream, port: Port)
+where
+    Port: LedgerPort + Clone + Send + 'static,
+{
+    let transport = tarpc::serde_transport::new(frames(stream), Bincode::default());
+    let channel = BaseChannel::with_defaults(transport);
+    channel
+        .execute(port.serve())
+        .for_each_concurrent(None, |call| call)
+        .await;
+}
+
+/// Address of a ledger host under its name.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct HostAddress {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+}
--- /dev/null
+++ b/components/routing/src/directory.rs
@@ -0,0 +1,121 @@
+//! The directory of backend servers, as the discovery service tells of them.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Index of a backend server's incarnation; small and stable as long as the incarnation is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServerKey(pub u32);
+
+/// Whether a backend server takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServerState {
+    /// Takes new work.
+    Ready,
+    /// Finishes its work and leaves.
+    Leaving,
+}
+
+/// One incarnation of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendServer {
+    /// Name under which the server is listed; it may survive a restart.
+    pub name: String,
+    /// Start time in Unix milliseconds when the server tells it; a changed one is a new incarnation.
+    pub started_at_ms: Option<u64>,
+    /// Service that the server belongs to.
+    pub service: String,
+    /// Address of its HTTP port.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Requests that run at a time.
+    pub capacity: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+}
+
+/// A listed incarnation with its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct ListedServer {
+    key: ServerKey,
+    server: BackendServer,
+}
+
+/// Every backend server that may be used, sorted by name.
+#[derive(Debug, Clone, Default)]
+pub struct ServerDirectory {
+    servers: Vec<ListedServer>,
+    next_key: u32,
+}
+
+impl ServerDirectory {
+    /// Replaces the whole directory; incarnations that stay keep their keys.
+    pub fn replace_all(&mut self, servers: Vec<BackendServer>) {
+        let names: Vec<String> = servers.iter().map(|server| server.name.clone()).collect();
+        self.servers.retain(|listed| names.contains(&listed.server.name));
+        for server in servers {
+            self.upsert(server);
+        }
+    }
+
+    /// Adds an incarnation or updates the one that is listed under its name.
+    pub fn upsert(&mut self, server: BackendServer) {
+        match self.place_of(&server.name) {
+            Ok(place) => {
+                let listed = &mut self.servers[place];
+                let same = listed.server.address == server.address
+                    && listed.server.started_at_ms == server.started_at_ms;
+                if !same {
+                    listed.key = ServerKey(self.next_key);
+                    self.next_key += 1;
+                }
+                listed.server = server;
+            }
+            Err(place) => {
+                let key = ServerKey(self.next_key);
+                self.next_key += 1;
+                self.servers.insert(place, ListedServer { key, server });
+            }
+        }
+    }
+
+    /// Removes the server that is listed under a name.
+    pub fn remove(&mut self, name: &str) {
+        if let Ok(place) = self.place_of(name) {
+            self.servers.remove(place);
+        }
+    }
+
+    /// Returns the number of listed servers.
+    pub const fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Returns whether no server is listed.
+    pub const fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Returns the servers of a service that take new work.
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+        self.servers.iter().filter_map(move |listed| {
+            let is_ready = listed.server.state == ServerState::Ready && listed.server.service == service;
+            is_ready.then_some((listed.key, &listed.server))
+        })
+    }
+
+    /// Returns every listed server.
+    pub fn all(&self) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+        self.servers.iter().map(|listed| (listed.key, &listed.server))
+    }
+
+    fn place_of(&self, name: &str) -> Result<usize, usize> {
+        self.servers
+            .binary_search_by(|listed| listed.server.name.as_str().cmp(name))
+    }
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,18 @@
+//! Where a request goes: routes by host and path, the directory of backend servers and the choice among them.
+//!
+//! Everything here is free of input and output; times are passed in.
+
+mod balance;
+mod directory;
+mod outcome;
+mod route;
+mod stream;
+
+pub use balance::{LoadBoard, ServerPick, ServerQuery, choose_backend};
+pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
+pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
+pub use route::{
+    EngineProfile, RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute,
+    WeightedService,
+};
+pub use stream::{EventAssembler, StreamEvent};
--- a/components/standins/tests/object_api.rs
+++ b/components/standins/tests/object_api.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use platform::{ObjectStore as _, PlatformError, RemoteStore, WriteCondition};
 use standins::{ObjectApi, ServerHandle};
+use store::{ObjectStore as _, PlatformError, RemoteStore, WriteCondition};
 
 async fn start() -> (ServerHandle, RemoteStore) {
     let server = ObjectApi::start("127.0.0.1:0".parse().unwrap(), Some("secret".to_owned())).await;
--- a/components/standins/tests/service_hosts.rs
+++ b/components/standins/tests/service_hosts.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use platform::HostDirectory;
 use serde_json::Value;
 use standins::{HostList, HostListSettings, KeyRuns, PlainService, ServiceFaults, send_json, send_request};
+use store::HostDirectory;
 
 struct FaultCase {
     faults: &'static str,
