--- a/components/ledger/src/repair.rs
+++ b/components/ledger/src/repair.rs
@@ -6,14 +6,12 @@
 use slog::{Logger, debug, info};
 use tarpc::context::{self, Context};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::host::LedgerHost;
 use crate::port::{HostAddress, LedgerPortClient, connect_host};
 use crate::record::RecordKey;
 
-/// Pause between two looks at the same host.
-const LOOK_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for one call.
@@ -167,9 +165,4 @@
         }
         reached
     }
-
-    /// Waits until the next round is due.
-    pub async fn pause(&self) {
-        sleep(LOOK_INTERVAL).await;
-    }
 }
