Reach ledger hosts through other entries when the direct way is cut

Ruled out: reporting itself not ready alone (open connections stay, and a zone whose entries are all cut is used nevertheless).

Conclusion: entries register themselves and pass bytes on; a link that does not open within 100 ms is tried through two of them. An entry that reaches too few hosts either way refuses at once and is not ready.

--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -4,36 +4,19 @@
 //! `t + 1` of them have given includes every reservation that `t + 1` of them hold, since two such sets share
 //! a host.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use slog::{Logger, info, warn};
-use tarpc::context::{self, Context};
-use tokio::net::TcpStream;
-use tokio::sync::{Notify, oneshot};
-use tokio::time::{sleep, timeout};
+use slog::{Logger, info};
+use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::port::{HostAddress, LedgerPortClient, PortFault, PortResult, connect_host};
+use crate::link::{HostLink, Lane, QueuedRecord, keep_link};
+use crate::port::HostAddress;
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 
-/// Longest time for a connection to be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest time for a call that waits for no disk.
-const COUNT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Longest time for a call that waits for the disk.
-const SYNC_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Pause before a host that failed is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Records in one call.
-const BATCH_RECORDS: usize = 256;
-/// Records that may wait for one host; a host that is away copies them later from the others.
-const QUEUE_RECORDS: usize = 8_192;
-
 /// Failure of the ledger.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum LedgerError {
@@ -62,10 +45,11 @@
     },
 }
 
-/// The ledger hosts in use.
+/// The ledger hosts in use, and the entries that pass bytes on to them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LedgerHosts {
     hosts: Vec<HostAddress>,
+    relays: Vec<SocketAddr>,
 }
 
 impl LedgerHosts {
@@ -76,33 +60,18 @@
             .map(|(name, address)| HostAddress { name, address })
             .collect();
         hosts.sort_unstable();
-        Self { hosts }
+        Self {
+            hosts,
+            relays: Vec::new(),
+        }
     }
-}
-
-/// A record on its way to a host.
-#[derive(Debug)]
-struct QueuedRecord {
-    record: LedgerRecord,
-    reply: Option<oneshot::Sender<PortResult<u64>>>,
-}
-
-/// Records that wait for one host; those that wait for the disk go apart from those that only count.
-#[derive(Debug, Default)]
-struct HostQueue {
-    counted: Mutex<VecDeque<QueuedRecord>>,
-    synced: Mutex<VecDeque<QueuedRecord>>,
-    counted_waiting: Notify,
-    synced_waiting: Notify,
-}
 
-/// A host with its connection and its queues.
-#[derive(Debug)]
-struct HostLink {
-    peer: HostAddress,
-    queue: HostQueue,
-    client: tokio::sync::Mutex<Option<LedgerPortClient>>,
-    log: Logger,
+    /// Returns the list with the addresses of entries by which a host is reached when the direct way is cut.
+    #[must_use]
+    pub fn with_relays(mut self, relays: Vec<SocketAddr>) -> Self {
+        self.relays = relays;
+        self
+    }
 }
 
 /// The ledger as an entry uses it; clones share connections.
@@ -114,6 +83,7 @@
 #[derive(Debug)]
 struct ClientState {
     links: Mutex<Vec<Arc<HostLink>>>,
+    relays: Arc<Mutex<Vec<SocketAddr>>>,
     tolerated: usize,
     log: Logger,
 }
@@ -124,6 +94,7 @@
         Self {
             shared: Arc::new(ClientState {
                 links: Mutex::default(),
+                relays: Arc::default(),
                 tolerated,
                 log,
             }),
@@ -132,23 +103,32 @@
 
     /// Replaces the list of hosts; connections to those that stay are kept.
     pub fn set_hosts(&self, hosts: &LedgerHosts) {
+        self.relays().clone_from(&hosts.relays);
         let mut links = self.links();
         links.retain(|link| hosts.hosts.contains(&link.peer));
         for peer in &hosts.hosts {
             if links.iter().any(|link| link.peer == *peer) {
                 continue;
             }
-            let link = Arc::new(HostLink::new(peer.clone(), self.shared.log.clone()));
-            tokio::spawn(pump(Arc::downgrade(&link), Lane::Counted));
-            tokio::spawn(pump(Arc::downgrade(&link), Lane::Synced));
+            let relays = Arc::clone(&self.shared.relays);
+            let link = Arc::new(HostLink::new(peer.clone(), relays, self.shared.log.clone()));
+            for lane in [Lane::Counted, Lane::Synced] {
+                tokio::spawn(keep_link(Arc::downgrade(&link), lane));
+            }
             links.push(link);
         }
-        info!(self.shared.log, "ledger hosts changed"; "hosts" => links.len());
+        info!(self.shared.log, "ledger hosts changed"; "hosts" => links.len(), "relays" => hosts.relays.len());
     }
 
-    /// Returns whether enough hosts are listed for any answer.
-    pub fn has_hosts(&self) -> bool {
-        self.links().len() > self.shared.tolerated
+    /// Returns whether an address is that of a listed ledger host.
+    pub fn is_host(&self, address: SocketAddr) -> bool {
+        self.links().iter().any(|link| link.peer.address == address)
+    }
+
+    /// Returns whether enough hosts have been reached for any answer.
+    pub fn is_reachable(&self) -> bool {
+        let reached = self.links().iter().filter(|link| link.is_up()).count();
+        reached > self.shared.tolerated
     }
 
     /// Reserves tokens for a turn unless the program's budget does not cover them.
@@ -259,6 +239,9 @@
     /// Writes a record to the program's group and returns the counts of the first `t + 1` hosts.
     async fn write(&self, record: &LedgerRecord, lane: Lane) -> Result<Vec<u64>, LedgerError> {
         let needed = self.shared.tolerated + 1;
+        if !self.is_reachable() {
+            return Err(LedgerError::TooFewHosts { answered: 0, needed });
+        }
         let mut replies = FuturesUnordered::new();
         for link in self.group(record.program()) {
             let (reply, waiting) = oneshot::channel();
@@ -299,154 +282,11 @@
         group
     }
 
-    fn links(&self) -> MutexGuard<'_, Vec<Arc<HostLink>>> {
-        self.shared.links.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Whether the answer to a record waits for the disk.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Lane {
-    Counted,
-    Synced,
-}
-
-impl HostLink {
-    fn new(peer: HostAddress, log: Logger) -> Self {
-        Self {
-            peer,
-            queue: HostQueue::default(),
-            client: tokio::sync::Mutex::new(None),
-            log,
-        }
-    }
-
-    fn enqueue(&self, lane: Lane, record: QueuedRecord) {
-        let mut records = self.records(lane);
-        if records.len() < QUEUE_RECORDS {
-            records.push_back(record);
-        }
-        drop(records);
-        self.waiting(lane).notify_one();
-    }
-
-    fn take(&self, lane: Lane) -> Vec<QueuedRecord> {
-        let mut records = self.records(lane);
-        let count = records.len().min(BATCH_RECORDS);
-        records.drain(..count).collect()
-    }
-
-    fn records(&self, lane: Lane) -> MutexGuard<'_, VecDeque<QueuedRecord>> {
-        let queue = match lane {
-            Lane::Counted => &self.queue.counted,
-            Lane::Synced => &self.queue.synced,
-        };
-        queue.lock().unwrap_or_else(PoisonError::into_inner)
+    fn relays(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.shared.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    const fn waiting(&self, lane: Lane) -> &Notify {
-        match lane {
-            Lane::Counted => &self.queue.counted_waiting,
-            Lane::Synced => &self.queue.synced_waiting,
-        }
-    }
-
-    async fn chain(&self, turn: TurnKey) -> Option<Vec<TurnRecord>> {
-        let client = self.connected().await?;
-        match client.chain(deadline(COUNT_TIMEOUT), turn).await {
-            Ok(Ok(chain)) => Some(chain),
-            Ok(Err(_still_copying)) => None,
-            Err(failure) => {
-                self.disconnect(&failure).await;
-                None
-            }
-        }
-    }
-
-    async fn connected(&self) -> Option<LedgerPortClient> {
-        let mut client = self.client.lock().await;
-        if let Some(client) = &*client {
-            return Some(client.clone());
-        }
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.peer.address))
-            .await
-            .ok()?
-            .ok()?;
-        stream.set_nodelay(true).ok()?;
-        let opened = connect_host(stream);
-        *client = Some(opened.clone());
-        info!(self.log, "ledger host connected"; "peer" => &self.peer.name);
-        Some(opened)
-    }
-
-    /// Drops the connection, so that the next call opens a fresh one.
-    async fn disconnect(&self, failure: &tarpc::client::RpcError) {
-        if self.client.lock().await.take().is_some() {
-            warn!(self.log, "ledger host lost"; "peer" => &self.peer.name, "error" => %failure);
-        }
-    }
-
-    /// Sends a batch and answers each of its records.
-    async fn send(&self, lane: Lane, batch: Vec<QueuedRecord>) -> Result<(), ()> {
-        let Some(client) = self.connected().await else {
-            return Err(());
-        };
-        let (records, replies): (Vec<_>, Vec<_>) = batch
-            .into_iter()
-            .map(|queued| (queued.record, queued.reply))
-            .unzip();
-        let patience = match lane {
-            Lane::Counted => COUNT_TIMEOUT,
-            Lane::Synced => SYNC_TIMEOUT,
-        };
-        let answer = client
-            .write(deadline(patience), records, lane == Lane::Synced)
-            .await;
-        let counts = match answer {
-            Ok(Ok(counts)) => counts,
-            Ok(Err(fault)) => {
-                for reply in replies.into_iter().flatten() {
-                    // A caller that has enough answers no longer listens.
-                    drop(reply.send(Err(fault.clone())));
-                }
-                return if fault == PortFault::Copying {
-                    Ok(())
-                } else {
-                    Err(())
-                };
-            }
-            Err(failure) => {
-                self.disconnect(&failure).await;
-                return Err(());
-            }
-        };
-        for (reply, count) in replies.into_iter().zip(counts) {
-            if let Some(reply) = reply {
-                // A caller that has enough answers no longer listens.
-                drop(reply.send(Ok(count)));
-            }
-        }
-        Ok(())
-    }
-}
-
-/// Sends what waits for a host, one batch at a time, until the host is no longer listed.
-async fn pump(link: std::sync::Weak<HostLink>, lane: Lane) {
-    while let Some(link) = link.upgrade() {
-        let batch = link.take(lane);
-        if batch.is_empty() {
-            // The wait is bounded so that a host that is no longer listed is let go.
-            let _woken = timeout(COUNT_TIMEOUT, link.waiting(lane).notified()).await;
-            continue;
-        }
-        if link.send(lane, batch).await.is_err() {
-            sleep(RETRY_PAUSE).await;
-        }
+    fn links(&self) -> MutexGuard<'_, Vec<Arc<HostLink>>> {
+        self.shared.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn deadline(patience: Duration) -> Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + patience;
-    context
-}
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -7,9 +7,11 @@
 mod book;
 mod client;
 mod host;
+mod link;
 mod log;
 mod port;
 mod record;
+mod relay;
 mod repair;
 
 pub use book::LedgerBook;
@@ -18,4 +20,5 @@
 pub use log::{DiskLog, LogError};
 pub use port::{ChangePage, LedgerPort, LedgerPortClient, PortFault, PortResult, connect_host, serve_port};
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
+pub use relay::serve_relay;
 pub use repair::CopyLoop;
--- /dev/null
+++ b/components/ledger/src/link.rs
@@ -0,0 +1,259 @@
+//! The connection to one ledger host, with the records that wait for it.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::{Duration, Instant};
+
+use futures::future::{Either, select, select_ok};
+use slog::{Logger, info, warn};
+use tarpc::context::{self, Context};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
+
+use crate::port::{HostAddress, LedgerPortClient, PortFault, PortResult, connect_host};
+use crate::record::{LedgerRecord, TurnKey, TurnRecord};
+use crate::relay::connect_through;
+
+/// Longest time for a connection to be established, directly or through a relay.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after which relays are tried beside the direct way; many times the delay between failure domains.
+const RELAY_DELAY: Duration = Duration::from_millis(100);
+/// Relays that are tried at once.
+const RELAYS_TRIED: usize = 2;
+/// Longest time for a call that waits for no disk.
+const COUNT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for a call that waits for the disk.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Pause before a host that failed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Records in one call.
+const BATCH_RECORDS: usize = 256;
+/// Records that may wait for one host; a host that is away copies them later from the others.
+const QUEUE_RECORDS: usize = 8_192;
+
+/// A record on its way to a host.
+#[derive(Debug)]
+pub(crate) struct QueuedRecord {
+    pub(crate) record: LedgerRecord,
+    pub(crate) reply: Option<oneshot::Sender<PortResult<u64>>>,
+}
+
+/// Whether the answer to a record waits for the disk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lane {
+    Counted,
+    Synced,
+}
+
+/// Records that wait in one lane.
+#[derive(Debug, Default)]
+struct LaneQueue {
+    records: Mutex<VecDeque<QueuedRecord>>,
+    waiting: Notify,
+}
+
+impl LaneQueue {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<QueuedRecord>> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A host with its connection and its queues. Records that wait for the disk go apart from those that only count.
+#[derive(Debug)]
+pub(crate) struct HostLink {
+    pub(crate) peer: HostAddress,
+    counted: LaneQueue,
+    synced: LaneQueue,
+    client: tokio::sync::Mutex<Option<LedgerPortClient>>,
+    relays: Arc<Mutex<Vec<SocketAddr>>>,
+    up: AtomicBool,
+    log: Logger,
+}
+
+impl HostLink {
+    pub(crate) fn new(peer: HostAddress, relays: Arc<Mutex<Vec<SocketAddr>>>, log: Logger) -> Self {
+        Self {
+            peer,
+            counted: LaneQueue::default(),
+            synced: LaneQueue::default(),
+            client: tokio::sync::Mutex::new(None),
+            relays,
+            up: AtomicBool::new(false),
+            log,
+        }
+    }
+
+    /// Returns whether the connection stands and its last call was answered.
+    pub(crate) fn is_up(&self) -> bool {
+        self.up.load(Ordering::Relaxed)
+    }
+
+    /// Adds a record; one that finds the queue full is left to the copying between hosts.
+    pub(crate) fn enqueue(&self, lane: Lane, record: QueuedRecord) {
+        let queue = self.queue(lane);
+        let mut records = queue.lock();
+        if records.len() < QUEUE_RECORDS {
+            records.push_back(record);
+        }
+        drop(records);
+        queue.waiting.notify_one();
+    }
+
+    /// Asks for a chain; `None` when the host does not answer or may lack records.
+    pub(crate) async fn chain(&self, turn: TurnKey) -> Option<Vec<TurnRecord>> {
+        let client = self.connected().await?;
+        match client.chain(deadline(COUNT_TIMEOUT), turn).await {
+            Ok(Ok(chain)) => Some(chain),
+            Ok(Err(_still_copying)) => None,
+            Err(failure) => {
+                self.disconnect(&failure).await;
+                None
+            }
+        }
+    }
+
+    const fn queue(&self, lane: Lane) -> &LaneQueue {
+        match lane {
+            Lane::Counted => &self.counted,
+            Lane::Synced => &self.synced,
+        }
+    }
+
+    fn take(&self, lane: Lane) -> Vec<QueuedRecord> {
+        let mut records = self.queue(lane).lock();
+        let count = records.len().min(BATCH_RECORDS);
+        records.drain(..count).collect()
+    }
+
+    async fn connected(&self) -> Option<LedgerPortClient> {
+        let mut client = self.client.lock().await;
+        if let Some(client) = &*client {
+            return Some(client.clone());
+        }
+        let (stream, is_relayed) = timeout(CONNECT_TIMEOUT, self.open()).await.ok()?.ok()?;
+        let opened = connect_host(stream);
+        *client = Some(opened.clone());
+        self.up.store(true, Ordering::Relaxed);
+        info!(self.log, "ledger host connected"; "peer" => &self.peer.name, "relayed" => is_relayed);
+        Some(opened)
+    }
+
+    /// Opens a connection, directly or, when that takes long or fails, through a relay.
+    async fn open(&self) -> io::Result<(TcpStream, bool)> {
+        let direct = Box::pin(connect_directly(self.peer.address));
+        let patience = Box::pin(sleep(RELAY_DELAY));
+        let pending = match select(direct, patience).await {
+            Either::Left((Ok(stream), _)) => return Ok((stream, false)),
+            Either::Left((Err(_), _)) => None,
+            Either::Right(((), direct)) => Some(direct),
+        };
+        let relays: Vec<SocketAddr> = {
+            let relays = self.relays.lock().unwrap_or_else(PoisonError::into_inner);
+            let start = rand::random::<u32>() as usize % relays.len().max(1);
+            relays
+                .iter()
+                .cycle()
+                .skip(start)
+                .take(RELAYS_TRIED.min(relays.len()))
+                .copied()
+                .collect()
+        };
+        let relayed = relays
+            .iter()
+            .map(|relay| Box::pin(connect_through(*relay, self.peer.address)));
+        let relayed: Vec<_> = relayed.collect();
+        match (pending, relayed.is_empty()) {
+            (None, true) => Err(io::ErrorKind::NotConnected.into()),
+            (Some(direct), true) => Ok((direct.await?, false)),
+            (None, false) => Ok((select_ok(relayed).await?.0, true)),
+            (Some(direct), false) => match select(direct, select_ok(relayed)).await {
+                Either::Left((Ok(stream), _)) => Ok((stream, false)),
+                Either::Left((Err(_), relayed)) => Ok((relayed.await?.0, true)),
+                Either::Right((Ok((stream, _)), _)) => Ok((stream, true)),
+                Either::Right((Err(_), direct)) => Ok((direct.await?, false)),
+            },
+        }
+    }
+
+    /// Drops the connection, so that the next call opens a fresh one.
+    async fn disconnect(&self, failure: &tarpc::client::RpcError) {
+        self.up.store(false, Ordering::Relaxed);
+        if self.client.lock().await.take().is_some() {
+            warn!(self.log, "ledger host lost"; "peer" => &self.peer.name, "error" => %failure);
+        }
+    }
+
+    /// Sends a batch and answers each of its records; returns whether the host does its work.
+    async fn send(&self, lane: Lane, batch: Vec<QueuedRecord>) -> bool {
+        let Some(client) = self.connected().await else {
+            return false;
+        };
+        let (records, replies): (Vec<_>, Vec<_>) = batch
+            .into_iter()
+            .map(|queued| (queued.record, queued.reply))
+            .unzip();
+        let patience = match lane {
+            Lane::Counted => COUNT_TIMEOUT,
+            Lane::Synced => SYNC_TIMEOUT,
+        };
+        let answer = client
+            .write(deadline(patience), records, lane == Lane::Synced)
+            .await;
+        let counts = match answer {
+            Ok(Ok(counts)) => counts,
+            Ok(Err(fault)) => {
+                for reply in replies.into_iter().flatten() {
+                    // A caller that has enough answers no longer listens.
+                    drop(reply.send(Err(fault.clone())));
+                }
+                return fault == PortFault::Copying;
+            }
+            Err(failure) => {
+                self.disconnect(&failure).await;
+                return false;
+            }
+        };
+        for (reply, count) in replies.into_iter().zip(counts) {
+            if let Some(reply) = reply {
+                // A caller that has enough answers no longer listens.
+                drop(reply.send(Ok(count)));
+            }
+        }
+        true
+    }
+}
+
+/// Keeps the connection open and sends what waits, one batch at a time, until the host is no longer listed.
+pub(crate) async fn keep_link(link: Weak<HostLink>, lane: Lane) {
+    while let Some(link) = link.upgrade() {
+        let batch = link.take(lane);
+        if !batch.is_empty() {
+            if !link.send(lane, batch).await {
+                sleep(RETRY_PAUSE).await;
+            }
+            continue;
+        }
+        if !link.is_up() && link.connected().await.is_none() {
+            sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        // The wait is bounded so that a host that is no longer listed is let go.
+        let _woken = timeout(COUNT_TIMEOUT, link.queue(lane).waiting.notified()).await;
+    }
+}
+
+async fn connect_directly(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn deadline(patience: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + patience;
+    context
+}
--- /dev/null
+++ b/components/ledger/tests/relay.rs
@@ -0,0 +1,71 @@
+//! The way to a ledger host through another entry.
+
+mod support;
+
+use std::net::TcpListener;
+use std::sync::Mutex;
+
+use googletest::prelude::*;
+use ledger::{LedgerHosts, ProgramKey, ReserveOutcome, TurnKey, serve_relay};
+use support::{client_of, open_host, serve};
+
+#[gtest]
+#[tokio::test]
+async fn a_host_that_only_the_relay_reaches_answers_through_it() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let host = open_host(folder.path(), 1);
+    host.finish_copying();
+    // The port refuses connections until the relay is about to open one.
+    let unbound = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = unbound.local_addr().expect("a bound address");
+    drop(unbound);
+    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let relay_address = relay.local_addr().expect("a bound address");
+    let bound = std::sync::Arc::new(Mutex::new(false));
+    let binds = std::sync::Arc::clone(&bound);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = relay.accept().await {
+            let (host, binds) = (host.clone(), std::sync::Arc::clone(&binds));
+            tokio::spawn(serve_relay(stream, move |target| {
+                if !std::mem::replace(&mut *binds.lock().expect("unpoisoned"), true) {
+                    let listener = TcpListener::bind(target).expect("the port is still free");
+                    listener.set_nonblocking(true).expect("an open socket");
+                    let listener = tokio::net::TcpListener::from_std(listener).expect("a runtime");
+                    tokio::spawn(serve(listener, host.clone()));
+                }
+                target == address
+            }));
+        }
+    });
+    let hosts = LedgerHosts::new(vec![("ledger-a".to_owned(), address)]).with_relays(vec![relay_address]);
+    let client = client_of(0, &hosts).await;
+    let outcome = client.reserve(ProgramKey(1), TurnKey(1), 5, 10).await;
+    expect_that!(outcome, ok(eq(&ReserveOutcome::Reserved)));
+    expect_that!(*bound.lock().expect("unpoisoned"), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_relay_refuses_targets_that_are_not_allowed() {
+    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = relay.local_addr().expect("a bound address");
+    let served = tokio::spawn(async move {
+        let (stream, _) = relay.accept().await.expect("a connection");
+        serve_relay(stream, |_| false).await
+    });
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("the relay listens");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, b"127.0.0.1:9\n")
+        .await
+        .expect("an open connection");
+    let result = served.await.expect("no panic");
+    expect_that!(
+        result.map_err(|failure| failure.kind()),
+        err(eq(std::io::ErrorKind::PermissionDenied))
+    );
+}
--- /dev/null
+++ b/components/ledger/tests/support/mod.rs
@@ -0,0 +1,82 @@
+//! Ledger hosts on loopback.
+#![allow(dead_code, reason = "each test binary uses its own part of the support")]
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use ledger::{HostOptions, LedgerClient, LedgerHost, LedgerHosts, serve_port};
+use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+pub fn silent_log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// A host with its listener's task; aborting the task cuts new connections off.
+pub struct RunningHost {
+    pub name: String,
+    pub address: SocketAddr,
+    pub host: LedgerHost,
+    pub task: JoinHandle<()>,
+}
+
+pub fn open_host(folder: &Path, epoch: u64) -> LedgerHost {
+    let options = HostOptions {
+        folder: folder.to_owned(),
+        epoch,
+        log: silent_log(),
+    };
+    LedgerHost::open(options, 0).expect("a writable folder")
+}
+
+pub async fn start_host(name: &str, folder: &Path) -> RunningHost {
+    let host = open_host(&folder.join(name), 1);
+    host.finish_copying();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let task = tokio::spawn(serve(listener, host.clone()));
+    RunningHost {
+        name: name.to_owned(),
+        address,
+        host,
+        task,
+    }
+}
+
+pub async fn serve(listener: TcpListener, host: LedgerHost) {
+    let mut connections = tokio::task::JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.spawn(serve_port(stream, host.clone()));
+    }
+}
+
+pub async fn start_hosts(names: &[&str], folder: &Path) -> Vec<RunningHost> {
+    let mut hosts = Vec::new();
+    for name in names {
+        hosts.push(start_host(name, folder).await);
+    }
+    hosts
+}
+
+pub fn addresses(hosts: &[RunningHost]) -> Vec<(String, SocketAddr)> {
+    hosts
+        .iter()
+        .map(|host| (host.name.clone(), host.address))
+        .collect()
+}
+
+/// Returns a client that has reached enough of the hosts.
+pub async fn client_of(tolerated: usize, hosts: &LedgerHosts) -> LedgerClient {
+    let client = LedgerClient::new(tolerated, silent_log());
+    client.set_hosts(hosts);
+    let waiting = async {
+        while !client.is_reachable() {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(20), waiting)
+        .await
+        .expect("the hosts are reached");
+    client
+}
