--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -13,9 +13,10 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::link::{HostLink, Lane, QueuedRecord, keep_link};
+use crate::link::{HostLink, Lane, QueuedRecord, keep_link, snapshots_at};
 use crate::port::HostAddress;
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use crate::snapshot::KindSnapshot;
 
 /// Failure of the ledger.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -131,6 +132,21 @@
         reached > self.shared.tolerated
     }
 
+    /// Asks one of the reached hosts, or else one of the seeds, for snapshots newer than the known revisions.
+    pub async fn snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
+        let draw = rand::random::<u32>() as usize;
+        let reached: Vec<Arc<HostLink>> = self.links().iter().filter(|link| link.is_up()).cloned().collect();
+        let answer = if reached.is_empty() {
+            let Some(seed) = seeds.get(draw % seeds.len().max(1)) else {
+                return Vec::new();
+            };
+            snapshots_at(*seed, known).await
+        } else {
+            reached[draw % reached.len()].snapshots(known).await
+        };
+        answer.unwrap_or_default()
+    }
+
     /// Reserves tokens for a turn unless the program's budget does not cover them.
     ///
     /// # Errors
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -11,6 +11,7 @@
 use crate::log::{DiskLog, LogError};
 use crate::port::{ChangePage, LedgerPort, PortFault, PortResult};
 use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
+use crate::snapshot::{KindSnapshot, SnapshotShelf};
 
 /// Keys in one page of changes.
 const PAGE_KEYS: usize = 4_096;
@@ -49,6 +50,8 @@
     /// Whether records that the host missed may still be missing.
     copying: AtomicBool,
     readers: Mutex<Vec<ReaderPosition>>,
+    shelf: Mutex<SnapshotShelf>,
+    folder: PathBuf,
     log: Logger,
 }
 
@@ -72,6 +75,8 @@
                 epoch: options.epoch,
                 copying: AtomicBool::new(true),
                 readers: Mutex::default(),
+                shelf: Mutex::new(SnapshotShelf::open(&options.folder)),
+                folder: options.folder,
                 log: options.log,
             }),
         })
@@ -121,6 +126,26 @@
         self.book().sizes()
     }
 
+    /// Keeps a snapshot for entries that cannot read the store; returns whether it was newer than the kept one.
+    pub fn publish(&self, snapshot: KindSnapshot) -> bool {
+        self.shelf().put(snapshot)
+    }
+
+    /// Returns every kept snapshot.
+    pub fn published(&self) -> Vec<KindSnapshot> {
+        self.shelf().newer_than(&[])
+    }
+
+    /// Writes the kept snapshots to the disk; blocks until they are there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk refuses.
+    pub fn save_published(&self) -> Result<(), LogError> {
+        let shelf = self.shelf().clone();
+        Ok(shelf.save(&self.shared.folder)?)
+    }
+
     /// Returns whether each of the named hosts has copied every record of this one.
     pub fn is_copied_by(&self, names: &[String]) -> bool {
         let end = self.book().next_number();
@@ -136,6 +161,10 @@
         self.shared.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn shelf(&self) -> MutexGuard<'_, SnapshotShelf> {
+        self.shared.shelf.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn apply_all(&self, records: &[LedgerRecord]) -> Vec<u64> {
         let now_ms = crate::repair::wall_clock_ms();
         let mut book = self.book();
@@ -202,6 +231,10 @@
         })
     }
 
+    async fn snapshots(self, _: Context, known: Vec<(String, u64)>) -> PortResult<Vec<KindSnapshot>> {
+        Ok(self.shelf().newer_than(&known))
+    }
+
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
         let book = self.book();
         let mut records = Vec::new();
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -13,6 +13,7 @@
 mod record;
 mod relay;
 mod repair;
+mod snapshot;
 
 pub use book::LedgerBook;
 pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome};
@@ -22,3 +23,4 @@
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
+pub use snapshot::KindSnapshot;
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -17,6 +17,7 @@
 use crate::port::{HostAddress, LedgerPortClient, PortFault, PortResult, connect_host};
 use crate::record::{LedgerRecord, TurnKey, TurnRecord};
 use crate::relay::connect_through;
+use crate::snapshot::KindSnapshot;
 
 /// Longest time for a connection to be established, directly or through a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -116,6 +117,18 @@
         }
     }
 
+    /// Asks for snapshots that are newer than the known revisions; `None` when the host does not answer.
+    pub(crate) async fn snapshots(&self, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
+        let client = self.connected().await?;
+        match client.snapshots(deadline(COUNT_TIMEOUT), known.to_vec()).await {
+            Ok(answer) => answer.ok(),
+            Err(failure) => {
+                self.disconnect(&failure).await;
+                None
+            }
+        }
+    }
+
     const fn queue(&self, lane: Lane) -> &LaneQueue {
         match lane {
             Lane::Counted => &self.counted,
@@ -246,6 +259,20 @@
     }
 }
 
+/// Asks a host that is known by its address only for its snapshots.
+pub(crate) async fn snapshots_at(address: SocketAddr, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
+    let stream = timeout(CONNECT_TIMEOUT, connect_directly(address))
+        .await
+        .ok()?
+        .ok()?;
+    let client = connect_host(stream);
+    client
+        .snapshots(deadline(COUNT_TIMEOUT), known.to_vec())
+        .await
+        .ok()?
+        .ok()
+}
+
 async fn connect_directly(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
+use crate::snapshot::KindSnapshot;
 
 /// Largest message in bytes: a chain of turns at the callers' limits.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
@@ -55,6 +56,9 @@
     /// Returns keys that arrived at or after `since`; `reader` names the host that copies.
     async fn changes(reader: String, epoch: u64, since: u64) -> PortResult<ChangePage>;
 
+    /// Returns the snapshots that are newer than the reader's revisions of their kinds.
+    async fn snapshots(known: Vec<(String, u64)>) -> PortResult<Vec<KindSnapshot>>;
+
     /// Returns the records with the keys, as far as the host still holds them.
     async fn records(keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>>;
 }
