--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -11,7 +11,10 @@
 /// Requests by which a server may exceed the least loaded one before a session moves away from it.
 const STICKY_SLACK: u32 = 4;
 /// Requests by which a server in another failure domain counts as more loaded than it is.
-const DOMAIN_PENALTY: u32 = 0;
+const DOMAIN_PENALTY: u32 = 2;
+/// Part of a server's capacity, as a divisor, up to which the entry's own requests leave it lightly loaded. Above
+/// it, and on small servers, load alone decides: failure domains have unequal numbers of entries and servers.
+const LIGHT_LOAD_DIVISOR: u32 = 16;
 /// Time in milliseconds for which a server that failed is chosen only when no other is left.
 const AVOID_MS: u64 = 1_000;
 
@@ -107,7 +110,12 @@
         let load = board.load(key);
         let is_avoided = load.avoid_until_ms > query.now_ms;
         let is_remote = server.failure_domain != query.failure_domain;
-        let weight = load.in_flight + if is_remote { DOMAIN_PENALTY } else { 0 };
+        let light = server.capacity / LIGHT_LOAD_DIVISOR;
+        let weight = if is_remote {
+            (load.in_flight + DOMAIN_PENALTY).min(light).max(load.in_flight)
+        } else {
+            load.in_flight
+        };
         let pick = ServerPick { key, server };
         // A multiplicative generator step gives each server its own rank among equals.
         spread = spread
