--- /dev/null
+++ b/components/ledger/tests/client.rs
@@ -0,0 +1,183 @@
+//! Reservations and turns over several hosts, some of them lost.
+
+mod support;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use googletest::prelude::*;
+use ledger::{LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TurnKey, TurnRecord};
+use support::{addresses, client_of, start_host, start_hosts};
+use tokio::time::{Duration, sleep, timeout};
+
+const PROGRAM: ProgramKey = ProgramKey(1);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn turn(number: u128, previous: Option<u128>) -> TurnRecord {
+    TurnRecord {
+        program: PROGRAM,
+        turn: TurnKey(number),
+        previous: previous.map(TurnKey),
+        input: Bytes::from_static(b"in"),
+        output: Bytes::from_static(b"out"),
+        retention_ms: 60_000,
+    }
+}
+
+async fn client(hosts: &[support::RunningHost]) -> LedgerClient {
+    client_of(1, &LedgerHosts::new(addresses(hosts))).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn concurrent_reservations_of_many_entries_never_exceed_the_budget() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for hosts in [3, 4] {
+        let names = ["a", "b", "c", "d"].map(|name| format!("{hosts}-{name}"));
+        let names: Vec<&str> = names[..hosts].iter().map(String::as_str).collect();
+        let hosts = start_hosts(&names, folder.path()).await;
+        let clients = join_all((0..4).map(|_| client(&hosts))).await;
+        let reserve = |number: usize| clients[number % 4].reserve(PROGRAM, TurnKey(number as u128), 10, 100);
+        let outcomes = join_all((0..40).map(reserve)).await;
+        let granted = outcomes
+            .iter()
+            .filter(|outcome| **outcome == Ok(ReserveOutcome::Reserved))
+            .count();
+        expect_that!(granted, le(10));
+        // What was refused is given back: ten turns fit once all have ended.
+        for number in 0..40 {
+            clients[0].settle(PROGRAM, TurnKey(number), 0);
+        }
+        sleep(Duration::from_secs(1)).await;
+        for number in 100..110 {
+            let outcome = clients[1].reserve(PROGRAM, TurnKey(number), 10, 100).await;
+            expect_that!(outcome, ok(eq(&ReserveOutcome::Reserved)));
+        }
+        let outcome = clients[2].reserve(PROGRAM, TurnKey(200), 10, 100).await;
+        expect_that!(outcome, ok(eq(&ReserveOutcome::Exhausted { committed: 100 })));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn one_lost_host_of_three_stops_nothing_and_two_refuse_at_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a", "b", "c"], folder.path()).await;
+    let client = client(&hosts).await;
+    client.keep(turn(1, None)).await.expect("all hosts live");
+    hosts[0].task.abort();
+    sleep(Duration::from_millis(50)).await;
+    expect_that!(
+        client.reserve(PROGRAM, TurnKey(2), 10, 100).await,
+        ok(eq(&ReserveOutcome::Reserved))
+    );
+    client.keep(turn(2, Some(1))).await.expect("two hosts live");
+    expect_that!(
+        client.chain(TurnKey(2)).await.map(|chain| chain.len()),
+        ok(eq(&2))
+    );
+    hosts[1].task.abort();
+    let lost = async {
+        while client.is_reachable() {
+            client.settle(PROGRAM, TurnKey(3), 1);
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, lost).await.expect("the loss is noticed");
+    let outcome = client.reserve(PROGRAM, TurnKey(4), 10, 100).await;
+    expect_that!(
+        outcome,
+        err(eq(&LedgerError::TooFewHosts {
+            answered: 0,
+            needed: 2
+        }))
+    );
+    expect_that!(client.keep(turn(5, None)).await.is_err(), eq(true));
+    // The chain stands on the host that is left.
+    expect_that!(
+        client.chain(TurnKey(2)).await.map(|chain| chain.len()),
+        ok(eq(&2))
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_chain_is_put_together_from_hosts_that_lack_parts() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a", "b", "c"], folder.path()).await;
+    for (number, holder) in [(1, 0), (2, 1), (3, 2)] {
+        let previous = (number > 1).then_some(number - 1);
+        let records = vec![ledger::LedgerRecord::Turn(turn(number, previous))];
+        hosts[holder].host.adopt(records, 0).await.expect("a sound disk");
+    }
+    let client = client(&hosts).await;
+    let chain = client.chain(TurnKey(3)).await.expect("the parts are known");
+    let turns: Vec<u128> = chain.iter().map(|record| record.turn.0).collect();
+    expect_that!(turns, eq(&[3, 2, 1]));
+    expect_that!(client.chain(TurnKey(9)).await, err(eq(&LedgerError::UnknownTurn)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_host_that_is_still_copying_gives_no_counts() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut hosts = start_hosts(&["a"], folder.path()).await;
+    for name in ["b", "c"] {
+        let host = support::open_host(&folder.path().join(name), 1);
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let task = tokio::spawn(support::serve(listener, host.clone()));
+        hosts.push(support::RunningHost {
+            name: name.to_owned(),
+            address,
+            host,
+            task,
+        });
+    }
+    let client = client(&hosts).await;
+    let outcome = client.reserve(PROGRAM, TurnKey(1), 10, 100).await;
+    expect_that!(
+        outcome,
+        err(eq(&LedgerError::TooFewHosts {
+            answered: 1,
+            needed: 2
+        }))
+    );
+    hosts[1].host.finish_copying();
+    expect_that!(
+        client.reserve(PROGRAM, TurnKey(2), 10, 100).await,
+        ok(eq(&ReserveOutcome::Reserved))
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_chain_outlives_a_restart_of_every_host() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a", "b", "c"], folder.path()).await;
+    client(&hosts)
+        .await
+        .keep(turn(1, None))
+        .await
+        .expect("all hosts live");
+    for host in &hosts {
+        host.task.abort();
+    }
+    drop(hosts);
+    let again = start_host("a", folder.path()).await;
+    expect_that!(again.host.sizes().1 + 1, ge(1));
+    let hosts = [
+        again,
+        start_host("b", folder.path()).await,
+        start_host("c", folder.path()).await,
+    ];
+    expect_that!(
+        client(&hosts)
+            .await
+            .chain(TurnKey(1))
+            .await
+            .map(|chain| chain.len()),
+        ok(eq(&1))
+    );
+}
--- /dev/null
+++ b/components/routing/tests/directory.rs
@@ -0,0 +1,187 @@
+//! The directory of backend servers and the choice among them.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use googletest::prelude::*;
+use routing::{
+    BackendServer, LoadBoard, ServerDirectory, ServerKey, ServerQuery, ServerState, choose_backend,
+};
+
+fn server(name: &str, port: u16, domain: &str, capacity: u32) -> BackendServer {
+    BackendServer {
+        name: name.to_owned(),
+        started_at_ms: None,
+        service: "models".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        failure_domain: domain.to_owned(),
+        capacity,
+        state: ServerState::Ready,
+    }
+}
+
+const fn query(tried: &[ServerKey]) -> ServerQuery<'_> {
+    ServerQuery {
+        service: "models",
+        failure_domain: "one",
+        preferred: None,
+        tried,
+        draw: 7,
+        now_ms: 0,
+    }
+}
+
+fn directory(servers: &[BackendServer]) -> ServerDirectory {
+    let mut directory = ServerDirectory::default();
+    directory.replace_all(servers.to_vec());
+    directory
+}
+
+fn key_of(directory: &ServerDirectory, name: &str) -> ServerKey {
+    directory
+        .all()
+        .find(|(_, server)| server.name == name)
+        .expect("listed")
+        .0
+}
+
+#[gtest]
+fn a_restart_under_the_same_name_is_a_new_incarnation() {
+    let mut directory = directory(&[server("a", 1, "one", 8)]);
+    let first = key_of(&directory, "a");
+    let mut same = server("a", 1, "one", 8);
+    same.state = ServerState::Leaving;
+    directory.upsert(same);
+    expect_that!(key_of(&directory, "a"), eq(first));
+    expect_that!(directory.ready("models").count(), eq(0));
+    let mut again = server("a", 1, "one", 8);
+    again.started_at_ms = Some(5);
+    directory.upsert(again);
+    expect_that!(key_of(&directory, "a"), not(eq(first)));
+    directory.replace_all(vec![server("b", 2, "one", 8)]);
+    expect_that!(
+        directory
+            .all()
+            .map(|(_, server)| server.name.as_str())
+            .collect::<Vec<_>>(),
+        eq(&["b"])
+    );
+    directory.remove("b");
+    expect_that!(directory.is_empty(), eq(true));
+}
+
+/// Servers with the entry's own requests at each, and the one that is chosen.
+struct ChoiceCase {
+    name: &'static str,
+    servers: Vec<(BackendServer, u32)>,
+    preferred: Option<&'static str>,
+    avoided: Option<&'static str>,
+    chosen: &'static str,
+}
+
+#[gtest]
+fn the_least_loaded_server_is_chosen_unless_another_holds_the_prompt() {
+    let cases = [
+        ChoiceCase {
+            name: "least loaded",
+            servers: vec![(server("a", 1, "one", 48), 5), (server("b", 2, "one", 48), 4)],
+            preferred: None,
+            avoided: None,
+            chosen: "b",
+        },
+        ChoiceCase {
+            name: "session stays",
+            servers: vec![(server("a", 1, "one", 48), 8), (server("b", 2, "one", 48), 4)],
+            preferred: Some("a"),
+            avoided: None,
+            chosen: "a",
+        },
+        ChoiceCase {
+            name: "session moves from a server with clearly more work",
+            servers: vec![(server("a", 1, "one", 48), 9), (server("b", 2, "one", 48), 4)],
+            preferred: Some("a"),
+            avoided: None,
+            chosen: "b",
+        },
+        ChoiceCase {
+            name: "a server that has just failed comes last",
+            servers: vec![(server("a", 1, "one", 48), 0), (server("b", 2, "one", 48), 20)],
+            preferred: Some("a"),
+            avoided: Some("a"),
+            chosen: "b",
+        },
+        ChoiceCase {
+            name: "own failure domain while load is light",
+            servers: vec![(server("a", 1, "two", 48), 0), (server("b", 2, "one", 48), 1)],
+            preferred: None,
+            avoided: None,
+            chosen: "b",
+        },
+        ChoiceCase {
+            name: "any failure domain under load",
+            servers: vec![(server("a", 1, "two", 48), 6), (server("b", 2, "one", 48), 7)],
+            preferred: None,
+            avoided: None,
+            chosen: "a",
+        },
+        ChoiceCase {
+            name: "any failure domain for small servers",
+            servers: vec![(server("a", 1, "two", 6), 0), (server("b", 2, "one", 6), 1)],
+            preferred: None,
+            avoided: None,
+            chosen: "a",
+        },
+    ];
+    for case in cases {
+        let servers: Vec<BackendServer> = case.servers.iter().map(|(server, _)| server.clone()).collect();
+        let directory = directory(&servers);
+        let mut board = LoadBoard::default();
+        for (server, in_flight) in &case.servers {
+            for _ in 0..*in_flight {
+                board.begin(key_of(&directory, &server.name));
+            }
+        }
+        if let Some(avoided) = case.avoided {
+            board.avoid(key_of(&directory, avoided), 0);
+        }
+        let mut query = query(&[]);
+        query.preferred = case.preferred.map(|name| key_of(&directory, name));
+        let pick = choose_backend(&directory, &board, &query).expect("servers are ready");
+        expect_that!(pick.server.name.as_str(), eq(case.chosen), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn tried_and_leaving_servers_are_not_chosen() {
+    let mut leaving = server("c", 3, "one", 8);
+    leaving.state = ServerState::Leaving;
+    let directory = directory(&[server("a", 1, "one", 8), server("b", 2, "one", 8), leaving]);
+    let board = LoadBoard::default();
+    let tried = [key_of(&directory, "a")];
+    let pick = choose_backend(&directory, &board, &query(&tried)).expect("one is left");
+    expect_that!(pick.server.name.as_str(), eq("b"));
+    let tried = [key_of(&directory, "a"), key_of(&directory, "b")];
+    expect_that!(
+        choose_backend(&directory, &board, &query(&tried)).is_none(),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn equal_servers_share_the_draws() {
+    let names = ["a", "b", "c", "d"];
+    let servers: Vec<BackendServer> = names
+        .iter()
+        .zip(1..)
+        .map(|(name, port)| server(name, port, "one", 8))
+        .collect();
+    let directory = directory(&servers);
+    let board = LoadBoard::default();
+    for name in names {
+        let chosen = (0..1_000_u64).filter(|draw| {
+            let mut query = query(&[]);
+            query.draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            choose_backend(&directory, &board, &query).is_some_and(|pick| pick.server.name == name)
+        });
+        expect_that!(chosen.count(), all!(ge(150), le(350)), "{name}");
+    }
+}
