Use servers whose entries lapsed in an outage until they had time to return

Cause: the entries of live servers may lapse while the store is away; an entry that heard of it dropped the servers at once. A test with two servers refused everything in the second after the outage.

--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -44,6 +44,8 @@
 struct ListedServer {
     key: ServerKey,
     server: BackendServer,
+    /// Time in milliseconds at which the entry goes, unless it is listed again before.
+    expires_at_ms: Option<u64>,
 }
 
 /// Every backend server that may be used, sorted by name.
@@ -54,15 +56,38 @@
 }
 
 impl ServerDirectory {
-    /// Replaces the whole directory; incarnations that stay keep their keys.
-    pub fn replace_all(&mut self, servers: Vec<BackendServer>) {
-        let names: Vec<String> = servers.iter().map(|server| server.name.clone()).collect();
-        self.servers.retain(|listed| names.contains(&listed.server.name));
+    /// Replaces the whole directory; incarnations that stay keep their keys. Those that are missing go at once,
+    /// or at the time that [`Self::remove_at`] describes.
+    pub fn replace_all(&mut self, servers: Vec<BackendServer>, missing_at_ms: Option<u64>) {
+        let listed = self.servers.iter().map(|listed| listed.server.name.clone());
+        let missing: Vec<String> = listed
+            .filter(|name| !servers.iter().any(|server| server.name == *name))
+            .collect();
+        for name in missing {
+            match missing_at_ms {
+                Some(at_ms) => self.remove_at(&name, at_ms),
+                None => self.remove(&name),
+            }
+        }
         for server in servers {
             self.upsert(server);
         }
     }
 
+    /// Removes a server at a time in milliseconds unless it is listed again before. After an outage of the
+    /// discovery service entries of live servers are missing until the servers have registered again.
+    pub fn remove_at(&mut self, name: &str, at_ms: u64) {
+        if let Ok(place) = self.place_of(name) {
+            self.servers[place].expires_at_ms.get_or_insert(at_ms);
+        }
+    }
+
+    /// Removes the servers whose time has come.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.servers
+            .retain(|listed| listed.expires_at_ms.is_none_or(|at_ms| at_ms > now_ms));
+    }
+
     /// Adds an incarnation or updates the one that is listed under its name.
     pub fn upsert(&mut self, server: BackendServer) {
         match self.place_of(&server.name) {
@@ -75,11 +100,17 @@
                     self.next_key += 1;
                 }
                 listed.server = server;
+                listed.expires_at_ms = None;
             }
             Err(place) => {
                 let key = ServerKey(self.next_key);
                 self.next_key += 1;
-                self.servers.insert(place, ListedServer { key, server });
+                let listed = ListedServer {
+                    key,
+                    server,
+                    expires_at_ms: None,
+                };
+                self.servers.insert(place, listed);
             }
         }
     }
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -32,7 +32,7 @@
 
 fn directory(servers: &[BackendServer]) -> ServerDirectory {
     let mut directory = ServerDirectory::default();
-    directory.replace_all(servers.to_vec());
+    directory.replace_all(servers.to_vec(), None);
     directory
 }
 
@@ -57,7 +57,7 @@
     again.started_at_ms = Some(5);
     directory.upsert(again);
     expect_that!(key_of(&directory, "a"), not(eq(first)));
-    directory.replace_all(vec![server("b", 2, "one", 8)]);
+    directory.replace_all(vec![server("b", 2, "one", 8)], None);
     expect_that!(
         directory
             .all()
@@ -185,3 +185,18 @@
         expect_that!(chosen.count(), all!(ge(150), le(350)), "{name}");
     }
 }
+
+#[gtest]
+fn a_server_that_lapsed_stays_until_its_time_unless_it_returns() {
+    let servers = [server("a", 1, "one", 8), server("b", 2, "one", 8)];
+    let mut directory = directory(&servers);
+    let key = key_of(&directory, "a");
+    directory.replace_all(Vec::new(), Some(100));
+    directory.remove_at("b", 200);
+    directory.expire(99);
+    expect_that!(directory.ready("models").count(), eq(2));
+    directory.upsert(server("a", 1, "one", 8));
+    directory.expire(100);
+    expect_that!(directory.ready("models").count(), eq(1));
+    expect_that!(key_of(&directory, "a"), eq(key));
+}
