--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -4,6 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Servers that must be missing at once for a lapse to be suspected.
+const LAPSE_MIN_SERVERS: usize = 3;
+/// Part of the servers, as a divisor, above which missing ones are suspected to have lapsed.
+const LAPSE_SHARE_DIVISOR: usize = 4;
+
 /// Index of a backend server's incarnation; small and stable as long as the incarnation is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -59,11 +64,7 @@
     /// Replaces the whole directory; incarnations that stay keep their keys. Those that are missing go at once,
     /// or at the time that [`Self::remove_at`] describes.
     pub fn replace_all(&mut self, servers: Vec<BackendServer>, missing_at_ms: Option<u64>) {
-        let listed = self.servers.iter().map(|listed| listed.server.name.clone());
-        let missing: Vec<String> = listed
-            .filter(|name| !servers.iter().any(|server| server.name == *name))
-            .collect();
-        for name in missing {
+        for name in self.missing_in(&servers) {
             match missing_at_ms {
                 Some(at_ms) => self.remove_at(&name, at_ms),
                 None => self.remove(&name),
@@ -74,6 +75,13 @@
         }
     }
 
+    /// Returns the names of the listed servers that are not among `servers`.
+    pub fn missing_in(&self, servers: &[BackendServer]) -> Vec<String> {
+        let names = self.servers.iter().map(|listed| &listed.server.name);
+        let missing = names.filter(|name| !servers.iter().any(|server| server.name == **name));
+        missing.cloned().collect()
+    }
+
     /// Removes a server at a time in milliseconds unless it is listed again before. After an outage of the
     /// discovery service entries of live servers are missing until the servers have registered again.
     pub fn remove_at(&mut self, name: &str, at_ms: u64) {
@@ -82,6 +90,20 @@
         }
     }
 
+    /// Returns whether so many servers that take new work are missing at once that their entries may have lapsed
+    /// in an outage that nobody noticed here. Planned work takes away few at a time.
+    pub fn suspects_lapse(&self, missing: &[String]) -> bool {
+        let is_missing = |listed: &ListedServer| missing.contains(&listed.server.name);
+        let ready = self
+            .servers
+            .iter()
+            .filter(|listed| listed.server.state == ServerState::Ready);
+        let (total, gone) = ready.fold((0, 0), |(total, gone), listed| {
+            (total + 1, gone + usize::from(is_missing(listed)))
+        });
+        gone >= LAPSE_MIN_SERVERS && gone * LAPSE_SHARE_DIVISOR > total
+    }
+
     /// Removes the servers whose time has come.
     pub fn expire(&mut self, now_ms: u64) {
         self.servers
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -200,3 +200,58 @@
     expect_that!(directory.ready("models").count(), eq(1));
     expect_that!(key_of(&directory, "a"), eq(key));
 }
+
+/// Servers that are missing at once, and whether their entries may have lapsed.
+struct LapseCase {
+    listed: usize,
+    missing: usize,
+    is_suspected: bool,
+}
+
+#[gtest]
+fn many_missing_servers_are_suspected_to_have_lapsed() {
+    let cases = [
+        LapseCase {
+            listed: 18,
+            missing: 18,
+            is_suspected: true,
+        },
+        LapseCase {
+            listed: 18,
+            missing: 5,
+            is_suspected: true,
+        },
+        LapseCase {
+            listed: 18,
+            missing: 4,
+            is_suspected: false,
+        },
+        LapseCase {
+            listed: 3,
+            missing: 3,
+            is_suspected: true,
+        },
+        LapseCase {
+            listed: 2,
+            missing: 2,
+            is_suspected: false,
+        },
+        LapseCase {
+            listed: 18,
+            missing: 0,
+            is_suspected: false,
+        },
+    ];
+    for case in cases {
+        let names: Vec<String> = (0..case.listed).map(|number| format!("s{number:02}")).collect();
+        let servers: Vec<BackendServer> = names.iter().map(|name| server(name, 1, "one", 8)).collect();
+        let is_suspected = directory(&servers).suspects_lapse(&names[..case.missing]);
+        expect_that!(
+            is_suspected,
+            eq(case.is_suspected),
+            "{} of {}",
+            case.missing,
+            case.listed
+        );
+    }
+}
