Move the data path out of the adapter into a component of its own

Behaviour is unchanged: the tests of platform/ pass as they were, but for the one that named the decoder.

--- a/platform/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -6,19 +6,16 @@
 use bytes::Bytes;
 use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::header::HeaderValue;
 use hyper::http::request;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, Uri};
 use ledger::ProgramKey;
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
 use tokio::time::timeout_at;
 
-use crate::dialect::{
-    ATTEMPT_ID, DEADLINE_MS, EXPECTED_INSTANCE, LAST_EVENT_ID, NOT_EXECUTED, SERVER_SIGNATURE,
-};
+use crate::dialect::{AnswerKind, BackendOrder};
 use crate::pool::{SendError, ServerAnswer};
 use crate::state::{EntryState, LoadGuard, PickRequest, whole_millis};
 
@@ -209,24 +206,24 @@
             Ok(Err(SendError::NotSent(_))) => return Err(AttemptOutcome::NotSent),
             Ok(Err(SendError::Lost(_))) | Err(_) => return Err(AttemptOutcome::Lost),
         };
-        let headers = answer.response.headers();
-        // An answer to an earlier request may arrive in place of the expected one.
-        let is_foreign = headers
-            .get(ATTEMPT_ID)
-            .is_some_and(|id| id.as_bytes() != self.plan.attempt_id.as_bytes());
-        if is_foreign {
-            return Err(AttemptOutcome::Lost);
-        }
         let status = answer.response.status();
-        if headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST {
-            finish_refusal(answer);
-            return Err(match status {
-                StatusCode::MISDIRECTED_REQUEST => AttemptOutcome::WrongServer,
-                _ => AttemptOutcome::Refused,
-            });
-        }
-        if !headers.contains_key(SERVER_SIGNATURE) && status.is_success() {
-            return Err(AttemptOutcome::Lost);
+        let headers = answer.response.headers();
+        match self
+            .entry
+            .dialect
+            .classify(status, headers, &self.plan.attempt_id)
+        {
+            AnswerKind::Answered => {}
+            // The answer to an earlier request may arrive in place of the expected one.
+            AnswerKind::Foreign => return Err(AttemptOutcome::Lost),
+            AnswerKind::Refused => {
+                finish_refusal(answer);
+                return Err(AttemptOutcome::Refused);
+            }
+            AnswerKind::WrongServer => {
+                finish_refusal(answer);
+                return Err(AttemptOutcome::WrongServer);
+            }
         }
         self.sent += 1;
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
@@ -248,15 +245,12 @@
         parts.method = self.plan.method.clone();
         parts.uri = Uri::from(self.plan.target.clone());
         parts.headers = self.plan.headers.clone();
-        parts
-            .headers
-            .insert(DEADLINE_MS, HeaderValue::from(whole_millis(left)));
-        if let Ok(name) = HeaderValue::from_str(&server.name) {
-            parts.headers.insert(EXPECTED_INSTANCE, name);
-        }
-        if let Some(last) = self.plan.last_event {
-            parts.headers.insert(LAST_EVENT_ID, HeaderValue::from(last));
-        }
+        let order = BackendOrder {
+            server_name: &server.name,
+            left,
+            last_event: self.plan.last_event,
+        };
+        self.entry.dialect.add_order(&mut parts.headers, order);
         Request::from_parts(parts, Full::new(self.plan.body.clone()))
     }
 }
--- a/platform/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{Request, Response};
 use ledger::{LedgerError, ReserveOutcome, TurnRecord};
 use routing::{RouteMatch, RouteTable, ServiceRoute};
 use slog::info;
@@ -18,7 +18,7 @@
 
 use crate::answer::{AnswerBody, error_answer, whole};
 use crate::chains::body_of;
-use crate::dialect::{RequestFacts, forwarded_headers, remove_connection_headers};
+use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan};
 use crate::relay::{KeptTurn, StreamRelay, TurnAccount};
 use crate::state::EntryState;
@@ -56,7 +56,9 @@
             "the request has two lengths",
         ));
     }
-    let facts = RequestFacts::read(&head.headers)
+    let facts = entry
+        .dialect
+        .read_request(&head.headers)
         .map_err(|fault| CallError::not_run(ResultCode::MalformedHeader, fault.to_string()))?;
     let route = find_route(&table, head)?;
     let timeout = Duration::from_millis(route.timeout_ms);
@@ -171,7 +173,7 @@
                 "the route names no service",
             ));
         };
-        let headers: HeaderMap = forwarded_headers(&head.headers);
+        let headers = self.entry.dialect.forwarded_headers(&head.headers);
         let target = head.uri.path_and_query().cloned();
         Ok(RequestPlan {
             method: head.method.clone(),
@@ -280,11 +282,8 @@
         entry.metrics.log_lines_dropped.inc();
         return;
     }
-    let id = head
-        .headers
-        .get(crate::dialect::ATTEMPT_ID)
-        .and_then(|id| id.to_str().ok());
-    info!(entry.log, "request failed"; "request" => id.unwrap_or_default(), "path" => head.uri.path(),
+    let id = entry.dialect.request_id(&head.headers);
+    info!(entry.log, "request failed"; "request" => id, "path" => head.uri.path(),
         "code" => error.code.number(), "run" => outcome, "error" => &error.message,
         "ms" => arrived.elapsed().as_millis());
 }
--- a/platform/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,7 +13,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use crate::exchange;
@@ -31,7 +29,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts callers until the entry closes; each connection runs as a task of the tracker.
-pub(crate) async fn serve_callers(entry: Arc<EntryState>, listener: TcpListener, connections: TaskTracker) {
+pub async fn serve_callers(entry: Arc<EntryState>, listener: TcpListener, connections: TaskTracker) {
     let mut phase = entry.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -81,10 +79,10 @@
 }
 
 /// What a small page answers to a path.
-pub(crate) type PageAnswer = dyn Fn(&str) -> (StatusCode, String) + Send + Sync;
+pub type PageAnswer = dyn Fn(&str) -> (StatusCode, String) + Send + Sync;
 
 /// Serves short texts, readiness or metrics, for ever.
-pub(crate) async fn serve_pages(listener: TcpListener, answer: Arc<PageAnswer>, log: Logger) {
+pub async fn serve_pages(listener: TcpListener, answer: Arc<PageAnswer>, log: Logger) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve_page(stream, Arc::clone(&answer)))),
@@ -113,14 +111,3 @@
             .await,
     );
 }
-
-/// Returns a receiver that tells of the planned stop.
-pub(crate) fn stop_signal() -> Result<watch::Receiver<bool>> {
-    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-    let (told, stop) = watch::channel(false);
-    tokio::spawn(async move {
-        terminate.recv().await;
-        told.send_replace(true);
-    });
-    Ok(stop)
-}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,25 @@
+//! The data path of an entry: callers' requests to backend servers and their answers back.
+//!
+//! What the headers on either side are called is the matter of a [`WireDialect`].
+
+mod answer;
+mod chains;
+mod dialect;
+mod dispatch;
+mod exchange;
+mod front;
+mod log;
+mod metrics;
+mod net;
+mod pool;
+mod relay;
+mod state;
+
+pub use dialect::{
+    AnswerKind, BackendOrder, HeaderFault, RequestFacts, WireDialect, remove_connection_headers,
+};
+pub use front::{PageAnswer, serve_callers, serve_pages};
+pub use log::{LogGuard, open_log};
+pub use metrics::ProcessMetrics;
+pub use net::{connect, watch_for_silence};
+pub use state::{EntryState, StopPhase, whole_millis};
--- a/platform/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -67,7 +67,7 @@
 
 /// Writes the last lines when it is dropped.
 #[derive(Debug)]
-pub(crate) struct LogGuard {
+pub struct LogGuard {
     buffer: LineBuffer,
     writer: Option<JoinHandle<()>>,
 }
@@ -87,7 +87,7 @@
 /// # Errors
 ///
 /// Fails when the writer's thread cannot be started.
-pub(crate) fn open_log(host: &str, role: &'static str) -> io::Result<(Logger, LogGuard)> {
+pub fn open_log(host: &str, role: &'static str) -> io::Result<(Logger, LogGuard)> {
     let buffer = LineBuffer::default();
     let drain = Logfmt::new(LineAssembler::new(buffer.clone()))
         .set_prefix(write_time)
--- a/platform/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// Sets the version of the configuration in force.
+    pub fn set_configuration_version(&self, version: u64) {
+        self.configuration_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of turns that a ledger host keeps.
+    pub fn set_kept_turns(&self, turns: usize) {
+        self.kept_turns.set(i64::try_from(turns).unwrap_or(i64::MAX));
+    }
+
     /// Returns all metrics as text.
     pub fn render(&self) -> String {
         TextEncoder::new()
--- a/platform/src/net.rs
+++ b/components/gateway/src/net.rs
@@ -22,7 +22,7 @@
 /// # Errors
 ///
 /// Fails when the peer refuses or does not answer within `patience`.
-pub(crate) async fn connect(address: SocketAddr, patience: Duration) -> io::Result<TcpStream> {
+pub async fn connect(address: SocketAddr, patience: Duration) -> io::Result<TcpStream> {
     let stream = match timeout(patience, TcpStream::connect(address)).await {
         Ok(connected) => connected?,
         Err(_) => {
@@ -41,7 +41,7 @@
 /// # Errors
 ///
 /// Fails when the connection is already closed.
-pub(crate) fn watch_for_silence(stream: &TcpStream) -> io::Result<()> {
+pub fn watch_for_silence(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/platform/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::chains::ChainCache;
+use crate::dialect::WireDialect;
 use crate::log::LineBudget;
 use crate::metrics::ProcessMetrics;
 use crate::pool::ServerPool;
@@ -29,7 +30,7 @@
 
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum StopPhase {
+pub enum StopPhase {
     /// Serves and reports itself ready.
     Serving,
     /// Serves, but asks for no new connections.
@@ -63,7 +64,8 @@
 
 /// What the tasks of an entry share.
 #[derive(Debug)]
-pub(crate) struct EntryState {
+pub struct EntryState {
+    pub(crate) dialect: Box<dyn WireDialect>,
     pub(crate) failure_domain: String,
     pub(crate) table: ArcSwapOption<RouteTable>,
     pub(crate) pool: ServerPool,
@@ -102,8 +104,15 @@
 }
 
 impl EntryState {
-    pub(crate) fn new(failure_domain: String, ledger: LedgerClient, log: Logger) -> Self {
+    /// Creates the state of an entry that knows nothing yet.
+    pub fn new(
+        dialect: Box<dyn WireDialect>,
+        failure_domain: String,
+        ledger: LedgerClient,
+        log: Logger,
+    ) -> Self {
         Self {
+            dialect,
             failure_domain,
             table: ArcSwapOption::empty(),
             pool: ServerPool::default(),
@@ -120,8 +129,50 @@
         }
     }
 
+    /// Returns the ledger.
+    pub const fn ledger(&self) -> &LedgerClient {
+        &self.ledger
+    }
+
+    /// Returns the log.
+    pub const fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// Returns the metrics.
+    pub const fn metrics(&self) -> &ProcessMetrics {
+        &self.metrics
+    }
+
+    /// Puts a configuration in force unless the present one is as new; returns the version before.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the present version when it is as new or newer.
+    pub fn put_in_force(&self, table: RouteTable) -> Result<Option<u64>, u64> {
+        let present = self.table.load().as_ref().map(|present| present.version());
+        if let Some(present) = present
+            && present >= table.version()
+        {
+            return Err(present);
+        }
+        self.metrics.set_configuration_version(table.version());
+        self.table.store(Some(Arc::new(table)));
+        Ok(present)
+    }
+
+    /// Goes on to a phase of the planned stop.
+    pub fn enter_phase(&self, phase: StopPhase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Closes connections to backend servers that have been idle for too long.
+    pub fn close_expired(&self) {
+        self.pool.close_expired();
+    }
+
     /// Returns whether the entry knows enough to serve.
-    pub(crate) fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         let is_serving = *self.phase.borrow() == StopPhase::Serving;
         is_serving
             && self.table.load().is_some()
@@ -177,7 +228,7 @@
     }
 
     /// Changes the directory of backend servers.
-    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut ServerDirectory)) {
+    pub fn change_directory(&self, change: impl FnOnce(&mut ServerDirectory)) {
         let mut directory = lock(&self.directory);
         change(&mut directory);
         lock(&self.board).forget_unlisted(&directory);
@@ -197,7 +248,7 @@
     }
 
     /// Returns the time since the start in milliseconds.
-    pub(crate) fn now_ms(&self) -> u64 {
+    pub fn now_ms(&self) -> u64 {
         whole_millis(self.started.elapsed())
     }
 }
@@ -211,7 +262,7 @@
 }
 
 /// Returns a time in whole milliseconds.
-pub(crate) fn whole_millis(time: Duration) -> u64 {
+pub fn whole_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
