Keep program accounts and log files as long as the routes say

A reservation now carries the route's retention. The test an_account_is_kept_as_long_as_its_program_may_pause could not be written before: there was nothing to say how long.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use hyper::http::request;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
-use ledger::{LedgerError, ReserveOutcome, TurnRecord};
+use ledger::{LedgerError, ReserveOutcome, TokenBudget, TurnRecord};
 use routing::{RouteMatch, RouteTable, ServiceRoute};
 use slog::info;
 use tokio::time::timeout_at;
@@ -221,7 +221,11 @@
         let ledger = &self.entry.ledger;
         let account = TurnAccount::new(ledger.clone(), program, turn);
         let before = Instant::now();
-        let reserving = ledger.reserve(program, turn, self.facts.max_tokens, budget);
+        let allowed = TokenBudget {
+            tokens: budget,
+            retention_ms: self.route.retention_ms,
+        };
+        let reserving = ledger.reserve(program, turn, self.facts.max_tokens, allowed);
         let reserved = timeout_at(self.deadline.into(), reserving).await;
         self.entry.metrics.reserve.observe(before.elapsed().as_secs_f64());
         let unavailable = |cause: String| CallError::not_run(ResultCode::LedgerUnavailable, cause);
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -4,16 +4,15 @@
 
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 
-/// Time in milliseconds for which accounts are kept after their last record, beyond the retention of turns.
-const ACCOUNT_SLACK_MS: u64 = 60_000;
-/// Retention in milliseconds of accounts whose turns are not kept; as long as callers may return.
-const ACCOUNT_RETENTION_MS: u64 = 120_000;
+/// Time in milliseconds for which records are kept beyond their retention: a host that was away may still copy them.
+const RETENTION_SLACK_MS: u64 = 60_000;
 
 /// Tokens of one turn.
 #[derive(Debug, Clone, Copy, Default)]
 struct TurnTokens {
     reserved: Option<u64>,
     settled: Option<u64>,
+    retention_ms: u64,
 }
 
 impl TurnTokens {
@@ -79,15 +78,17 @@
                 program,
                 turn,
                 tokens,
-            } => self
-                .account(*program, now_ms)
-                .set(*turn, |slot| slot.reserved.replace(*tokens).is_none()),
+                retention_ms,
+            } => self.account(*program, *retention_ms, now_ms).set(*turn, |slot| {
+                slot.retention_ms = *retention_ms;
+                slot.reserved.replace(*tokens).is_none()
+            }),
             LedgerRecord::Settled {
                 program,
                 turn,
                 tokens,
             } => self
-                .account(*program, now_ms)
+                .account(*program, 0, now_ms)
                 .set(*turn, |slot| slot.settled.replace(*tokens).is_none()),
             LedgerRecord::Turn(turn) => self.keep(turn, now_ms),
         };
@@ -128,11 +129,12 @@
         match kind {
             RecordKind::Turn => Some(LedgerRecord::Turn(self.turns.get(&turn)?.record.clone())),
             RecordKind::Reserved => {
-                let tokens = self.tokens(key).reserved?;
+                let slot = self.tokens(key);
                 Some(LedgerRecord::Reserved {
                     program,
                     turn,
-                    tokens,
+                    tokens: slot.reserved?,
+                    retention_ms: slot.retention_ms,
                 })
             }
             RecordKind::Settled => {
@@ -180,9 +182,12 @@
         (self.accounts.len(), self.turns.len())
     }
 
-    fn account(&mut self, program: ProgramKey, now_ms: u64) -> &mut ProgramAccount {
+    fn account(&mut self, program: ProgramKey, retention_ms: u64, now_ms: u64) -> &mut ProgramAccount {
         let account = self.accounts.entry(program).or_default();
-        account.kept_until_ms = account.kept_until_ms.max(now_ms + ACCOUNT_RETENTION_MS);
+        let kept_until_ms = now_ms
+            .saturating_add(retention_ms)
+            .saturating_add(RETENTION_SLACK_MS);
+        account.kept_until_ms = account.kept_until_ms.max(kept_until_ms);
         account
     }
 
@@ -190,7 +195,9 @@
         if self.turns.contains_key(&record.turn) {
             return false;
         }
-        let kept_until_ms = now_ms + record.retention_ms + ACCOUNT_SLACK_MS;
+        let kept_until_ms = now_ms
+            .saturating_add(record.retention_ms)
+            .saturating_add(RETENTION_SLACK_MS);
         let record = record.clone();
         self.turns.insert(
             record.turn,
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -34,6 +34,15 @@
     UnknownTurn,
 }
 
+/// What all turns of a program may spend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenBudget {
+    /// Tokens of all turns together.
+    pub tokens: u64,
+    /// How long the program may pause and still be held to it, in milliseconds.
+    pub retention_ms: u64,
+}
+
 /// Answer to a reservation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReserveOutcome {
@@ -157,12 +166,13 @@
         program: ProgramKey,
         turn: TurnKey,
         tokens: u64,
-        budget: u64,
+        budget: TokenBudget,
     ) -> Result<ReserveOutcome, LedgerError> {
         let record = LedgerRecord::Reserved {
             program,
             turn,
             tokens,
+            retention_ms: budget.retention_ms,
         };
         let counts = match self.write(&record, Lane::Counted).await {
             Ok(counts) => counts,
@@ -172,7 +182,7 @@
             }
         };
         let committed = counts.into_iter().max().unwrap_or_default();
-        if committed <= budget {
+        if committed <= budget.tokens {
             return Ok(ReserveOutcome::Reserved);
         }
         self.settle(program, turn, 0);
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -16,7 +16,7 @@
 mod snapshot;
 
 pub use book::LedgerBook;
-pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome};
+pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget};
 pub use host::{HostOptions, LedgerHost};
 pub use log::{DiskLog, LogError};
 pub use port::{ChangePage, LedgerPort, LedgerPortClient, PortFault, PortResult, connect_host, serve_port};
--- a/components/ledger/src/log.rs
+++ b/components/ledger/src/log.rs
@@ -16,8 +16,8 @@
 const MAX_RECORD_BYTES: usize = 64 * 1024 * 1024;
 /// Size in bytes at which a new file is begun.
 const FILE_BYTES: u64 = 32 * 1024 * 1024;
-/// Time after its last record at which a file is removed; twice the longest retention in use.
-const FILE_RETENTION: Duration = Duration::from_mins(5);
+/// Time for which a file is kept beyond the longest retention of its records.
+const FILE_SLACK: Duration = Duration::from_mins(5);
 /// Longest time for which records that nobody waits for stay in memory.
 const WRITE_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time for which written records stay unsynced.
@@ -41,6 +41,8 @@
 #[derive(Debug, Default)]
 struct PendingWrites {
     frames: Vec<u8>,
+    /// Longest retention of the records in `frames`, in milliseconds.
+    retention_ms: u64,
     waiters: Vec<SyncWaiter>,
     is_closed: bool,
 }
@@ -95,8 +97,15 @@
         }
         let next = numbers.last().map_or(0, |last| last + 1);
         let mut writer = LogWriter::create(folder.to_owned(), next)?;
-        let now = Instant::now();
-        writer.closed = numbers.into_iter().map(|number| (number, now)).collect();
+        let retention_ms = records
+            .iter()
+            .map(LedgerRecord::retention_ms)
+            .max()
+            .unwrap_or_default();
+        let closed = numbers
+            .into_iter()
+            .map(|number| ClosedFile::now(number, retention_ms));
+        writer.closed = closed.collect();
         let queue = Arc::new(WriteQueue::default());
         let writer_queue = QueueGuard(Arc::clone(&queue));
         std::thread::Builder::new()
@@ -138,6 +147,8 @@
         }
         let must_wake = synced.is_some() || pending.frames.is_empty();
         pending.frames.extend_from_slice(&frames);
+        let retention_ms = records.iter().map(LedgerRecord::retention_ms).max();
+        pending.retention_ms = pending.retention_ms.max(retention_ms.unwrap_or_default());
         pending.waiters.extend(synced);
         drop(pending);
         if must_wake {
@@ -205,16 +216,35 @@
     Ok(numbers)
 }
 
+/// A file that takes no more records.
+struct ClosedFile {
+    number: u64,
+    closed: Instant,
+    kept: Duration,
+}
+
 /// The thread that owns the files.
 struct LogWriter {
     folder: PathBuf,
     file: File,
     number: u64,
     length: u64,
-    closed: Vec<(u64, Instant)>,
+    closed: Vec<ClosedFile>,
+    /// Longest retention of the records in the present file, in milliseconds.
+    retention_ms: u64,
     unsynced_since: Option<Instant>,
 }
 
+impl ClosedFile {
+    fn now(number: u64, retention_ms: u64) -> Self {
+        Self {
+            number,
+            closed: Instant::now(),
+            kept: Duration::from_millis(retention_ms).saturating_add(FILE_SLACK),
+        }
+    }
+}
+
 impl LogWriter {
     fn create(folder: PathBuf, number: u64) -> Result<Self, LogError> {
         let file = new_file(&folder, number)?;
@@ -224,6 +254,7 @@
             number,
             length: 0,
             closed: Vec::new(),
+            retention_ms: 0,
             unsynced_since: None,
         })
     }
@@ -231,9 +262,10 @@
     /// Writes until every handle is gone: all that wait share one write and one sync.
     fn run(mut self, queue: &WriteQueue) {
         loop {
-            let (frames, waiters, is_closed) = self.next_writes(queue);
-            let written = self.commit(&frames, !waiters.is_empty());
-            for waiter in waiters {
+            let writes = self.next_writes(queue);
+            self.retention_ms = self.retention_ms.max(writes.retention_ms);
+            let written = self.commit(&writes.frames, !writes.waiters.is_empty());
+            for waiter in writes.waiters {
                 let told = match &written {
                     Ok(()) => Ok(()),
                     Err(failure) => Err(io::Error::new(failure.kind(), failure.to_string()).into()),
@@ -241,14 +273,14 @@
                 // The caller may have given up; the records stay.
                 drop(waiter.send(told));
             }
-            if is_closed {
+            if writes.is_closed {
                 return;
             }
         }
     }
 
     /// Waits for records. Those that nobody waits for may gather for a while.
-    fn next_writes(&self, queue: &WriteQueue) -> (Vec<u8>, Vec<SyncWaiter>, bool) {
+    fn next_writes(&self, queue: &WriteQueue) -> PendingWrites {
         let mut pending = queue.lock();
         let mut gathering: Option<Instant> = None;
         loop {
@@ -257,9 +289,10 @@
                 .unsynced_since
                 .is_some_and(|since| since.elapsed() >= SYNC_INTERVAL);
             if !pending.waiters.is_empty() || pending.is_closed || is_due || is_overdue {
-                let frames = std::mem::take(&mut pending.frames);
-                let waiters = std::mem::take(&mut pending.waiters);
-                return (frames, waiters, pending.is_closed);
+                let is_closed = pending.is_closed;
+                let writes = std::mem::take(&mut *pending);
+                pending.is_closed = is_closed;
+                return PendingWrites { is_closed, ..writes };
             }
             if !pending.frames.is_empty() && gathering.is_none() {
                 gathering = Some(Instant::now());
@@ -306,14 +339,15 @@
 
     fn begin_file(&mut self) -> io::Result<()> {
         self.file.sync_data()?;
-        self.closed.push((self.number, Instant::now()));
+        self.closed.push(ClosedFile::now(self.number, self.retention_ms));
+        self.retention_ms = 0;
         self.number += 1;
         self.file = new_file(&self.folder, self.number)?;
         self.length = 0;
         let folder = &self.folder;
-        self.closed.retain(|(number, last)| {
-            let is_old = last.elapsed() > FILE_RETENTION;
-            !(is_old && std::fs::remove_file(path_of(folder, *number)).is_ok())
+        self.closed.retain(|file| {
+            let is_old = file.closed.elapsed() > file.kept;
+            !(is_old && std::fs::remove_file(path_of(folder, file.number)).is_ok())
         });
         Ok(())
     }
--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -58,6 +58,8 @@
         turn: TurnKey,
         /// Largest number of tokens.
         tokens: u64,
+        /// How long the program's account is kept, in milliseconds.
+        retention_ms: u64,
     },
     /// Tokens that a turn has spent; it replaces the reservation.
     Settled {
@@ -107,6 +109,15 @@
         RecordKey { kind, program, turn }
     }
 
+    /// Returns how long the record must be kept, in milliseconds; a settlement goes with its reservation.
+    pub const fn retention_ms(&self) -> u64 {
+        match self {
+            Self::Reserved { retention_ms, .. } => *retention_ms,
+            Self::Settled { .. } => 0,
+            Self::Turn(record) => record.retention_ms,
+        }
+    }
+
     /// Returns the program.
     pub const fn program(&self) -> ProgramKey {
         self.key().program
--- a/components/ledger/tests/book.rs
+++ b/components/ledger/tests/book.rs
@@ -11,6 +11,7 @@
         program: PROGRAM,
         turn: TurnKey(turn),
         tokens,
+        retention_ms: 300_000,
     }
 }
 
@@ -148,3 +149,15 @@
     expect_that!(book.arrivals_since(2, 10).0, is_empty());
     expect_that!(book.next_number(), eq(2));
 }
+
+#[gtest]
+fn an_account_is_kept_as_long_as_its_program_may_pause() {
+    let mut book = LedgerBook::default();
+    book.apply(&reserved(1, 40), 0);
+    book.apply(&settled(1, 30), 100);
+    // The reservation keeps the account for five minutes and the slack.
+    book.prune(359_999);
+    expect_that!(book.committed(PROGRAM), eq(30));
+    book.prune(360_001);
+    expect_that!(book.committed(PROGRAM), eq(0));
+}
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -5,11 +5,17 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use googletest::prelude::*;
-use ledger::{LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TurnKey, TurnRecord};
+use ledger::{
+    LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, TurnRecord,
+};
 use support::{addresses, client_of, start_host, start_hosts};
 use tokio::time::{Duration, sleep, timeout};
 
 const PROGRAM: ProgramKey = ProgramKey(1);
+const BUDGET: TokenBudget = TokenBudget {
+    tokens: 100,
+    retention_ms: 60_000,
+};
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn turn(number: u128, previous: Option<u128>) -> TurnRecord {
@@ -36,7 +42,8 @@
         let names: Vec<&str> = names[..hosts].iter().map(String::as_str).collect();
         let hosts = start_hosts(&names, folder.path()).await;
         let clients = join_all((0..4).map(|_| client(&hosts))).await;
-        let reserve = |number: usize| clients[number % 4].reserve(PROGRAM, TurnKey(number as u128), 10, 100);
+        let reserve =
+            |number: usize| clients[number % 4].reserve(PROGRAM, TurnKey(number as u128), 10, BUDGET);
         let outcomes = join_all((0..40).map(reserve)).await;
         let granted = outcomes
             .iter()
@@ -49,10 +56,10 @@
         }
         sleep(Duration::from_secs(1)).await;
         for number in 100..110 {
-            let outcome = clients[1].reserve(PROGRAM, TurnKey(number), 10, 100).await;
+            let outcome = clients[1].reserve(PROGRAM, TurnKey(number), 10, BUDGET).await;
             expect_that!(outcome, ok(eq(&ReserveOutcome::Reserved)));
         }
-        let outcome = clients[2].reserve(PROGRAM, TurnKey(200), 10, 100).await;
+        let outcome = clients[2].reserve(PROGRAM, TurnKey(200), 10, BUDGET).await;
         expect_that!(outcome, ok(eq(&ReserveOutcome::Exhausted { committed: 100 })));
     }
 }
@@ -67,7 +74,7 @@
     hosts[0].task.abort();
     sleep(Duration::from_millis(50)).await;
     expect_that!(
-        client.reserve(PROGRAM, TurnKey(2), 10, 100).await,
+        client.reserve(PROGRAM, TurnKey(2), 10, BUDGET).await,
         ok(eq(&ReserveOutcome::Reserved))
     );
     client.keep(turn(2, Some(1))).await.expect("two hosts live");
@@ -83,7 +90,7 @@
         }
     };
     timeout(PATIENCE, lost).await.expect("the loss is noticed");
-    let outcome = client.reserve(PROGRAM, TurnKey(4), 10, 100).await;
+    let outcome = client.reserve(PROGRAM, TurnKey(4), 10, BUDGET).await;
     expect_that!(
         outcome,
         err(eq(&LedgerError::TooFewHosts {
@@ -136,7 +143,7 @@
         });
     }
     let client = client(&hosts).await;
-    let outcome = client.reserve(PROGRAM, TurnKey(1), 10, 100).await;
+    let outcome = client.reserve(PROGRAM, TurnKey(1), 10, BUDGET).await;
     expect_that!(
         outcome,
         err(eq(&LedgerError::TooFewHosts {
@@ -146,7 +153,7 @@
     );
     hosts[1].host.finish_copying();
     expect_that!(
-        client.reserve(PROGRAM, TurnKey(2), 10, 100).await,
+        client.reserve(PROGRAM, TurnKey(2), 10, BUDGET).await,
         ok(eq(&ReserveOutcome::Reserved))
     );
 }
--- a/components/ledger/tests/relay.rs
+++ b/components/ledger/tests/relay.rs
@@ -6,7 +6,7 @@
 use std::sync::Mutex;
 
 use googletest::prelude::*;
-use ledger::{LedgerHosts, ProgramKey, ReserveOutcome, TurnKey, serve_relay};
+use ledger::{LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, serve_relay};
 use support::{client_of, open_host, serve};
 
 #[gtest]
@@ -41,7 +41,17 @@
     });
     let hosts = LedgerHosts::new(vec![("ledger-a".to_owned(), address)]).with_relays(vec![relay_address]);
     let client = client_of(0, &hosts).await;
-    let outcome = client.reserve(ProgramKey(1), TurnKey(1), 5, 10).await;
+    let outcome = client
+        .reserve(
+            ProgramKey(1),
+            TurnKey(1),
+            5,
+            TokenBudget {
+                tokens: 10,
+                retention_ms: 0,
+            },
+        )
+        .await;
     expect_that!(outcome, ok(eq(&ReserveOutcome::Reserved)));
     expect_that!(*bound.lock().expect("unpoisoned"), eq(true));
 }
