Deliver settlements to a ledger host that was away

Cause: a settlement that was on its way when a host was lost was dropped, and the reservation counted for good on that host.

Tried and not kept: reservations to t + 1 hosts of the group instead of 2 t + 1.

The test a_settlement_that_a_lost_host_missed_reaches_it_when_it_is_back fails without the change.

--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -206,9 +206,21 @@
         }
     }
 
+    /// Puts settlements back that may not have reached the host; without them a reservation would count for good.
+    fn put_back(&self, settlements: Vec<LedgerRecord>) {
+        let mut records = self.counted.lock();
+        for record in settlements.into_iter().rev() {
+            if records.len() < QUEUE_RECORDS {
+                records.push_front(QueuedRecord { record, reply: None });
+            }
+        }
+    }
+
     /// Sends a batch and answers each of its records; returns whether the host does its work.
     async fn send(&self, lane: Lane, batch: Vec<QueuedRecord>) -> bool {
+        let settlements = settlements_of(&batch);
         let Some(client) = self.connected().await else {
+            self.put_back(settlements);
             return false;
         };
         let (records, replies): (Vec<_>, Vec<_>) = batch
@@ -233,6 +245,7 @@
             }
             Err(failure) => {
                 self.disconnect(&failure).await;
+                self.put_back(settlements);
                 return false;
             }
         };
@@ -246,6 +259,12 @@
     }
 }
 
+fn settlements_of(batch: &[QueuedRecord]) -> Vec<LedgerRecord> {
+    let records = batch.iter().map(|queued| &queued.record);
+    let settlements = records.filter(|record| matches!(record, LedgerRecord::Settled { .. }));
+    settlements.cloned().collect()
+}
+
 /// Keeps the connection open and sends what waits, one batch at a time, until the host is no longer listed.
 pub(crate) async fn keep_link(link: Weak<HostLink>, lane: Lane) {
     while let Some(link) = link.upgrade() {
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -188,3 +188,37 @@
         ok(eq(&1))
     );
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_settlement_that_a_lost_host_missed_reaches_it_when_it_is_back() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a"], folder.path()).await;
+    let client = client_of(0, &LedgerHosts::new(addresses(&hosts))).await;
+    let outcome = client.reserve(PROGRAM, TurnKey(1), 40, BUDGET).await;
+    expect_that!(outcome, ok(eq(&ReserveOutcome::Reserved)));
+    hosts[0].task.abort();
+    let lost = async {
+        // Another program's record shows the loss.
+        while client.is_reachable() {
+            client.settle(ProgramKey(2), TurnKey(2), 1);
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, lost).await.expect("the loss is noticed");
+    client.settle(PROGRAM, TurnKey(1), 0);
+    sleep(Duration::from_secs(1)).await;
+    let listener = tokio::net::TcpListener::bind(hosts[0].address)
+        .await
+        .expect("the port is free again");
+    tokio::spawn(support::serve(listener, hosts[0].host.clone()));
+    let settled = async {
+        let mut turns = (3..).map(TurnKey);
+        while let Some(turn) = turns.next()
+            && client.reserve(PROGRAM, turn, 100, BUDGET).await != Ok(ReserveOutcome::Reserved)
+        {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, settled).await.expect("the settlement arrives");
+}
