--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -1,114 +1,176 @@
 //! The records of one host, indexed for counting and reading back.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use bytes::Bytes;
+use rustc_hash::FxBuildHasher;
+
+use crate::digest::{BucketDigests, bucket_range};
+use crate::index::{IndexedRecord, RecordPlace};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 
 /// Time in milliseconds for which records are kept beyond their retention: a host that was away may still copy them.
 const RETENTION_SLACK_MS: u64 = 60_000;
 
-/// Tokens of one turn.
+/// What is known of one turn of a program.
 #[derive(Debug, Clone, Copy, Default)]
-struct TurnTokens {
+struct TurnEntry {
     reserved: Option<u64>,
     settled: Option<u64>,
     retention_ms: u64,
+    is_kept: bool,
 }
 
-impl TurnTokens {
+impl TurnEntry {
     /// Returns what counts against the budget.
     fn committed(self) -> u64 {
         self.settled.or(self.reserved).unwrap_or_default()
     }
+
+    /// Returns the kinds of its records.
+    fn kinds(self) -> impl Iterator<Item = RecordKind> {
+        let reserved = self.reserved.map(|_| RecordKind::Reserved);
+        let settled = self.settled.map(|_| RecordKind::Settled);
+        let kept = self.is_kept.then_some(RecordKind::Turn);
+        reserved.into_iter().chain(settled).chain(kept)
+    }
 }
 
 /// Turns of one program, sorted by their keys.
 #[derive(Debug, Default)]
 struct ProgramAccount {
-    turns: Vec<(TurnKey, TurnTokens)>,
+    turns: Vec<(TurnKey, TurnEntry)>,
     committed: u64,
     kept_until_ms: u64,
 }
 
 impl ProgramAccount {
-    /// Sets a turn's tokens and returns whether anything was new.
-    fn set(&mut self, turn: TurnKey, set: impl FnOnce(&mut TurnTokens) -> bool) -> bool {
+    /// Changes a turn's entry and returns what the change returns.
+    fn change(&mut self, turn: TurnKey, change: impl FnOnce(&mut TurnEntry) -> bool) -> bool {
         let place = match self.turns.binary_search_by_key(&turn, |(turn, _)| *turn) {
             Ok(place) => place,
             Err(place) => {
-                self.turns.insert(place, (turn, TurnTokens::default()));
+                self.turns.insert(place, (turn, TurnEntry::default()));
                 place
             }
         };
-        let tokens = &mut self.turns[place].1;
-        let before = tokens.committed();
-        let is_new = set(tokens);
-        self.committed = self.committed - before + tokens.committed();
+        let entry = &mut self.turns[place].1;
+        let before = entry.committed();
+        let is_new = change(entry);
+        self.committed = self.committed - before + entry.committed();
         is_new
     }
 
-    fn tokens_of(&self, turn: TurnKey) -> TurnTokens {
+    fn entry_of(&self, turn: TurnKey) -> TurnEntry {
         let place = self.turns.binary_search_by_key(&turn, |(turn, _)| *turn);
-        place.map_or_else(|_| TurnTokens::default(), |place| self.turns[place].1)
+        place.map_or_else(|_| TurnEntry::default(), |place| self.turns[place].1)
+    }
+
+    fn keys(&self, program: ProgramKey) -> impl Iterator<Item = RecordKey> {
+        self.turns
+            .iter()
+            .flat_map(move |&(turn, entry)| entry.kinds().map(move |kind| RecordKey { kind, program, turn }))
     }
 }
 
-/// A kept turn.
+/// A kept turn. Its texts are empty once they are only on the disk.
 #[derive(Debug)]
 struct KeptTurn {
     record: TurnRecord,
+    /// Where it stands on the disk; `None` until it was written.
+    place: Option<RecordPlace>,
+    is_held: bool,
     kept_until_ms: u64,
 }
 
+/// A record that was found: in memory, or at a place on the disk.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FoundRecord {
+    /// The record.
+    Held(LedgerRecord),
+    /// Its place.
+    Stored(RecordPlace),
+}
+
+impl FoundRecord {
+    /// Returns the bytes of its texts, or of its frame on the disk.
+    pub const fn size(&self) -> usize {
+        match self {
+            Self::Held(LedgerRecord::Turn(turn)) => turn.input.len() + turn.output.len(),
+            Self::Held(_) => 0,
+            Self::Stored(place) => place.length as usize,
+        }
+    }
+}
+
 /// The records of one host. A record may be applied in any order and any number of times.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LedgerBook {
-    accounts: HashMap<ProgramKey, ProgramAccount>,
-    turns: HashMap<TurnKey, KeptTurn>,
+    accounts: BTreeMap<ProgramKey, ProgramAccount>,
+    turns: HashMap<TurnKey, KeptTurn, FxBuildHasher>,
+    digests: BucketDigests,
+    /// Turns whose texts are in memory, the oldest first.
+    held: VecDeque<TurnKey>,
+    held_bytes: usize,
+    most_held_bytes: usize,
     /// Keys in the order of their arrival; the first one has the number `first_number`.
     arrivals: VecDeque<RecordKey>,
     first_number: u64,
 }
 
 impl LedgerBook {
+    /// Creates an empty book that keeps texts of up to `most_held_bytes` in memory, and more only until they are
+    /// written.
+    pub fn new(most_held_bytes: usize) -> Self {
+        Self {
+            accounts: BTreeMap::new(),
+            turns: HashMap::default(),
+            digests: BucketDigests::default(),
+            held: VecDeque::new(),
+            held_bytes: 0,
+            most_held_bytes,
+            arrivals: VecDeque::new(),
+            first_number: 0,
+        }
+    }
+
     /// Applies a record; returns whether it was new.
     pub fn apply(&mut self, record: &LedgerRecord, now_ms: u64) -> bool {
-        let is_new = match record {
-            LedgerRecord::Reserved {
-                program,
-                turn,
-                tokens,
-                retention_ms,
-            } => self.account(*program, *retention_ms, now_ms).set(*turn, |slot| {
-                slot.retention_ms = *retention_ms;
-                slot.reserved.replace(*tokens).is_none()
-            }),
-            LedgerRecord::Settled {
-                program,
-                turn,
-                tokens,
-            } => self
-                .account(*program, 0, now_ms)
-                .set(*turn, |slot| slot.settled.replace(*tokens).is_none()),
-            LedgerRecord::Turn(turn) => self.keep(turn, now_ms),
-        };
-        if is_new {
-            self.arrivals.push_back(record.key());
+        let is_new = self.enter(record, now_ms);
+        if is_new && let LedgerRecord::Turn(turn) = record {
+            self.hold(turn);
         }
         is_new
     }
 
+    /// Applies a record whose texts are on the disk only; returns whether it was new.
+    pub fn apply_indexed(&mut self, indexed: &IndexedRecord, now_ms: u64) -> bool {
+        let is_new = self.enter(&indexed.record, now_ms);
+        if let LedgerRecord::Turn(turn) = &indexed.record {
+            self.note_place(turn.turn, indexed.place);
+        }
+        is_new
+    }
+
+    /// Notes where a turn stands on the disk, so that its texts need not stay in memory.
+    pub fn note_place(&mut self, turn: TurnKey, place: RecordPlace) {
+        if let Some(kept) = self.turns.get_mut(&turn) {
+            kept.place.get_or_insert(place);
+        }
+        self.release_texts();
+    }
+
     /// Returns the tokens that count against a program's budget: spent ones and open reservations.
     pub fn committed(&self, program: ProgramKey) -> u64 {
         self.accounts.get(&program).map_or(0, |account| account.committed)
     }
 
     /// Returns a turn and those before it, the newest first, as far as they are known here.
-    pub fn chain(&self, turn: TurnKey) -> Vec<TurnRecord> {
+    pub fn chain(&self, turn: TurnKey) -> Vec<FoundRecord> {
         let mut chain = Vec::new();
         let mut next = Some(turn);
         while let Some(kept) = next.and_then(|turn| self.turns.get(&turn)) {
-            chain.push(kept.record.clone());
+            chain.push(found(kept));
             next = kept.record.previous;
         }
         chain
@@ -116,36 +178,47 @@
 
     /// Returns whether a record is known.
     pub fn contains(&self, key: &RecordKey) -> bool {
+        let entry = self.entry(key);
         match key.kind {
-            RecordKind::Turn => self.turns.contains_key(&key.turn),
-            RecordKind::Reserved => self.tokens(key).reserved.is_some(),
-            RecordKind::Settled => self.tokens(key).settled.is_some(),
+            RecordKind::Turn => entry.is_kept,
+            RecordKind::Reserved => entry.reserved.is_some(),
+            RecordKind::Settled => entry.settled.is_some(),
         }
     }
 
     /// Returns a record.
-    pub fn record(&self, key: &RecordKey) -> Option<LedgerRecord> {
+    pub fn record(&self, key: &RecordKey) -> Option<FoundRecord> {
         let RecordKey { kind, program, turn } = *key;
-        match kind {
-            RecordKind::Turn => Some(LedgerRecord::Turn(self.turns.get(&turn)?.record.clone())),
-            RecordKind::Reserved => {
-                let slot = self.tokens(key);
-                Some(LedgerRecord::Reserved {
-                    program,
-                    turn,
-                    tokens: slot.reserved?,
-                    retention_ms: slot.retention_ms,
-                })
-            }
-            RecordKind::Settled => {
-                let tokens = self.tokens(key).settled?;
-                Some(LedgerRecord::Settled {
-                    program,
-                    turn,
-                    tokens,
-                })
-            }
-        }
+        let entry = self.entry(key);
+        let record = match kind {
+            RecordKind::Turn => return self.turns.get(&turn).map(found),
+            RecordKind::Reserved => LedgerRecord::Reserved {
+                program,
+                turn,
+                tokens: entry.reserved?,
+                retention_ms: entry.retention_ms,
+            },
+            RecordKind::Settled => LedgerRecord::Settled {
+                program,
+                turn,
+                tokens: entry.settled?,
+            },
+        };
+        Some(FoundRecord::Held(record))
+    }
+
+    /// Returns the digests of all buckets.
+    pub const fn digests(&self) -> &BucketDigests {
+        &self.digests
+    }
+
+    /// Returns the keys of the records in some buckets.
+    pub fn keys_in(&self, buckets: &[u16]) -> Vec<RecordKey> {
+        let ranges = buckets.iter().filter_map(|bucket| bucket_range(*bucket));
+        let accounts = ranges.flat_map(|range| self.accounts.range(range));
+        accounts
+            .flat_map(|(program, account)| account.keys(*program))
+            .collect()
     }
 
     /// Returns the number that the next new record will have.
@@ -166,8 +239,32 @@
 
     /// Forgets what has outlived its retention.
     pub fn prune(&mut self, now_ms: u64) {
-        self.turns.retain(|_, kept| kept.kept_until_ms > now_ms);
-        self.accounts.retain(|_, account| account.kept_until_ms > now_ms);
+        let outlived = self.turns.extract_if(|_, kept| kept.kept_until_ms <= now_ms);
+        for (turn, kept) in outlived {
+            let program = kept.record.program;
+            if let Some(account) = self.accounts.get_mut(&program) {
+                account.change(turn, |entry| std::mem::take(&mut entry.is_kept));
+            }
+            if kept.is_held {
+                self.held_bytes -= kept.record.input.len() + kept.record.output.len();
+            }
+            self.digests.toggle(&RecordKey {
+                kind: RecordKind::Turn,
+                program,
+                turn,
+            });
+        }
+        let digests = &mut self.digests;
+        self.accounts.retain(|program, account| {
+            let is_current = account.kept_until_ms > now_ms;
+            if !is_current {
+                account.keys(*program).for_each(|key| digests.toggle(&key));
+            }
+            is_current
+        });
+        let turns = &self.turns;
+        self.held
+            .retain(|turn| turns.get(turn).is_some_and(|kept| kept.is_held));
         while let Some(key) = self.arrivals.front() {
             if self.contains(key) {
                 break;
@@ -182,35 +279,91 @@
         (self.accounts.len(), self.turns.len())
     }
 
-    fn account(&mut self, program: ProgramKey, retention_ms: u64, now_ms: u64) -> &mut ProgramAccount {
-        let account = self.accounts.entry(program).or_default();
+    /// Returns the bytes of the texts in memory.
+    pub const fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Enters a record without the texts of its turn; returns whether it was new.
+    fn enter(&mut self, record: &LedgerRecord, now_ms: u64) -> bool {
+        let account = self.accounts.entry(record.program()).or_default();
         let kept_until_ms = now_ms
-            .saturating_add(retention_ms)
+            .saturating_add(record.retention_ms())
             .saturating_add(RETENTION_SLACK_MS);
         account.kept_until_ms = account.kept_until_ms.max(kept_until_ms);
-        account
-    }
-
-    fn keep(&mut self, record: &TurnRecord, now_ms: u64) -> bool {
-        if self.turns.contains_key(&record.turn) {
+        let key = record.key();
+        let is_new = account.change(key.turn, |entry| match record {
+            LedgerRecord::Reserved {
+                tokens, retention_ms, ..
+            } => {
+                entry.retention_ms = *retention_ms;
+                entry.reserved.replace(*tokens).is_none()
+            }
+            LedgerRecord::Settled { tokens, .. } => entry.settled.replace(*tokens).is_none(),
+            LedgerRecord::Turn(_) => !std::mem::replace(&mut entry.is_kept, true),
+        });
+        if !is_new {
             return false;
         }
-        let kept_until_ms = now_ms
-            .saturating_add(record.retention_ms)
-            .saturating_add(RETENTION_SLACK_MS);
-        let record = record.clone();
-        self.turns.insert(
-            record.turn,
-            KeptTurn {
+        if let LedgerRecord::Turn(turn) = record {
+            let record = TurnRecord {
+                input: Bytes::new(),
+                output: Bytes::new(),
+                ..turn.clone()
+            };
+            let kept = KeptTurn {
                 record,
+                place: None,
+                is_held: false,
                 kept_until_ms,
-            },
-        );
+            };
+            self.turns.insert(turn.turn, kept);
+        }
+        self.digests.toggle(&key);
+        self.arrivals.push_back(key);
         true
     }
 
-    fn tokens(&self, key: &RecordKey) -> TurnTokens {
+    /// Holds the texts of a turn in memory.
+    fn hold(&mut self, turn: &TurnRecord) {
+        let Some(kept) = self.turns.get_mut(&turn.turn) else {
+            return;
+        };
+        kept.record = turn.clone();
+        kept.is_held = true;
+        self.held.push_back(turn.turn);
+        self.held_bytes += turn.input.len() + turn.output.len();
+        self.release_texts();
+    }
+
+    /// Drops the oldest texts that are on the disk while there are too many.
+    fn release_texts(&mut self) {
+        while self.held_bytes > self.most_held_bytes
+            && let Some(oldest) = self.held.front()
+        {
+            if let Some(kept) = self.turns.get_mut(oldest) {
+                if kept.place.is_none() {
+                    return;
+                }
+                let texts = [&mut kept.record.input, &mut kept.record.output];
+                for text in texts {
+                    self.held_bytes -= std::mem::take(text).len();
+                }
+                kept.is_held = false;
+            }
+            self.held.pop_front();
+        }
+    }
+
+    fn entry(&self, key: &RecordKey) -> TurnEntry {
         let account = self.accounts.get(&key.program);
-        account.map_or_else(TurnTokens::default, |account| account.tokens_of(key.turn))
+        account.map_or_else(TurnEntry::default, |account| account.entry_of(key.turn))
+    }
+}
+
+fn found(kept: &KeptTurn) -> FoundRecord {
+    match kept.place {
+        Some(place) if !kept.is_held => FoundRecord::Stored(place),
+        _ => FoundRecord::Held(LedgerRecord::Turn(kept.record.clone())),
     }
 }
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -7,9 +7,10 @@
 use slog::{Logger, error, info};
 use tarpc::context::Context;
 
-use crate::book::LedgerBook;
+use crate::book::{FoundRecord, LedgerBook};
+use crate::digest::BucketDigests;
 use crate::log::{DiskLog, LogError};
-use crate::port::{ChangePage, LedgerPort, PortFault, PortResult};
+use crate::port::{ChangePage, DigestPage, LedgerPort, PortFault, PortResult, wall_clock_ms};
 use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::{KindSnapshot, SnapshotShelf};
 
@@ -25,6 +26,8 @@
     pub folder: PathBuf,
     /// Number that no earlier start of this host had.
     pub epoch: u64,
+    /// Bytes of texts that are kept in memory; older ones are read from the disk.
+    pub most_held_bytes: usize,
     /// Log for events.
     pub log: Logger,
 }
@@ -62,12 +65,11 @@
     ///
     /// Fails when the log cannot be opened.
     pub fn open(options: HostOptions, now_ms: u64) -> Result<Self, LogError> {
-        let (disk, records) = DiskLog::open(&options.folder)?;
-        let mut book = LedgerBook::default();
-        for record in &records {
-            book.apply(record, now_ms);
-        }
-        info!(options.log, "ledger opened"; "records" => records.len(), "epoch" => options.epoch);
+        let mut book = LedgerBook::new(options.most_held_bytes);
+        let disk = DiskLog::open(&options.folder, |indexed| {
+            book.apply_indexed(&indexed, now_ms);
+        })?;
+        info!(options.log, "ledger opened"; "records" => book.next_number(), "epoch" => options.epoch);
         Ok(Self {
             shared: Arc::new(HostState {
                 book: Mutex::new(book),
@@ -116,11 +118,30 @@
         self.shared.disk.write_synced(&records).await
     }
 
+    /// Returns the buckets in which another host's digests differ from the own ones.
+    pub fn differing(&self, digests: &BucketDigests) -> Vec<u16> {
+        self.book().digests().differing(digests)
+    }
+
     /// Forgets what has outlived its retention.
     pub fn prune(&self, now_ms: u64) {
         self.book().prune(now_ms);
     }
 
+    /// Lets texts go from memory that have been written since the last call.
+    pub fn release_texts(&self) {
+        let written = self.shared.disk.take_written();
+        let mut book = self.book();
+        for (turn, place) in written {
+            book.note_place(turn, place);
+        }
+    }
+
+    /// Returns the bytes of the texts in memory.
+    pub fn held_bytes(&self) -> usize {
+        self.book().held_bytes()
+    }
+
     /// Returns the numbers of programs and of kept turns.
     pub fn sizes(&self) -> (usize, usize) {
         self.book().sizes()
@@ -166,7 +187,7 @@
     }
 
     fn apply_all(&self, records: &[LedgerRecord]) -> Vec<u64> {
-        let now_ms = crate::repair::wall_clock_ms();
+        let now_ms = wall_clock_ms();
         let mut book = self.book();
         let mut committed = Vec::with_capacity(records.len());
         for record in records {
@@ -184,8 +205,25 @@
         }
     }
 
+    /// Returns records as a whole: those whose texts are on the disk only are read from there.
+    async fn load(&self, found: Vec<FoundRecord>) -> PortResult<Vec<LedgerRecord>> {
+        let is_stored = |record: &FoundRecord| matches!(record, FoundRecord::Stored(_));
+        let disk = self.shared.disk.clone();
+        let read = move |record| match record {
+            FoundRecord::Held(record) => Ok(record),
+            FoundRecord::Stored(place) => disk.read(place),
+        };
+        if !found.iter().any(is_stored) {
+            let records: Result<_, LogError> = found.into_iter().map(read).collect();
+            return records.map_err(|failure| self.disk_fault(&failure));
+        }
+        let reading = tokio::task::spawn_blocking(move || found.into_iter().map(read).collect());
+        let records: Result<Vec<LedgerRecord>, LogError> = reading.await.unwrap_or(Err(LogError::Closed));
+        records.map_err(|failure| self.disk_fault(&failure))
+    }
+
     fn disk_fault(&self, failure: &LogError) -> PortFault {
-        error!(self.shared.log, "ledger not written"; "error" => %failure);
+        error!(self.shared.log, "disk of the ledger failed"; "error" => %failure);
         PortFault::Disk(failure.to_string())
     }
 }
@@ -209,22 +247,39 @@
     }
 
     async fn chain(self, _: Context, turn: TurnKey) -> PortResult<Vec<TurnRecord>> {
-        let chain = self.book().chain(turn);
-        if chain.is_empty() && self.is_copying() {
+        let found = self.book().chain(turn);
+        if found.is_empty() && self.is_copying() {
             return Err(PortFault::Copying);
         }
-        Ok(chain)
+        let records = self.load(found).await?;
+        let turns = records.into_iter().filter_map(|record| match record {
+            LedgerRecord::Turn(turn) => Some(turn),
+            LedgerRecord::Reserved { .. } | LedgerRecord::Settled { .. } => None,
+        });
+        Ok(turns.collect())
+    }
+
+    async fn digests(self, _: Context) -> PortResult<DigestPage> {
+        let book = self.book();
+        Ok(DigestPage {
+            epoch: self.shared.epoch,
+            next: book.next_number(),
+            digests: book.digests().clone(),
+        })
+    }
+
+    async fn keys_in(self, _: Context, buckets: Vec<u16>) -> PortResult<Vec<RecordKey>> {
+        Ok(self.book().keys_in(&buckets))
     }
 
     async fn changes(self, _: Context, reader: String, epoch: u64, since: u64) -> PortResult<ChangePage> {
-        let since = if epoch == self.shared.epoch { since } else { 0 };
-        if epoch == self.shared.epoch {
-            self.note_reader(reader, since);
+        if epoch != self.shared.epoch {
+            return Err(PortFault::Restarted);
         }
+        self.note_reader(reader, since);
         let book = self.book();
         let (keys, next) = book.arrivals_since(since, PAGE_KEYS);
         Ok(ChangePage {
-            epoch: self.shared.epoch,
             keys,
             next,
             end: book.next_number(),
@@ -236,18 +291,18 @@
     }
 
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
-        let book = self.book();
-        let mut records = Vec::new();
+        let mut found = Vec::new();
         let mut bytes = 0;
-        for record in keys.iter().filter_map(|key| book.record(key)) {
-            if let LedgerRecord::Turn(turn) = &record {
-                bytes += turn.input.len() + turn.output.len();
-            }
-            records.push(record);
-            if bytes >= ANSWER_BYTES {
-                break;
+        {
+            let book = self.book();
+            for record in keys.iter().filter_map(|key| book.record(key)) {
+                bytes += record.size();
+                found.push(record);
+                if bytes >= ANSWER_BYTES {
+                    break;
+                }
             }
         }
-        Ok(records)
+        self.load(found).await
     }
 }
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod book;
 mod client;
+mod digest;
 mod host;
+mod index;
 mod link;
 mod log;
 mod port;
@@ -15,11 +17,16 @@
 mod repair;
 mod snapshot;
 
-pub use book::LedgerBook;
+pub use book::{FoundRecord, LedgerBook};
 pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget};
+pub use digest::BucketDigests;
 pub use host::{HostOptions, LedgerHost};
+pub use index::{IndexedRecord, RecordPlace};
 pub use log::{DiskLog, LogError};
-pub use port::{ChangePage, LedgerPort, LedgerPortClient, PortFault, PortResult, connect_host, serve_port};
+pub use port::{
+    ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, connect_host, serve_port,
+    wall_clock_ms,
+};
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -5,16 +5,17 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::{Either, select, select_ok};
 use slog::{Logger, info, warn};
-use tarpc::context::{self, Context};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::port::{HostAddress, LedgerPortClient, PortFault, PortResult, connect_host};
+use crate::port::{
+    HostAddress, LedgerPortClient, PortFault, PortResult, call_within, connect_host, open_stream,
+};
 use crate::record::{LedgerRecord, TurnKey, TurnRecord};
 use crate::relay::connect_through;
 use crate::snapshot::KindSnapshot;
@@ -113,7 +114,7 @@
     /// Asks for a chain; `None` when the host does not answer or may lack records.
     pub(crate) async fn chain(&self, turn: TurnKey) -> Option<Vec<TurnRecord>> {
         let client = self.connected().await?;
-        match client.chain(deadline(COUNT_TIMEOUT), turn).await {
+        match client.chain(call_within(COUNT_TIMEOUT), turn).await {
             Ok(Ok(chain)) => Some(chain),
             Ok(Err(_still_copying)) => None,
             Err(failure) => {
@@ -126,7 +127,7 @@
     /// Asks for snapshots that are newer than the known revisions; `None` when the host does not answer.
     pub(crate) async fn snapshots(&self, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
         let client = self.connected().await?;
-        match client.snapshots(deadline(COUNT_TIMEOUT), known.to_vec()).await {
+        match client.snapshots(call_within(COUNT_TIMEOUT), known.to_vec()).await {
             Ok(answer) => answer.ok(),
             Err(failure) => {
                 self.disconnect(&failure).await;
@@ -163,7 +164,7 @@
 
     /// Opens a connection, directly or, when that takes long or fails, through a relay.
     async fn open(&self) -> io::Result<(TcpStream, bool)> {
-        let direct = Box::pin(connect_directly(self.peer.address));
+        let direct = Box::pin(open_stream(self.peer.address));
         let patience = Box::pin(sleep(RELAY_DELAY));
         let pending = match select(direct, patience).await {
             Either::Left((Ok(stream), _)) => return Ok((stream, false)),
@@ -232,7 +233,7 @@
             Lane::Synced => SYNC_TIMEOUT,
         };
         let answer = client
-            .write(deadline(patience), records, lane == Lane::Synced)
+            .write(call_within(patience), records, lane == Lane::Synced)
             .await;
         let counts = match answer {
             Ok(Ok(counts)) => counts,
@@ -285,26 +286,11 @@
 
 /// Asks a host that is known by its address only for its snapshots.
 pub(crate) async fn snapshots_at(address: SocketAddr, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
-    let stream = timeout(CONNECT_TIMEOUT, connect_directly(address))
-        .await
-        .ok()?
-        .ok()?;
+    let stream = timeout(CONNECT_TIMEOUT, open_stream(address)).await.ok()?.ok()?;
     let client = connect_host(stream);
     client
-        .snapshots(deadline(COUNT_TIMEOUT), known.to_vec())
+        .snapshots(call_within(COUNT_TIMEOUT), known.to_vec())
         .await
         .ok()?
         .ok()
 }
-
-async fn connect_directly(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
-fn deadline(patience: Duration) -> Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + patience;
-    context
-}
--- a/components/ledger/src/log.rs
+++ b/components/ledger/src/log.rs
@@ -1,21 +1,23 @@
 //! The log file of a host: frames of length, checksum and encoded record, synced in groups.
 
 use std::fs::{File, OpenOptions};
-use std::io::{self, Read as _, Write as _};
+use std::io::{self, Write as _};
+use std::os::unix::fs::FileExt as _;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
 
-use crate::record::LedgerRecord;
+use crate::index::{IndexedRecord, RecordPlace, read_index, remove_index, write_index};
+use crate::record::{LedgerRecord, TurnKey};
 
 /// Bytes of a frame before its record: length and checksum.
 const FRAME_HEADER_BYTES: usize = 8;
 /// Largest encoded record; bodies are bounded far below by the callers' limits.
 const MAX_RECORD_BYTES: usize = 64 * 1024 * 1024;
-/// Size in bytes at which a new file is begun.
-const FILE_BYTES: u64 = 32 * 1024 * 1024;
+/// Size in bytes at which a new file is begun; a start after a kill reads the last one whole.
+const FILE_BYTES: u64 = 8 * 1024 * 1024;
 /// Time for which a file is kept beyond the longest retention of its records.
 const FILE_SLACK: Duration = Duration::from_mins(5);
 /// Longest time for which records that nobody waits for stay in memory.
@@ -41,6 +43,8 @@
 #[derive(Debug, Default)]
 struct PendingWrites {
     frames: Vec<u8>,
+    /// The records in `frames`; their places count from its start.
+    entries: Vec<IndexedRecord>,
     /// Longest retention of the records in `frames`, in milliseconds.
     retention_ms: u64,
     waiters: Vec<SyncWaiter>,
@@ -52,6 +56,8 @@
 struct WriteQueue {
     pending: Mutex<PendingWrites>,
     arrived: Condvar,
+    /// Places of turns that were written since somebody asked.
+    written: Mutex<Vec<(TurnKey, RecordPlace)>>,
 }
 
 impl WriteQueue {
@@ -79,40 +85,58 @@
 #[derive(Debug, Clone)]
 pub struct DiskLog {
     queue: Arc<QueueGuard>,
+    folder: Arc<Path>,
 }
 
 impl DiskLog {
-    /// Opens the log in a folder and returns the records that it holds.
+    /// Opens the log in a folder and hands out what it holds, in the order in which it was written.
     ///
     /// # Errors
     ///
     /// Fails when the folder cannot be created, read or written.
-    pub fn open(folder: &Path) -> Result<(Self, Vec<LedgerRecord>), LogError> {
+    pub fn open(folder: &Path, mut visit: impl FnMut(IndexedRecord)) -> Result<Self, LogError> {
         std::fs::create_dir_all(folder)?;
         let mut numbers = file_numbers(folder)?;
         numbers.sort_unstable();
-        let mut records = Vec::new();
+        let mut closed = Vec::with_capacity(numbers.len());
         for &number in &numbers {
-            read_file(&path_of(folder, number), &mut records)?;
+            let mut retention_ms = 0;
+            for entry in entries_of(folder, number)? {
+                retention_ms = retention_ms.max(entry.record.retention_ms());
+                visit(entry);
+            }
+            closed.push(ClosedFile::now(number, retention_ms));
         }
         let next = numbers.last().map_or(0, |last| last + 1);
         let mut writer = LogWriter::create(folder.to_owned(), next)?;
-        let retention_ms = records
-            .iter()
-            .map(LedgerRecord::retention_ms)
-            .max()
-            .unwrap_or_default();
-        let closed = numbers
-            .into_iter()
-            .map(|number| ClosedFile::now(number, retention_ms));
-        writer.closed = closed.collect();
+        writer.closed = closed;
         let queue = Arc::new(WriteQueue::default());
         let writer_queue = QueueGuard(Arc::clone(&queue));
         std::thread::Builder::new()
             .name("ledger-log".to_owned())
             .spawn(move || writer.run(&writer_queue.0))?;
-        let queue = Arc::new(QueueGuard(queue));
-        Ok((Self { queue }, records))
+        Ok(Self {
+            queue: Arc::new(QueueGuard(queue)),
+            folder: folder.into(),
+        })
+    }
+
+    /// Reads a record back; blocks on the disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file is gone or the disk refuses.
+    pub fn read(&self, place: RecordPlace) -> Result<LedgerRecord, LogError> {
+        let mut frame = vec![0; place.length as usize];
+        File::open(path_of(&self.folder, place.file))?.read_exact_at(&mut frame, place.offset)?;
+        let record = read_frame(&frame).map(|(record, _)| record);
+        record.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData).into())
+    }
+
+    /// Takes the places of the turns that were written since the last call.
+    pub fn take_written(&self) -> Vec<(TurnKey, RecordPlace)> {
+        let written = self.queue.0.written.lock();
+        std::mem::take(&mut *written.unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Writes records without waiting for the disk; they survive the process at once, a power loss soon.
@@ -137,8 +161,10 @@
 
     fn send(&self, records: &[LedgerRecord], synced: Option<SyncWaiter>) -> Result<(), LogError> {
         let mut frames = Vec::new();
+        let mut ends = Vec::with_capacity(records.len());
         for record in records {
             append_frame(&mut frames, record)?;
+            ends.push(frames.len());
         }
         let queue = &self.queue.0;
         let mut pending = queue.lock();
@@ -146,6 +172,13 @@
             return Err(LogError::Closed);
         }
         let must_wake = synced.is_some() || pending.frames.is_empty();
+        let mut start = pending.frames.len();
+        let base = start;
+        for (record, end) in records.iter().zip(ends) {
+            let place = place_in(0, start, base + end)?;
+            pending.entries.push(IndexedRecord::new(record, place));
+            start = base + end;
+        }
         pending.frames.extend_from_slice(&frames);
         let retention_ms = records.iter().map(LedgerRecord::retention_ms).max();
         pending.retention_ms = pending.retention_ms.max(retention_ms.unwrap_or_default());
@@ -172,16 +205,37 @@
     Ok(())
 }
 
+/// Returns the place of a frame between two positions in a file.
+fn place_in(file: u64, start: usize, end: usize) -> Result<RecordPlace, LogError> {
+    Ok(RecordPlace {
+        file,
+        offset: start as u64,
+        length: u32::try_from(end - start).map_err(io::Error::other)?,
+    })
+}
+
+/// Returns the records of a closed file from its index, or from the file itself where that is missing.
+fn entries_of(folder: &Path, number: u64) -> Result<Vec<IndexedRecord>, LogError> {
+    let length = std::fs::metadata(path_of(folder, number))?.len();
+    if let Some(entries) = read_index(folder, number, length) {
+        return Ok(entries);
+    }
+    let entries = scan_file(folder, number)?;
+    write_index(folder, number, length, entries.clone())?;
+    Ok(entries)
+}
+
 /// Reads the whole frames of a file; the first torn one ends it, since nothing after it was ever synced.
-fn read_file(path: &Path, records: &mut Vec<LedgerRecord>) -> Result<(), LogError> {
-    let mut bytes = Vec::new();
-    File::open(path)?.read_to_end(&mut bytes)?;
+fn scan_file(folder: &Path, number: u64) -> Result<Vec<IndexedRecord>, LogError> {
+    let bytes = std::fs::read(path_of(folder, number))?;
+    let mut entries = Vec::new();
     let mut rest = bytes.as_slice();
     while let Some((record, after)) = read_frame(rest) {
-        records.push(record);
+        let place = place_in(number, bytes.len() - rest.len(), bytes.len() - after.len())?;
+        entries.push(IndexedRecord::new(&record, place));
         rest = after;
     }
-    Ok(())
+    Ok(entries)
 }
 
 fn read_frame(bytes: &[u8]) -> Option<(LedgerRecord, &[u8])> {
@@ -230,9 +284,13 @@
     number: u64,
     length: u64,
     closed: Vec<ClosedFile>,
+    /// Index of the present file.
+    entries: Vec<IndexedRecord>,
     /// Longest retention of the records in the present file, in milliseconds.
     retention_ms: u64,
     unsynced_since: Option<Instant>,
+    /// Whether the present file ends in a half-written frame, which would hide every later one.
+    is_torn: bool,
 }
 
 impl ClosedFile {
@@ -254,17 +312,20 @@
             number,
             length: 0,
             closed: Vec::new(),
+            entries: Vec::new(),
             retention_ms: 0,
             unsynced_since: None,
+            is_torn: false,
         })
     }
 
     /// Writes until every handle is gone: all that wait share one write and one sync.
     fn run(mut self, queue: &WriteQueue) {
         loop {
-            let writes = self.next_writes(queue);
+            let mut writes = self.next_writes(queue);
             self.retention_ms = self.retention_ms.max(writes.retention_ms);
-            let written = self.commit(&writes.frames, !writes.waiters.is_empty());
+            let entries = std::mem::take(&mut writes.entries);
+            let written = self.commit(&writes.frames, entries, !writes.waiters.is_empty(), queue);
             for waiter in writes.waiters {
                 let told = match &written {
                     Ok(()) => Ok(()),
@@ -315,15 +376,21 @@
         }
     }
 
-    fn commit(&mut self, frames: &[u8], must_sync: bool) -> io::Result<()> {
-        if self.length >= FILE_BYTES {
+    fn commit(
+        &mut self,
+        frames: &[u8],
+        entries: Vec<IndexedRecord>,
+        must_sync: bool,
+        queue: &WriteQueue,
+    ) -> io::Result<()> {
+        if self.is_torn || self.length >= FILE_BYTES {
             self.begin_file()?;
         }
         if let Err(failure) = self.file.write_all(frames) {
-            // A half-written frame would hide every later one, so that the file ends here.
-            self.begin_file()?;
+            self.is_torn = true;
             return Err(failure);
         }
+        self.note_written(entries, queue);
         self.length += frames.len() as u64;
         let is_overdue = self
             .unsynced_since
@@ -337,23 +404,50 @@
         Ok(())
     }
 
+    /// Adds what was appended to the index, and tells where the turns are.
+    fn note_written(&mut self, mut entries: Vec<IndexedRecord>, queue: &WriteQueue) {
+        let mut places = Vec::new();
+        for entry in &mut entries {
+            entry.place.file = self.number;
+            entry.place.offset += self.length;
+            if let LedgerRecord::Turn(turn) = &entry.record {
+                places.push((turn.turn, entry.place));
+            }
+        }
+        self.entries.append(&mut entries);
+        let written = queue.written.lock();
+        written
+            .unwrap_or_else(PoisonError::into_inner)
+            .append(&mut places);
+    }
+
     fn begin_file(&mut self) -> io::Result<()> {
         self.file.sync_data()?;
+        self.unsynced_since = None;
+        let length = self.file.metadata()?.len();
+        write_index(&self.folder, self.number, length, self.entries.clone())?;
+        self.file = new_file(&self.folder, self.number + 1)?;
         self.closed.push(ClosedFile::now(self.number, self.retention_ms));
-        self.retention_ms = 0;
         self.number += 1;
-        self.file = new_file(&self.folder, self.number)?;
+        self.entries.clear();
+        self.retention_ms = 0;
         self.length = 0;
+        self.is_torn = false;
         let folder = &self.folder;
         self.closed.retain(|file| {
             let is_old = file.closed.elapsed() > file.kept;
-            !(is_old && std::fs::remove_file(path_of(folder, file.number)).is_ok())
+            // A file that cannot be removed now is tried again with the next one.
+            !(is_old
+                && remove_index(folder, file.number).is_ok()
+                && std::fs::remove_file(path_of(folder, file.number)).is_ok())
         });
         Ok(())
     }
 }
 
 fn new_file(folder: &Path, number: u64) -> io::Result<File> {
+    // After a power loss the index of a removed file may be there without it.
+    remove_index(folder, number)?;
     OpenOptions::new()
         .create(true)
         .append(true)
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -1,14 +1,18 @@
 //! The port between entries and ledger hosts, and among ledger hosts.
 
+use std::io;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::StreamExt as _;
 use serde::{Deserialize, Serialize};
+use tarpc::context::{self, Context};
 use tarpc::server::{BaseChannel, Channel as _};
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::digest::BucketDigests;
 use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
@@ -21,6 +25,9 @@
     /// The host has not yet copied what it missed while it was away.
     #[error("the ledger host is still copying records")]
     Copying,
+    /// The host has started again, so that its numbers mean something else.
+    #[error("the ledger host has started again")]
+    Restarted,
     /// The disk refused.
     #[error("the disk of the ledger host failed: {0}")]
     Disk(String),
@@ -33,8 +40,6 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangePage {
-    /// Start of the host; numbers of another start mean nothing.
-    pub epoch: u64,
     /// Keys.
     pub keys: Vec<RecordKey>,
     /// Number from which the next page goes on.
@@ -43,6 +48,18 @@
     pub end: u64,
 }
 
+/// What a host holds at a moment, for comparison with another host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DigestPage {
+    /// Start of the host; numbers of another start mean nothing.
+    pub epoch: u64,
+    /// Number that the next new record of the host will have.
+    pub next: u64,
+    /// Digests of the records before it.
+    pub digests: BucketDigests,
+}
+
 /// Calls of a ledger host.
 #[tarpc::service]
 pub trait LedgerPort {
@@ -53,6 +70,12 @@
     /// Returns a turn and those before it, the newest first, as far as the host knows them.
     async fn chain(turn: TurnKey) -> PortResult<Vec<TurnRecord>>;
 
+    /// Returns the digests of all records.
+    async fn digests() -> PortResult<DigestPage>;
+
+    /// Returns the keys of the records in some buckets.
+    async fn keys_in(buckets: Vec<u16>) -> PortResult<Vec<RecordKey>>;
+
     /// Returns keys that arrived at or after `since`; `reader` names the host that copies.
     async fn changes(reader: String, epoch: u64, since: u64) -> PortResult<ChangePage>;
 
@@ -75,6 +98,26 @@
     LedgerPortClient::new(tarpc::client::Config::default(), transport).spawn()
 }
 
+/// Opens a connection without a relay.
+pub(crate) async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Returns the context of a call that may take so long.
+pub(crate) fn call_within(patience: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + patience;
+    context
+}
+
+/// Returns the time of day in Unix milliseconds.
+pub fn wall_clock_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Serves the calls of one accepted connection until it ends.
 pub async fn serve_port<Port>(stream: TcpStream, port: Port)
 where
--- a/components/ledger/tests/book.rs
+++ b/components/ledger/tests/book.rs
@@ -2,9 +2,13 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use ledger::{LedgerBook, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use ledger::{
+    FoundRecord, IndexedRecord, LedgerBook, LedgerRecord, ProgramKey, RecordPlace, TurnKey, TurnRecord,
+};
 
 const PROGRAM: ProgramKey = ProgramKey(1);
+/// Bytes of texts in memory; the texts of one turn have seven.
+const MOST_HELD: usize = 1_000;
 
 const fn reserved(turn: u128, tokens: u64) -> LedgerRecord {
     LedgerRecord::Reserved {
@@ -34,6 +38,15 @@
     })
 }
 
+/// Returns the turns of a chain that is wholly in memory.
+fn chain_of(book: &LedgerBook, turn: u128) -> Vec<TurnRecord> {
+    let turns = book.chain(TurnKey(turn)).into_iter().map(|found| match found {
+        FoundRecord::Held(LedgerRecord::Turn(turn)) => turn,
+        other => panic!("not a turn in memory: {other:?}"),
+    });
+    turns.collect()
+}
+
 /// Records and what they count for.
 struct CountCase {
     name: &'static str,
@@ -76,8 +89,8 @@
         },
     ];
     for case in cases {
-        let mut forwards = LedgerBook::default();
-        let mut backwards = LedgerBook::default();
+        let mut forwards = LedgerBook::new(MOST_HELD);
+        let mut backwards = LedgerBook::new(MOST_HELD);
         for record in &case.records {
             forwards.apply(record, 0);
         }
@@ -102,7 +115,7 @@
 
 #[gtest]
 fn a_chain_is_read_as_far_as_it_is_known() {
-    let mut book = LedgerBook::default();
+    let mut book = LedgerBook::new(MOST_HELD);
     for record in [
         kept(3, Some(2)),
         kept(1, None),
@@ -112,10 +125,7 @@
         book.apply(&record, 0);
     }
     let turns = |book: &LedgerBook, turn| -> Vec<u128> {
-        book.chain(TurnKey(turn))
-            .iter()
-            .map(|record| record.turn.0)
-            .collect()
+        chain_of(book, turn).iter().map(|record| record.turn.0).collect()
     };
     expect_that!(turns(&book, 3), eq(&[3]));
     book.apply(&kept(2, Some(1)), 0);
@@ -127,15 +137,15 @@
 
 #[gtest]
 fn a_second_record_of_a_turn_changes_nothing() {
-    let mut book = LedgerBook::default();
+    let mut book = LedgerBook::new(MOST_HELD);
     expect_that!(book.apply(&kept(1, None), 0), eq(true));
     expect_that!(book.apply(&kept(1, Some(5)), 0), eq(false));
-    expect_that!(book.chain(TurnKey(1))[0].previous, none());
+    expect_that!(chain_of(&book, 1)[0].previous, none());
 }
 
 #[gtest]
 fn arrivals_are_numbered_through_pruning() {
-    let mut book = LedgerBook::default();
+    let mut book = LedgerBook::new(MOST_HELD);
     book.apply(&kept(1, None), 0);
     book.apply(&kept(2, Some(1)), 50_000);
     let (keys, next) = book.arrivals_since(0, 10);
@@ -152,7 +162,7 @@
 
 #[gtest]
 fn an_account_is_kept_as_long_as_its_program_may_pause() {
-    let mut book = LedgerBook::default();
+    let mut book = LedgerBook::new(MOST_HELD);
     book.apply(&reserved(1, 40), 0);
     book.apply(&settled(1, 30), 100);
     // The reservation keeps the account for five minutes and the slack.
@@ -161,3 +171,77 @@
     book.prune(360_001);
     expect_that!(book.committed(PROGRAM), eq(0));
 }
+
+#[gtest]
+fn texts_leave_the_memory_once_they_are_on_the_disk_and_too_many() {
+    let mut book = LedgerBook::new(7);
+    let place = |offset| RecordPlace {
+        file: 0,
+        offset,
+        length: 9,
+    };
+    book.apply(&kept(1, None), 0);
+    book.apply(&kept(2, Some(1)), 0);
+    // Neither is written yet.
+    expect_that!(book.held_bytes(), eq(14));
+    expect_that!(chain_of(&book, 2).len(), eq(2));
+    book.note_place(TurnKey(1), place(0));
+    expect_that!(book.held_bytes(), eq(7));
+    let chain = book.chain(TurnKey(2));
+    expect_that!(chain[1], eq(&FoundRecord::Stored(place(0))));
+    expect_that!(matches!(chain[0], FoundRecord::Held(_)), eq(true));
+    book.note_place(TurnKey(2), place(9));
+    book.apply(&kept(3, Some(2)), 0);
+    expect_that!(book.chain(TurnKey(3))[1], eq(&FoundRecord::Stored(place(9))));
+    book.prune(61_001);
+    expect_that!((book.held_bytes(), book.sizes().1), eq((0, 0)));
+}
+
+#[gtest]
+fn a_turn_read_from_an_index_is_found_at_its_place() {
+    let mut book = LedgerBook::new(MOST_HELD);
+    let place = RecordPlace {
+        file: 3,
+        offset: 40,
+        length: 9,
+    };
+    let indexed = IndexedRecord::new(&kept(1, None), place);
+    expect_that!(book.apply_indexed(&indexed, 0), eq(true));
+    expect_that!(book.apply(&kept(1, None), 0), eq(false));
+    expect_that!(book.chain(TurnKey(1)), eq(&[FoundRecord::Stored(place)]));
+    expect_that!(book.held_bytes(), eq(0));
+}
+
+#[gtest]
+fn digests_are_equal_for_equal_records_and_name_the_programs_that_differ() {
+    let of_program = |program: u128, turn: u128| LedgerRecord::Settled {
+        program: ProgramKey(program << 100),
+        turn: TurnKey(turn),
+        tokens: 1,
+    };
+    let records: Vec<LedgerRecord> = (0..200)
+        .map(|number| of_program(number * 1_000_003, number))
+        .collect();
+    let mut forwards = LedgerBook::new(MOST_HELD);
+    let mut backwards = LedgerBook::new(MOST_HELD);
+    for record in &records {
+        forwards.apply(record, 0);
+    }
+    for record in records.iter().rev().chain(&records[..20]) {
+        backwards.apply(record, 0);
+    }
+    expect_that!(forwards.digests().differing(backwards.digests()), is_empty());
+    let extra = of_program(77_777_777, 999);
+    backwards.apply(&extra, 0);
+    let differing = forwards.digests().differing(backwards.digests());
+    expect_that!(differing.len(), eq(1));
+    expect_that!(backwards.keys_in(&differing), contains(eq(&extra.key())));
+    // What is forgotten leaves the digests.
+    backwards.prune(60_001);
+    expect_that!(
+        LedgerBook::new(MOST_HELD)
+            .digests()
+            .differing(backwards.digests()),
+        is_empty()
+    );
+}
--- a/components/ledger/tests/log.rs
+++ b/components/ledger/tests/log.rs
@@ -4,9 +4,11 @@
 
 use std::fs::OpenOptions;
 use std::io::Write as _;
+use std::path::Path;
 
+use bytes::Bytes;
 use googletest::prelude::*;
-use ledger::{DiskLog, LedgerRecord, ProgramKey, TurnKey};
+use ledger::{DiskLog, IndexedRecord, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use tokio::time::{Duration, timeout};
 
 const fn record(turn: u128) -> LedgerRecord {
@@ -17,21 +19,43 @@
     }
 }
 
+fn kept(turn: u128, size: usize) -> LedgerRecord {
+    LedgerRecord::Turn(TurnRecord {
+        program: ProgramKey(1),
+        turn: TurnKey(turn),
+        previous: None,
+        input: Bytes::from(vec![b'i'; size]),
+        output: Bytes::from_static(b"out"),
+        retention_ms: 1_000,
+    })
+}
+
+/// Opens a log and returns it with its records as they are read back.
+fn open(folder: &Path) -> (DiskLog, Vec<LedgerRecord>) {
+    let mut entries: Vec<IndexedRecord> = Vec::new();
+    let log = DiskLog::open(folder, |entry| entries.push(entry)).expect("a readable and writable folder");
+    let records = entries
+        .iter()
+        .map(|entry| log.read(entry.place).expect("a readable file"));
+    let records = records.collect();
+    (log, records)
+}
+
 #[gtest]
 #[tokio::test]
 async fn synced_records_are_there_after_a_restart_and_unsynced_ones_follow() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (log, records) = DiskLog::open(folder.path()).expect("a writable folder");
+    let (log, records) = open(folder.path());
     expect_that!(records, is_empty());
     log.write(&[record(1)]).expect("an open log");
     log.write_synced(&[record(2)]).await.expect("a sound disk");
-    let (_, records) = DiskLog::open(folder.path()).expect("a readable folder");
+    let (_, records) = open(folder.path());
     expect_that!(records, eq(&[record(1), record(2)]));
     log.write(&[record(3)]).expect("an open log");
     drop(log);
     let all = async {
         loop {
-            let (_, records) = DiskLog::open(folder.path()).expect("a readable folder");
+            let (_, records) = open(folder.path());
             if records.len() == 3 {
                 return records;
             }
@@ -77,23 +101,90 @@
     ];
     for case in cases {
         let folder = tempfile::tempdir().expect("a folder");
-        let (log, _) = DiskLog::open(folder.path()).expect("a writable folder");
+        let (log, _) = open(folder.path());
         log.write_synced(&[record(1)]).await.expect("a sound disk");
         drop(log);
-        let file = std::fs::read_dir(folder.path())
-            .expect("a readable folder")
-            .next()
-            .expect("one file");
-        let path = file.expect("a readable entry").path();
+        let path = folder.path().join("ledger-00000000.log");
         let mut file = OpenOptions::new()
             .append(true)
             .open(path)
             .expect("a writable file");
         file.write_all(case.tail).expect("a writable file");
-        let (log, records) = DiskLog::open(folder.path()).expect("a readable folder");
+        let (log, records) = open(folder.path());
         expect_that!(records, eq(&[record(1)]), "{}", case.name);
         log.write_synced(&[record(2)]).await.expect("a sound disk");
-        let (_, records) = DiskLog::open(folder.path()).expect("a readable folder");
+        let (_, records) = open(folder.path());
         expect_that!(records, eq(&[record(1), record(2)]), "{} and after it", case.name);
     }
 }
+
+/// What happened to the index of a closed file.
+struct IndexCase {
+    name: &'static str,
+    damage: fn(&Path),
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_missing_or_damaged_index_hides_nothing() {
+    let cases = [
+        IndexCase {
+            name: "whole",
+            damage: |_| {},
+        },
+        IndexCase {
+            name: "missing",
+            damage: |path| std::fs::remove_file(path).expect("a file"),
+        },
+        IndexCase {
+            name: "empty",
+            damage: |path| std::fs::write(path, b"").expect("a writable file"),
+        },
+        IndexCase {
+            name: "torn",
+            damage: |path| {
+                let bytes = std::fs::read(path).expect("a readable file");
+                std::fs::write(path, &bytes[..bytes.len() / 2]).expect("a writable file");
+            },
+        },
+        IndexCase {
+            name: "zeros",
+            damage: |path| std::fs::write(path, [0; 64]).expect("a writable file"),
+        },
+    ];
+    for case in cases {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (log, _) = open(folder.path());
+        let records = [record(1), kept(2, 100), record(3)];
+        log.write_synced(&records).await.expect("a sound disk");
+        drop(log);
+        // The second start writes the index of the file that the first one left.
+        let (_, found) = open(folder.path());
+        expect_that!(found, eq(&records), "{}", case.name);
+        (case.damage)(&folder.path().join("ledger-00000000.index"));
+        let (_, found) = open(folder.path());
+        expect_that!(found, eq(&records), "{}", case.name);
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn places_of_written_turns_stay_true_over_several_files() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (log, _) = open(folder.path());
+    // Each batch is larger than a file, so that the next one begins a new file.
+    for number in 0..3 {
+        let records = [record(number), kept(number + 10, 9 * 1024 * 1024)];
+        log.write_synced(&records).await.expect("a sound disk");
+    }
+    let written = log.take_written();
+    let turns: Vec<u128> = written.iter().map(|(turn, _)| turn.0).collect();
+    expect_that!(turns, eq(&[10, 11, 12]));
+    let files: Vec<u64> = written.iter().map(|(_, place)| place.file).collect();
+    expect_that!(files, eq(&[0, 1, 2]));
+    for (turn, place) in written {
+        let read = log.read(place).expect("a readable file");
+        expect_that!(read, eq(&kept(turn.0, 9 * 1024 * 1024)));
+    }
+    expect_that!(log.take_written(), is_empty());
+}
--- a/components/ledger/tests/repair.rs
+++ b/components/ledger/tests/repair.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use ledger::{CopyLoop, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
-use support::{addresses, open_host, silent_log, start_hosts};
+use ledger::{CopyLoop, DiskLog, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use support::{RunningHost, addresses, open_host, serve, silent_log, start_hosts};
+use tokio::net::TcpListener;
 
 const PROGRAM: ProgramKey = ProgramKey(1);
 
@@ -101,3 +102,76 @@
     expect_that!(host.sizes().1, eq(31));
     expect_that!(hosts[0].host.is_copied_by(&["new".to_owned()]), eq(true));
 }
+
+#[gtest]
+#[tokio::test]
+async fn an_empty_host_fetches_each_record_from_one_source_only() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a", "b", "c"], folder.path()).await;
+    let records: Vec<LedgerRecord> = (0..3_000).map(|number| turn(number, 100)).collect();
+    for host in &hosts {
+        host.host.adopt(records.clone(), 0).await.expect("a sound disk");
+    }
+    let own = folder.path().join("new");
+    let host = open_host(&own, 2);
+    let mut copies = CopyLoop::new(host.clone(), "new".to_owned(), silent_log());
+    copies.round(&addresses(&hosts), 0).await;
+    expect_that!(host.sizes().1, eq(3_000));
+    let mut written = 0;
+    DiskLog::open(&own, |_| written += 1).expect("a readable folder");
+    expect_that!(written, eq(3_000));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_source_that_started_again_is_compared_anew() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut hosts = start_hosts(&["a"], folder.path()).await;
+    let adopt = async |source: &RunningHost, number| {
+        let adopted = source.host.adopt(vec![turn(number, 10)], 0).await;
+        adopted.expect("a sound disk");
+    };
+    for number in 0..3 {
+        adopt(&hosts[0], number).await;
+    }
+    let host = open_host(&folder.path().join("new"), 2);
+    let mut copies = CopyLoop::new(host.clone(), "new".to_owned(), silent_log());
+    copies.round(&addresses(&hosts), 0).await;
+    expect_that!(host.sizes().1, eq(3));
+    // The source comes back at its address with fewer records than the reader's position says, and a new one.
+    hosts[0].task.abort();
+    copies.round(&addresses(&hosts), 0).await;
+    let again = open_host(&folder.path().join("wiped"), 3);
+    let listener = TcpListener::bind(hosts[0].address)
+        .await
+        .expect("the port is free again");
+    hosts[0].task = tokio::spawn(serve(listener, again.clone()));
+    hosts[0].host = again;
+    adopt(&hosts[0], 10).await;
+    copies.round(&addresses(&hosts), 0).await;
+    copies.round(&addresses(&hosts), 0).await;
+    expect_that!(host.sizes().1, eq(4));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_host_answers_without_waiting_for_the_sources_that_may_lack() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a"], folder.path()).await;
+    // This one accepts connections and says nothing.
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut peers = addresses(&hosts);
+    peers.push(("silent".to_owned(), silent.local_addr().expect("a bound address")));
+    let host = open_host(&folder.path().join("new"), 2);
+    let mut copies = CopyLoop::new(host.clone(), "new".to_owned(), silent_log());
+    let mut round = std::pin::pin!(copies.round(&peers, 1));
+    let answering = async {
+        while host.is_copying() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::select! {
+        _ = &mut round => panic!("the round ended before the silent source was given up"),
+        () = answering => {}
+    }
+}
