Give unknown turns a code of their own, and give refused reservations back at once

A refused or given-up reservation was settled twice, and only with the next batch, up to 200 ms later: a turn of the same program through another entry could meanwhile be told that the budget is spent. Change: code 3022; a guard in the ledger's client gives back at once; entries that reach no ledger host ask all seeds, not a drawn one; a stream's line tells the time to its first event, counted from the arrival of the request. Ruled out: 404 for unknown turns, since a host that is being replaced may hold the turn. The window of the reservation has no test of its own: it would have to time 200 ms.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -110,6 +110,8 @@
     BackendRefused = 3020, 503;
     /// No configuration is known yet.
     NotConfigured = 3021, 503;
+    /// No ledger host that answered knows the turn that the request continues.
+    TurnNotFound = 3022, 503;
     /// The call may have run; its outcome is not known.
     OutcomeUnknown = 4001, 504;
     /// The stream cannot be continued without mixing two answers.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -72,7 +72,7 @@
         deadline,
     };
     if route.streaming {
-        return serving.stream(head, input).await;
+        return serving.stream(head, input, arrived).await;
     }
     serving.call(head, input, arrived).await
 }
@@ -141,7 +141,12 @@
     }
 
     /// Serves a request whose answer is a stream of events.
-    async fn stream(self, head: &request::Parts, input: Bytes) -> Result<Response<AnswerBody>, CallError> {
+    async fn stream(
+        self,
+        head: &request::Parts,
+        input: Bytes,
+        arrived: Instant,
+    ) -> Result<Response<AnswerBody>, CallError> {
         let chain = self.chain().await?;
         let account = self.reserve().await?;
         let mut plan = self.plan(head, input.clone())?;
@@ -151,7 +156,7 @@
         if !accepted.head.status.is_success() {
             let server = accepted.server_name.clone();
             let (answer, body) = dispatcher.collect(accepted).await?;
-            self.log_answer(&dispatcher, answer.status.as_u16(), &server, Instant::now());
+            self.log_answer(&dispatcher, answer.status.as_u16(), &server, arrived);
             let mut response = Response::from_parts(answer, whole(body));
             remove_connection_headers(response.headers_mut());
             return Ok(response);
@@ -159,7 +164,14 @@
         let kept = self.route.keeps_turns.then(|| self.kept_turn(input));
         let mut headers = std::mem::take(&mut accepted.head.headers);
         remove_connection_headers(&mut headers);
-        let relay = StreamRelay::new(dispatcher, accepted, account, kept, self.tokens_per_event());
+        let relay = StreamRelay::new(
+            dispatcher,
+            accepted,
+            account,
+            kept,
+            self.tokens_per_event(),
+            arrived,
+        );
         let mut response = Response::new(relay.into_body());
         *response.headers_mut() = headers;
         Ok(response)
@@ -202,10 +214,15 @@
             return Ok(chain);
         }
         let chain = timeout_at(self.deadline.into(), self.entry.ledger.chain(previous)).await;
-        let unavailable = |cause: String| CallError::not_run(ResultCode::LedgerUnavailable, cause);
-        let chain = chain.map_err(|_elapsed| unavailable("the ledger did not answer in time".to_owned()))?;
-        // Even where every host answered, a host that is being replaced may hold the turn.
-        let chain = chain.map_err(|failure: LedgerError| unavailable(failure.to_string()))?;
+        let late = || CallError::not_run(ResultCode::LedgerUnavailable, "the ledger did not answer in time");
+        let chain = chain.map_err(|_elapsed| late())?.map_err(|failure| {
+            let code = match failure {
+                // Even where every host answered, a host that is being replaced may hold the turn.
+                LedgerError::UnknownTurn => ResultCode::TurnNotFound,
+                LedgerError::TooFewHosts { .. } => ResultCode::LedgerUnavailable,
+            };
+            CallError::not_run(code, failure.to_string())
+        })?;
         for record in &chain {
             self.entry.chains.insert(record.clone());
         }
@@ -219,7 +236,6 @@
         };
         let turn = self.facts.turn();
         let ledger = &self.entry.ledger;
-        let account = TurnAccount::new(ledger.clone(), program, turn);
         let before = Instant::now();
         let allowed = TokenBudget {
             tokens: budget,
@@ -232,7 +248,7 @@
         let reserved =
             reserved.map_err(|_elapsed| unavailable("the ledger did not answer in time".to_owned()))?;
         match reserved.map_err(|failure| unavailable(failure.to_string()))? {
-            ReserveOutcome::Reserved => Ok(Some(account)),
+            ReserveOutcome::Reserved => Ok(Some(TurnAccount::new(ledger.clone(), program, turn))),
             ReserveOutcome::Exhausted { committed } => {
                 let message = format!("{committed} of {budget} tokens are spent or reserved");
                 Err(CallError::not_run(ResultCode::ProgramBudgetSpent, message))
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,6 +1,6 @@
 //! A backend server's event stream on its way to the caller.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
@@ -14,7 +14,7 @@
 use crate::answer::{AnswerBody, EventStream, StreamBroken};
 use crate::dispatch::{AcceptedAnswer, Dispatcher};
 use crate::pool::ConnectionLease;
-use crate::state::LoadGuard;
+use crate::state::{LoadGuard, whole_millis};
 
 /// The tokens of a turn: reserved before it runs, settled when the account is dropped.
 #[derive(Debug)]
@@ -110,7 +110,9 @@
     tokens_per_event: u64,
     last_event: Option<u64>,
     events: u64,
-    started: Instant,
+    arrived: Instant,
+    /// Time from the arrival of the request to its first event.
+    first_event: Option<Duration>,
 }
 
 impl StreamRelay {
@@ -121,6 +123,7 @@
         account: Option<TurnAccount>,
         kept: Option<KeptTurn>,
         tokens_per_event: u64,
+        arrived: Instant,
     ) -> Self {
         let last_event = dispatcher.plan.last_event;
         Self {
@@ -133,7 +136,8 @@
             tokens_per_event,
             last_event,
             events: 0,
-            started: Instant::now(),
+            arrived,
+            first_event: None,
         }
     }
 
@@ -188,6 +192,7 @@
             self.last_event = event.id;
         }
         self.events += 1;
+        self.first_event.get_or_insert_with(|| self.arrived.elapsed());
         if event.has_data() {
             if let Some(account) = &mut self.account {
                 account.spent += self.tokens_per_event;
@@ -267,7 +272,7 @@
         }
         info!(entry.log, "stream ended"; "request" => &self.dispatcher.plan.attempt_id,
             "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.server_name, "events" => self.events,
-            "ms" => self.started.elapsed().as_millis(), "sent" => self.dispatcher.sent());
+            "ms" => self.arrived.elapsed().as_millis(), "first_ms" => self.first_event.map(whole_millis), "sent" => self.dispatcher.sent());
     }
 }
 
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::link::{HostLink, Lane, QueuedRecord, keep_link, snapshots_at};
+use crate::link::{HostLink, Lane, QueuedRecord, SendTime, keep_link, snapshots_at};
 use crate::port::HostAddress;
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
@@ -98,6 +98,22 @@
     log: Logger,
 }
 
+/// Gives a reservation back unless it is forgotten: it was refused, too few hosts answered or nobody waits for it
+/// any more. The next turn of the program may be on its way, so that this does not wait.
+#[derive(Debug)]
+struct ReservationGuard<'a> {
+    client: &'a LedgerClient,
+    program: ProgramKey,
+    turn: TurnKey,
+}
+
+impl Drop for ReservationGuard<'_> {
+    fn drop(&mut self) {
+        self.client
+            .send_settlement(self.program, self.turn, 0, SendTime::Now);
+    }
+}
+
 impl LedgerClient {
     /// Creates a client that works with `tolerated` hosts lost.
     pub fn new(tolerated: usize, log: Logger) -> Self {
@@ -141,18 +157,22 @@
         reached > self.shared.tolerated
     }
 
-    /// Asks one of the reached hosts, or else one of the seeds, for snapshots newer than the known revisions.
+    /// Asks one of the reached hosts, or else all seeds, for snapshots newer than the known revisions.
     pub async fn snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
-        let draw = rand::random::<u32>() as usize;
         let reached: Vec<Arc<HostLink>> = self.links().iter().filter(|link| link.is_up()).cloned().collect();
-        let answer = if reached.is_empty() {
-            let Some(seed) = seeds.get(draw % seeds.len().max(1)) else {
-                return Vec::new();
-            };
-            snapshots_at(*seed, known).await
-        } else {
-            reached[draw % reached.len()].snapshots(known).await
-        };
+        if reached.is_empty() {
+            // Some of the seeds may be down, and a host without power does not answer at all.
+            let mut asked: FuturesUnordered<_> =
+                seeds.iter().map(|seed| snapshots_at(*seed, known)).collect();
+            while let Some(answer) = asked.next().await {
+                if let Some(snapshots) = answer.filter(|snapshots| !snapshots.is_empty()) {
+                    return snapshots;
+                }
+            }
+            return Vec::new();
+        }
+        let draw = rand::random::<u32>() as usize;
+        let answer = reached[draw % reached.len()].snapshots(known).await;
         answer.unwrap_or_default()
     }
 
@@ -174,24 +194,27 @@
             tokens,
             retention_ms: budget.retention_ms,
         };
-        let counts = match self.write(&record, Lane::Counted).await {
-            Ok(counts) => counts,
-            Err(failure) => {
-                self.settle(program, turn, 0);
-                return Err(failure);
-            }
+        let guard = ReservationGuard {
+            client: self,
+            program,
+            turn,
         };
+        let counts = self.write(&record, Lane::Counted).await?;
         let committed = counts.into_iter().max().unwrap_or_default();
-        if committed <= budget.tokens {
-            return Ok(ReserveOutcome::Reserved);
+        if committed > budget.tokens {
+            let committed = committed.saturating_sub(tokens);
+            return Ok(ReserveOutcome::Exhausted { committed });
         }
-        self.settle(program, turn, 0);
-        let committed = committed.saturating_sub(tokens);
-        Ok(ReserveOutcome::Exhausted { committed })
+        std::mem::forget(guard);
+        Ok(ReserveOutcome::Reserved)
     }
 
     /// Replaces a reservation by what was spent, without waiting.
     pub fn settle(&self, program: ProgramKey, turn: TurnKey, tokens: u64) {
+        self.send_settlement(program, turn, tokens, SendTime::WithNext);
+    }
+
+    fn send_settlement(&self, program: ProgramKey, turn: TurnKey, tokens: u64, time: SendTime) {
         let record = LedgerRecord::Settled {
             program,
             turn,
@@ -204,6 +227,7 @@
                     record: record.clone(),
                     reply: None,
                 },
+                time,
             );
         }
     }
@@ -277,6 +301,7 @@
                     record: record.clone(),
                     reply: Some(reply),
                 },
+                SendTime::Now,
             );
             replies.push(waiting);
         }
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -54,6 +54,15 @@
     Synced,
 }
 
+/// When a record is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendTime {
+    /// As soon as the batch before it was answered.
+    Now,
+    /// With the next batch.
+    WithNext,
+}
+
 /// Records that wait in one lane.
 #[derive(Debug, Default)]
 struct LaneQueue {
@@ -97,16 +106,15 @@
         self.up.load(Ordering::Relaxed)
     }
 
-    /// Adds a record, which goes with the next batch; one that somebody waits for starts the batch. One that finds the queue full is left to the copying between hosts.
-    pub(crate) fn enqueue(&self, lane: Lane, record: QueuedRecord) {
+    /// Adds a record. One that finds the queue full is left to the copying between hosts.
+    pub(crate) fn enqueue(&self, lane: Lane, record: QueuedRecord, time: SendTime) {
         let queue = self.queue(lane);
-        let is_awaited = record.reply.is_some();
         let mut records = queue.lock();
         if records.len() < QUEUE_RECORDS {
             records.push_back(record);
         }
         drop(records);
-        if is_awaited {
+        if time == SendTime::Now {
             queue.waiting.notify_one();
         }
     }
--- a/components/ledger/src/log.rs
+++ b/components/ledger/src/log.rs
@@ -17,7 +17,7 @@
 /// Largest encoded record; bodies are bounded far below by the callers' limits.
 const MAX_RECORD_BYTES: usize = 64 * 1024 * 1024;
 /// Size in bytes at which a new file is begun; a start after a kill reads the last one whole.
-const FILE_BYTES: u64 = 8 * 1024 * 1024;
+const FILE_BYTES: u64 = 4 * 1024 * 1024;
 /// Time for which a file is kept beyond the longest retention of its records.
 const FILE_SLACK: Duration = Duration::from_mins(5);
 /// Longest time for which records that nobody waits for stay in memory.
