--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 # Tests listed in KNOWN-RED.txt are passed over and printed by CI.
 KNOWN_RED := $(shell awk '$$1 == "test:" {print "--skip " $$2}' KNOWN-RED.txt)
 
-.PHONY: demo test measure bench setup check
+# Seed of `make soak`, and minutes of `make soak-fresh`.
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: demo test measure bench setup check soak soak-fresh
 
 setup:
 	@command -v cmake >/dev/null || (apt-get update -qq && apt-get install -y -qq cmake)
@@ -27,3 +31,9 @@
 measure: setup
 	cargo build --quiet --release --workspace --bins
 	cargo run --quiet --release --package standins -- measure --output target/measure.json
+
+soak:
+	SOAK_SEED=$(SEED) cargo test --quiet --package platform --test soak -- --nocapture
+
+soak-fresh:
+	SOAK_MINUTES=$(MINUTES) cargo test --quiet --package platform --test soak -- --nocapture
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -139,7 +139,7 @@
         step == NextStep::TryAnother
     }
 
-    fn pick(&self) -> Option<(ServerKey, BackendServer, LoadGuard)> {
+    fn pick(&self) -> Option<(ServerKey, Arc<BackendServer>, LoadGuard)> {
         self.entry.pick(PickRequest {
             service: &self.plan.service,
             affinity: self.plan.affinity,
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -60,6 +60,12 @@
         .dialect
         .read_request(&head.headers)
         .map_err(|fault| CallError::not_run(ResultCode::MalformedHeader, fault.to_string()))?;
+    if facts.attempt_id.is_empty() {
+        return Err(CallError::not_run(
+            ResultCode::MalformedHeader,
+            "the request has no id",
+        ));
+    }
     let route = find_route(&table, head)?;
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived + facts.patience.map_or(timeout, |patience| patience.min(timeout));
@@ -274,9 +280,7 @@
             .services
             .iter()
             .filter_map(|share| self.table.service(&share.service));
-        let tokens = profiles
-            .filter_map(|profile| profile.engine)
-            .map(|engine| engine.tokens_per_event);
+        let tokens = profiles.filter_map(|profile| profile.tokens_per_event);
         tokens.max().unwrap_or(1).max(1)
     }
 
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -184,7 +184,7 @@
     pub(crate) fn pick(
         self: &Arc<Self>,
         request: PickRequest<'_>,
-    ) -> Option<(ServerKey, BackendServer, LoadGuard)> {
+    ) -> Option<(ServerKey, Arc<BackendServer>, LoadGuard)> {
         let preferred = {
             let affinity = lock(&self.affinity);
             let of_session = request.affinity.and_then(|session| affinity.get(session));
@@ -211,7 +211,7 @@
             entry: Arc::clone(self),
             key: pick.key,
         };
-        Some((pick.key, pick.server.clone(), guard))
+        Some((pick.key, Arc::clone(pick.server), guard))
     }
 
     /// Remembers which backend server holds the prompt of a session and of its program.
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -5,6 +5,7 @@
 //! loaded one; then the least loaded one takes it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
 
@@ -90,7 +91,7 @@
     /// Key of the incarnation.
     pub key: ServerKey,
     /// The incarnation.
-    pub server: &'a BackendServer,
+    pub server: &'a Arc<BackendServer>,
 }
 
 /// Chooses the server for a request, or `None` when the service has no untried server that takes new work.
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -1,6 +1,7 @@
 //! The directory of backend servers, as the discovery service tells of them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -48,7 +49,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct ListedServer {
     key: ServerKey,
-    server: BackendServer,
+    server: Arc<BackendServer>,
     /// Time in milliseconds at which the entry goes, unless it is listed again before.
     expires_at_ms: Option<u64>,
 }
@@ -121,7 +122,7 @@
                     listed.key = ServerKey(self.next_key);
                     self.next_key += 1;
                 }
-                listed.server = server;
+                listed.server = Arc::new(server);
                 listed.expires_at_ms = None;
             }
             Err(place) => {
@@ -129,7 +130,7 @@
                 self.next_key += 1;
                 let listed = ListedServer {
                     key,
-                    server,
+                    server: Arc::new(server),
                     expires_at_ms: None,
                 };
                 self.servers.insert(place, listed);
@@ -155,7 +156,7 @@
     }
 
     /// Returns the servers of a service that take new work.
-    pub fn ready(&self, service: &str) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = (ServerKey, &Arc<BackendServer>)> {
         self.servers.iter().filter_map(move |listed| {
             let is_ready = listed.server.state == ServerState::Ready && listed.server.service == service;
             is_ready.then_some((listed.key, &listed.server))
@@ -163,7 +164,7 @@
     }
 
     /// Returns every listed server.
-    pub fn all(&self) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+    pub fn all(&self) -> impl Iterator<Item = (ServerKey, &Arc<BackendServer>)> {
         self.servers.iter().map(|listed| (listed.key, &listed.server))
     }
 
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -12,7 +12,6 @@
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
 pub use route::{
-    EngineProfile, RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute,
-    WeightedService,
+    RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute, WeightedService,
 };
 pub use stream::{EventAssembler, StreamEvent};
--- a/components/routing/src/route.rs
+++ b/components/routing/src/route.rs
@@ -77,26 +77,14 @@
     }
 }
 
-/// What a model service's engines hold and how they report their output.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EngineProfile {
-    /// Tokens that one event of a stream stands for at most.
-    pub tokens_per_event: u64,
-    /// Tokens that one engine's memory holds.
-    pub memory_tokens: u64,
-}
-
 /// What the configuration says of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceProfile {
     /// Name.
     pub name: String,
-    /// Connections that one backend server accepts from all callers.
-    pub max_connections: u32,
-    /// Present for model services.
-    pub engine: Option<EngineProfile>,
+    /// Tokens that one event of a stream stands for at most; present for model services.
+    pub tokens_per_event: Option<u64>,
 }
 
 /// Limits on what a caller may send.
