--- /dev/null
+++ b/components/ledger/tests/refusing_disk.rs
@@ -0,0 +1,65 @@
+//! A disk that refuses writes for a while. The limit holds for the whole process, so that this is the only test here.
+
+use std::path::Path;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use ledger::{DiskLog, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Number of the signal for a file that would grow over the limit.
+const FILE_TOO_LARGE: i32 = 25;
+
+fn kept(turn: u128, size: usize) -> LedgerRecord {
+    LedgerRecord::Turn(TurnRecord {
+        program: ProgramKey(1),
+        turn: TurnKey(turn),
+        previous: None,
+        input: Bytes::from(vec![b'i'; size]),
+        output: Bytes::new(),
+        retention_ms: 1_000,
+    })
+}
+
+fn limit_files(bytes: Option<u64>) {
+    let maximum = getrlimit(Resource::Fsize).maximum;
+    let limit = Rlimit {
+        current: bytes,
+        maximum,
+    };
+    setrlimit(Resource::Fsize, limit).expect("a lower limit");
+}
+
+fn turns_in(folder: &Path) -> Vec<u128> {
+    let mut turns = Vec::new();
+    DiskLog::open(folder, |entry| turns.push(entry.record.key().turn.0)).expect("a readable folder");
+    turns
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refused_write_is_reported_and_hides_no_record_before_or_after_it() {
+    // With a handler of its own the process outlives the signal, and the write fails.
+    let _handler = signal(SignalKind::from_raw(FILE_TOO_LARGE)).expect("a known signal");
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = DiskLog::open(folder.path(), |_| {}).expect("a writable folder");
+    log.write_synced(&[kept(1, 100)]).await.expect("a sound disk");
+    limit_files(Some(1_000));
+    for turn in 2..4 {
+        let refused = log.write_synced(&[kept(turn, 5_000)]).await;
+        expect_that!(refused.is_err(), eq(true), "turn {turn}");
+    }
+    limit_files(None);
+    log.write_synced(&[kept(4, 100)])
+        .await
+        .expect("a sound disk again");
+    let places = log.take_written();
+    let turns: Vec<u128> = places.iter().map(|(turn, _)| turn.0).collect();
+    expect_that!(turns, eq(&[1, 4]));
+    for (turn, place) in places {
+        expect_that!(log.read(place).expect("a readable file"), eq(&kept(turn.0, 100)));
+    }
+    drop(log);
+    expect_that!(turns_in(folder.path()), eq(&[1, 4]));
+}
