Send a record again whose connection breaks, and return from relays to the direct way

The entry had been cut off from the ledger hosts for 12 s earlier and still reached them through relays, other entries, which were being stopped in turn. When a relay ends, the batch under way on it failed, and with two of three links over one relay too few hosts answered. Ruled out: the grace (the stop was 1.5 s old), the disk, the store. Change: a call whose connection breaks is sent once more on a fresh one, records being the same however often they are written; a relayed link tries the direct way every 2 s. Tests: a_turn_whose_connection_breaks_is_kept_over_a_fresh_one failed before; a_link_returns_from_the_relay_to_the_direct_way.

--- a/components/lab/src/report.rs
+++ b/components/lab/src/report.rs
@@ -93,7 +93,11 @@
             windows: Vec::new(),
             earned: 0.0,
             owed: 0.0,
-            worths: site.kinds.iter().map(|kind| (kind.worth, kind.late_worth)).collect(),
+            worths: site
+                .kinds
+                .iter()
+                .map(|kind| (kind.worth, kind.late_worth))
+                .collect(),
         }
     }
 
@@ -102,7 +106,14 @@
         self.note_earned(kind, 0.0);
     }
 
-    pub(crate) fn note_ended(&mut self, kind: usize, begun_us: u64, taken_us: u64, aim_us: u64, late_factor: u64) {
+    pub(crate) fn note_ended(
+        &mut self,
+        kind: usize,
+        begun_us: u64,
+        taken_us: u64,
+        aim_us: u64,
+        late_factor: u64,
+    ) {
         let (worth, late_worth) = self.worths[kind];
         let is_in_aim = taken_us <= aim_us;
         let window = usize::try_from(begun_us / WINDOW_US).unwrap_or(usize::MAX);
@@ -141,7 +152,10 @@
     let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
     area.fill(&WHITE).map_err(|failure| anyhow!("{failure}"))?;
     let mut chart = ChartBuilder::on(&area)
-        .caption("programs that end in their aim, by the second of their begin", ("sans-serif", 18))
+        .caption(
+            "programs that end in their aim, by the second of their begin",
+            ("sans-serif", 18),
+        )
         .margin(12)
         .x_label_area_size(32)
         .y_label_area_size(44)
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -6,7 +6,9 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
-use routing::{BackendServer, LoadBoard, ServerDirectory, ServerKey, ServerQuery, ServerState, choose_backend};
+use routing::{
+    BackendServer, LoadBoard, ServerDirectory, ServerKey, ServerQuery, ServerState, choose_backend,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{EngineQueue, TurnWork};
@@ -89,9 +91,7 @@
             asked: 0,
             server: None,
         });
-        world
-            .due
-            .push(Reverse((arrival.at_us, LabEvent::Turn(number))));
+        world.due.push(Reverse((arrival.at_us, LabEvent::Turn(number))));
     }
     while let Some(Reverse((at_us, event))) = world.due.pop() {
         world.now_us = at_us;
@@ -150,10 +150,10 @@
 
     fn urgency(&self, program: usize) -> u32 {
         let state = &self.programs[program];
+        let is_first = state.turns_left == self.kind(program).turns;
         match self.policy {
+            LabPolicy::Stages => u32::from(is_first),
             LabPolicy::Open | LabPolicy::Bound(_) => 0,
-            LabPolicy::Stages if state.turns_left == self.kind(program).turns => 1,
-            LabPolicy::Stages => 0,
         }
     }
 
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -5,10 +5,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::{Either, select, select_ok};
 use slog::{Logger, info, warn};
+use tarpc::client::RpcError;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
@@ -35,6 +36,10 @@
 const IDLE_WAIT: Duration = Duration::from_millis(200);
 /// Pause before a host that failed is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a relay is used before the direct way is tried again. The relay is an entry, which may stop.
+const RELAY_TIME: Duration = Duration::from_secs(2);
+/// Times that a call is sent whose connection breaks; records may be written more than once.
+const SEND_TRIES: u32 = 2;
 /// Records in one call.
 const BATCH_RECORDS: usize = 256;
 /// Records that may wait for one host; a host that is away copies them later from the others.
@@ -76,13 +81,22 @@
     }
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct LinkConnection {
+    client: LedgerPortClient,
+    is_relayed: bool,
+    /// When it was opened, or the direct way was last tried.
+    tried: Instant,
+}
+
 /// A host with its connection and its queues. Records that wait for the disk go apart from those that only count.
 #[derive(Debug)]
 pub(crate) struct HostLink {
     pub(crate) peer: HostAddress,
     counted: LaneQueue,
     synced: LaneQueue,
-    client: tokio::sync::Mutex<Option<LedgerPortClient>>,
+    connection: tokio::sync::Mutex<Option<LinkConnection>>,
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     up: AtomicBool,
     log: Logger,
@@ -94,7 +108,7 @@
             peer,
             counted: LaneQueue::default(),
             synced: LaneQueue::default(),
-            client: tokio::sync::Mutex::new(None),
+            connection: tokio::sync::Mutex::new(None),
             relays,
             up: AtomicBool::new(false),
             log,
@@ -121,15 +135,20 @@
 
     /// Asks for a chain; `None` when the host does not answer or may lack records.
     pub(crate) async fn chain(&self, turn: TurnKey) -> Option<Vec<TurnRecord>> {
-        let client = self.connected().await?;
-        match client.chain(call_within(COUNT_TIMEOUT), turn).await {
-            Ok(Ok(chain)) => Some(chain),
-            Ok(Err(_still_copying)) => None,
-            Err(failure) => {
-                self.disconnect(&failure).await;
-                None
+        for _ in 0..SEND_TRIES {
+            let client = self.connected().await?;
+            match client.chain(call_within(COUNT_TIMEOUT), turn).await {
+                Ok(Ok(chain)) => return Some(chain),
+                Ok(Err(_still_copying)) => return None,
+                Err(failure) => {
+                    self.disconnect(&failure).await;
+                    if !has_broken(&failure) {
+                        return None;
+                    }
+                }
             }
         }
+        None
     }
 
     /// Asks for snapshots that are newer than the known revisions; `None` when the host does not answer.
@@ -158,16 +177,50 @@
     }
 
     async fn connected(&self) -> Option<LedgerPortClient> {
-        let mut client = self.client.lock().await;
-        if let Some(client) = &*client {
-            return Some(client.clone());
+        let mut connection = self.connection.lock().await;
+        if let Some(connection) = &*connection {
+            return Some(connection.client.clone());
         }
         let (stream, is_relayed) = timeout(CONNECT_TIMEOUT, self.open()).await.ok()?.ok()?;
-        let opened = connect_host(stream);
-        *client = Some(opened.clone());
+        let opened = self.take_stream(stream, is_relayed);
+        let client = opened.client.clone();
+        *connection = Some(opened);
+        Some(client)
+    }
+
+    fn take_stream(&self, stream: TcpStream, is_relayed: bool) -> LinkConnection {
         self.up.store(true, Ordering::Relaxed);
         info!(self.log, "ledger host connected"; "peer" => &self.peer.name, "relayed" => is_relayed);
-        Some(opened)
+        LinkConnection {
+            client: connect_host(stream),
+            is_relayed,
+            tried: Instant::now(),
+        }
+    }
+
+    /// Returns whether the direct way should be tried again, and counts that as a try.
+    async fn must_try_direct(&self) -> bool {
+        match &mut *self.connection.lock().await {
+            Some(connection) if connection.is_relayed && connection.tried.elapsed() >= RELAY_TIME => {
+                connection.tried = Instant::now();
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Goes over from a relay to the direct way if that is open; calls under way end on the relay.
+    async fn try_direct(&self) {
+        let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, open_stream(self.peer.address)).await else {
+            return;
+        };
+        let mut connection = self.connection.lock().await;
+        if connection
+            .as_ref()
+            .is_some_and(|connection| connection.is_relayed)
+        {
+            *connection = Some(self.take_stream(stream, false));
+        }
     }
 
     /// Opens a connection, directly or, when that takes long or fails, through a relay.
@@ -208,9 +261,9 @@
     }
 
     /// Drops the connection, so that the next call opens a fresh one.
-    async fn disconnect(&self, failure: &tarpc::client::RpcError) {
+    async fn disconnect(&self, failure: &RpcError) {
         self.up.store(false, Ordering::Relaxed);
-        if self.client.lock().await.take().is_some() {
+        if self.connection.lock().await.take().is_some() {
             warn!(self.log, "ledger host lost"; "peer" => &self.peer.name, "error" => %failure);
         }
     }
@@ -225,13 +278,32 @@
         }
     }
 
+    /// Writes records, once more on a fresh connection when the first one breaks; `None` when the host does not answer.
+    async fn write(
+        &self,
+        records: Vec<LedgerRecord>,
+        lane: Lane,
+        patience: Duration,
+    ) -> Option<PortResult<Vec<u64>>> {
+        for _ in 0..SEND_TRIES {
+            let client = self.connected().await?;
+            let writing = client.write(call_within(patience), records.clone(), lane == Lane::Synced);
+            match writing.await {
+                Ok(answer) => return Some(answer),
+                Err(failure) => {
+                    self.disconnect(&failure).await;
+                    if !has_broken(&failure) {
+                        return None;
+                    }
+                }
+            }
+        }
+        None
+    }
+
     /// Sends a batch and answers each of its records; returns whether the host does its work.
     async fn send(&self, lane: Lane, batch: Vec<QueuedRecord>) -> bool {
         let settlements = settlements_of(&batch);
-        let Some(client) = self.connected().await else {
-            self.put_back(settlements);
-            return false;
-        };
         let (records, replies): (Vec<_>, Vec<_>) = batch
             .into_iter()
             .map(|queued| (queued.record, queued.reply))
@@ -240,23 +312,19 @@
             Lane::Counted => COUNT_TIMEOUT,
             Lane::Synced => SYNC_TIMEOUT,
         };
-        let answer = client
-            .write(call_within(patience), records, lane == Lane::Synced)
-            .await;
+        let Some(answer) = self.write(records, lane, patience).await else {
+            self.put_back(settlements);
+            return false;
+        };
         let counts = match answer {
-            Ok(Ok(counts)) => counts,
-            Ok(Err(fault)) => {
+            Ok(counts) => counts,
+            Err(fault) => {
                 for reply in replies.into_iter().flatten() {
                     // A caller that has enough answers no longer listens.
                     drop(reply.send(Err(fault.clone())));
                 }
                 return fault == PortFault::Copying;
             }
-            Err(failure) => {
-                self.disconnect(&failure).await;
-                self.put_back(settlements);
-                return false;
-            }
         };
         for (reply, count) in replies.into_iter().zip(counts) {
             if let Some(reply) = reply {
@@ -268,6 +336,11 @@
     }
 }
 
+/// Returns whether a connection broke, so that a fresh one may do.
+const fn has_broken(failure: &RpcError) -> bool {
+    !matches!(failure, RpcError::DeadlineExceeded)
+}
+
 fn settlements_of(batch: &[QueuedRecord]) -> Vec<LedgerRecord> {
     let records = batch.iter().map(|queued| &queued.record);
     let settlements = records.filter(|record| matches!(record, LedgerRecord::Settled { .. }));
@@ -277,6 +350,10 @@
 /// Keeps the connection open and sends what waits, one batch at a time, until the host is no longer listed.
 pub(crate) async fn keep_link(link: Weak<HostLink>, lane: Lane) {
     while let Some(link) = link.upgrade() {
+        if lane == Lane::Counted && link.must_try_direct().await {
+            let link = Arc::clone(&link);
+            tokio::spawn(async move { link.try_direct().await });
+        }
         let batch = link.take(lane);
         if !batch.is_empty() {
             if !link.send(lane, batch).await {
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -158,6 +158,32 @@
     );
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_turn_whose_connection_breaks_is_kept_over_a_fresh_one() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let host = support::open_host(folder.path(), 1);
+    host.finish_copying();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let served = host.clone();
+    tokio::spawn(async move {
+        // The first connection ends once it has taken a part of a call.
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut part = [0; 8];
+        tokio::io::AsyncReadExt::read_exact(&mut stream, &mut part)
+            .await
+            .expect("a call");
+        drop(stream);
+        support::serve(listener, served).await;
+    });
+    let client = client_of(0, &LedgerHosts::new(vec![("a".to_owned(), address)])).await;
+    expect_that!(client.keep(turn(1, None)).await, ok(anything()));
+    expect_that!(host.sizes().1, eq(1));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_chain_outlives_a_restart_of_every_host() {
--- a/components/ledger/tests/relay.rs
+++ b/components/ledger/tests/relay.rs
@@ -56,6 +56,50 @@
     expect_that!(*bound.lock().expect("unpoisoned"), eq(true));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_link_returns_from_the_relay_to_the_direct_way() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let host = open_host(folder.path(), 1);
+    host.finish_copying();
+    // The relay leads to the host's second port, since its first one refuses connections until later.
+    let unbound = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = unbound.local_addr().expect("a bound address");
+    drop(unbound);
+    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let relay_address = relay.local_addr().expect("a bound address");
+    let relayed = host.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = relay.accept().await {
+            let host = relayed.clone();
+            tokio::spawn(async move {
+                let mut line = vec![0; format!("{address}\n").len()];
+                tokio::io::AsyncReadExt::read_exact(&mut stream, &mut line)
+                    .await
+                    .expect("the target");
+                tokio::io::AsyncWriteExt::write_all(&mut stream, b"ok\n")
+                    .await
+                    .expect("an open connection");
+                ledger::serve_port(stream, host).await;
+            });
+        }
+    });
+    let hosts = LedgerHosts::new(vec![("ledger-a".to_owned(), address)]).with_relays(vec![relay_address]);
+    let client = client_of(0, &hosts).await;
+    let direct = tokio::net::TcpListener::bind(address)
+        .await
+        .expect("the port is still free");
+    let accepting = tokio::time::timeout(std::time::Duration::from_secs(20), direct.accept());
+    let (stream, _) = accepting
+        .await
+        .expect("the direct way is tried")
+        .expect("a connection");
+    tokio::spawn(ledger::serve_port(stream, host));
+    expect_that!(client.is_reachable(), eq(true));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_relay_refuses_targets_that_are_not_allowed() {
