--- a/components/lab/src/main.rs
+++ b/components/lab/src/main.rs
@@ -43,7 +43,7 @@
     let text = serde_json::to_string_pretty(&report)?;
     match &options.output {
         Some(path) => {
-            std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))?
+            std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))?;
         }
         None => println!("{text}"),
     }
