Never turn away a turn that continues a kept one

Cause: found in reading. After a loss of everything new programs may continue turns from before it; by their number some would have been refused at every try while others began.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -256,7 +256,8 @@
         match reserved.map_err(|failure| unavailable(failure.to_string()))? {
             ReserveOutcome::Reserved { is_first, open_turns } => {
                 let account = TurnAccount::new(ledger.clone(), program, turn);
-                if is_first {
+                // A turn that continues a kept one is no beginning, whatever its program.
+                if is_first && self.facts.previous_turn.is_none() {
                     self.admit(program, open_turns)?;
                 }
                 Ok(Some(account))
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -27,7 +27,8 @@
 const RETRY_AFTER_MS: u64 = 200;
 /// The same while the system may be recovering: the time in which ledger hosts read their logs.
 const RECOVERING_RETRY_AFTER_MS: u64 = 700;
-/// The same in milliseconds while new programs are turned away; drawn, so that they do not return all at once.
+/// The same in milliseconds while new programs are turned away: a turn or two of those under way. It is drawn, so that
+/// they do not return all at once.
 const BUSY_RETRY_AFTER_MS: Range<u64> = 600..1_300;
 /// Time after the start of an entry in which the system may be recovering.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
--- a/components/ledger/src/index.rs
+++ b/components/ledger/src/index.rs
@@ -11,7 +11,7 @@
 
 use crate::record::LedgerRecord;
 
-/// Bytes of the checksum at the start of an index.
+/// Bytes of the checksum (CRC-32) at the start of an index.
 const CHECKSUM_BYTES: usize = 4;
 
 /// Where a record stands in the log.
