--- a/components/lab/src/report.rs
+++ b/components/lab/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use anyhow::{Result, anyhow};
+use anyhow::Result;
 use plotters::prelude::{
     BLACK, BLUE, ChartBuilder, GREEN, IntoDrawingArea as _, LineSeries, MAGENTA, PathElement, RED, RGBColor,
     SVGBackend, WHITE,
@@ -150,7 +150,7 @@
     let windows = report.results.iter().map(|result| result.windows.len()).max();
     let seconds = windows.unwrap_or(1) as f64 * WINDOW_US as f64 / 1e6;
     let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
-    area.fill(&WHITE).map_err(|failure| anyhow!("{failure}"))?;
+    area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
         .caption(
             "programs that end in their aim, by the second of their begin",
@@ -159,29 +159,23 @@
         .margin(12)
         .x_label_area_size(32)
         .y_label_area_size(44)
-        .build_cartesian_2d(0.0..seconds, 0.0..1.0)
-        .map_err(|failure| anyhow!("{failure}"))?;
+        .build_cartesian_2d(0.0..seconds, 0.0..1.0)?;
     chart
         .configure_mesh()
         .x_desc("seconds")
         .y_desc("share in aim")
-        .draw()
-        .map_err(|failure| anyhow!("{failure}"))?;
+        .draw()?;
     for (result, colour) in report.results.iter().zip(COLOURS) {
         let points = result.windows.iter().enumerate().map(|(number, window)| {
             let share = window.in_aim as f64 / window.ended.max(1) as f64;
             (number as f64 * WINDOW_US as f64 / 1e6, share)
         });
         chart
-            .draw_series(LineSeries::new(points, colour))
-            .map_err(|failure| anyhow!("{failure}"))?
+            .draw_series(LineSeries::new(points, colour))?
             .label(format!("{:?}, worth {:.3}", result.policy, result.worth_share))
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
     }
-    chart
-        .configure_series_labels()
-        .border_style(BLACK)
-        .draw()
-        .map_err(|failure| anyhow!("{failure}"))?;
-    area.present().map_err(|failure| anyhow!("{failure}"))
+    chart.configure_series_labels().border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
 }
--- a/components/ledger/tests/log.rs
+++ b/components/ledger/tests/log.rs
@@ -6,9 +6,9 @@
 use std::io::Write as _;
 use std::path::Path;
 
-use bytes::Bytes;
 use googletest::prelude::*;
-use ledger::{DiskLog, IndexedRecord, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use ledger::{DiskLog, IndexedRecord, LedgerRecord, ProgramKey, TurnKey};
+use support::kept;
 use tokio::time::{Duration, timeout};
 
 const fn record(turn: u128) -> LedgerRecord {
@@ -19,17 +19,6 @@
     }
 }
 
-fn kept(turn: u128, size: usize) -> LedgerRecord {
-    LedgerRecord::Turn(TurnRecord {
-        program: ProgramKey(1),
-        turn: TurnKey(turn),
-        previous: None,
-        input: Bytes::from(vec![b'i'; size]),
-        output: Bytes::from_static(b"out"),
-        retention_ms: 1_000,
-    })
-}
-
 /// Opens a log and returns it with its records as they are read back.
 fn open(folder: &Path) -> (DiskLog, Vec<LedgerRecord>) {
     let mut entries: Vec<IndexedRecord> = Vec::new();
--- a/components/ledger/tests/refusing_disk.rs
+++ b/components/ledger/tests/refusing_disk.rs
@@ -1,27 +1,18 @@
 //! A disk that refuses writes for a while. The limit holds for the whole process, so that this is the only test here.
 
+mod support;
+
 use std::path::Path;
 
-use bytes::Bytes;
 use googletest::prelude::*;
-use ledger::{DiskLog, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use ledger::DiskLog;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use support::kept;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Number of the signal for a file that would grow over the limit.
 const FILE_TOO_LARGE: i32 = 25;
 
-fn kept(turn: u128, size: usize) -> LedgerRecord {
-    LedgerRecord::Turn(TurnRecord {
-        program: ProgramKey(1),
-        turn: TurnKey(turn),
-        previous: None,
-        input: Bytes::from(vec![b'i'; size]),
-        output: Bytes::new(),
-        retention_ms: 1_000,
-    })
-}
-
 fn limit_files(bytes: Option<u64>) {
     let maximum = getrlimit(Resource::Fsize).maximum;
     let limit = Rlimit {
--- a/components/ledger/tests/relay.rs
+++ b/components/ledger/tests/relay.rs
@@ -2,13 +2,28 @@
 
 mod support;
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Mutex;
 
 use googletest::prelude::*;
 use ledger::{LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, serve_relay};
 use support::{client_of, open_host, serve};
 
+/// Returns an address that refuses connections until somebody binds it.
+fn unbound_address() -> SocketAddr {
+    let unbound = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    unbound.local_addr().expect("a bound address")
+}
+
+/// Returns a listener with its address.
+async fn listen() -> (tokio::net::TcpListener, SocketAddr) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    (listener, address)
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_host_that_only_the_relay_reaches_answers_through_it() {
@@ -16,13 +31,8 @@
     let host = open_host(folder.path(), 1);
     host.finish_copying();
     // The port refuses connections until the relay is about to open one.
-    let unbound = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = unbound.local_addr().expect("a bound address");
-    drop(unbound);
-    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a free port");
-    let relay_address = relay.local_addr().expect("a bound address");
+    let address = unbound_address();
+    let (relay, relay_address) = listen().await;
     let bound = std::sync::Arc::new(Mutex::new(false));
     let binds = std::sync::Arc::clone(&bound);
     tokio::spawn(async move {
@@ -63,13 +73,8 @@
     let host = open_host(folder.path(), 1);
     host.finish_copying();
     // The relay leads to the host's second port, since its first one refuses connections until later.
-    let unbound = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = unbound.local_addr().expect("a bound address");
-    drop(unbound);
-    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a free port");
-    let relay_address = relay.local_addr().expect("a bound address");
+    let address = unbound_address();
+    let (relay, relay_address) = listen().await;
     let relayed = host.clone();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = relay.accept().await {
@@ -103,10 +108,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_relay_refuses_targets_that_are_not_allowed() {
-    let relay = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a free port");
-    let address = relay.local_addr().expect("a bound address");
+    let (relay, address) = listen().await;
     let served = tokio::spawn(async move {
         let (stream, _) = relay.accept().await.expect("a connection");
         serve_relay(stream, |_| false).await
--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -4,7 +4,11 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use ledger::{HostOptions, LedgerClient, LedgerHost, LedgerHosts, serve_port};
+use bytes::Bytes;
+use ledger::{
+    HostOptions, LedgerClient, LedgerHost, LedgerHosts, LedgerRecord, ProgramKey, TurnKey, TurnRecord,
+    serve_port,
+};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -13,6 +17,18 @@
     Logger::root(Discard, o!())
 }
 
+/// Returns a turn with a text of some size.
+pub fn kept(turn: u128, size: usize) -> LedgerRecord {
+    LedgerRecord::Turn(TurnRecord {
+        program: ProgramKey(1),
+        turn: TurnKey(turn),
+        previous: None,
+        input: Bytes::from(vec![b'i'; size]),
+        output: Bytes::from_static(b"out"),
+        retention_ms: 1_000,
+    })
+}
+
 /// A host with its listener's task; aborting the task cuts new connections off.
 pub struct RunningHost {
     pub name: String,
