Make every question to a ledger host through one call, and write an index without a copy

Cause: found in reading the change. An index was cloned whole to be written, at a start too; it is written from a slice, in the same bytes. A whole answer to a caller and the refusal of a late ledger were each built twice. Behaviour is the same.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -8,8 +8,8 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::http::request;
 use hyper::http::uri::PathAndQuery;
+use hyper::http::{request, response};
 use hyper::{Request, Response};
 use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnRecord};
 use routing::{RouteMatch, RouteTable, ServiceRoute, admits_program};
@@ -140,9 +140,7 @@
                 Err(error) => return Err(error),
             };
             self.log_answer(&dispatcher, answer.status.as_u16(), &server, arrived);
-            let mut response = Response::from_parts(answer, whole(body));
-            remove_connection_headers(response.headers_mut());
-            return Ok(response);
+            return Ok(whole_answer(answer, body));
         }
     }
 
@@ -163,9 +161,7 @@
             let server = accepted.server_name.clone();
             let (answer, body) = dispatcher.collect(accepted).await?;
             self.log_answer(&dispatcher, answer.status.as_u16(), &server, arrived);
-            let mut response = Response::from_parts(answer, whole(body));
-            remove_connection_headers(response.headers_mut());
-            return Ok(response);
+            return Ok(whole_answer(answer, body));
         }
         let kept = self.route.keeps_turns.then(|| self.kept_turn(input));
         let mut headers = std::mem::take(&mut accepted.head.headers);
@@ -220,8 +216,7 @@
             return Ok(chain);
         }
         let chain = timeout_at(self.deadline.into(), self.entry.ledger.chain(previous)).await;
-        let late = || CallError::not_run(ResultCode::LedgerUnavailable, "the ledger did not answer in time");
-        let chain = chain.map_err(|_elapsed| late())?.map_err(|failure| {
+        let chain = chain.map_err(|_elapsed| ledger_late())?.map_err(|failure| {
             let code = match failure {
                 // Even where every host answered, a host that is being replaced may hold the turn.
                 LedgerError::UnknownTurn => ResultCode::TurnNotFound,
@@ -250,10 +245,9 @@
         let reserving = ledger.reserve(program, turn, self.facts.max_tokens, allowed);
         let reserved = timeout_at(self.deadline.into(), reserving).await;
         self.entry.metrics.reserve.observe(before.elapsed().as_secs_f64());
-        let unavailable = |cause: String| CallError::not_run(ResultCode::LedgerUnavailable, cause);
-        let reserved =
-            reserved.map_err(|_elapsed| unavailable("the ledger did not answer in time".to_owned()))?;
-        match reserved.map_err(|failure| unavailable(failure.to_string()))? {
+        let unavailable =
+            |failure: LedgerError| CallError::not_run(ResultCode::LedgerUnavailable, failure.to_string());
+        match reserved.map_err(|_elapsed| ledger_late())?.map_err(unavailable)? {
             ReserveOutcome::Reserved { is_first, open_turns } => {
                 let account = TurnAccount::new(ledger.clone(), program, turn);
                 // A turn that continues a kept one is no beginning, whatever its program.
@@ -313,6 +307,17 @@
     }
 }
 
+/// Returns a backend server's whole answer as it goes to the caller.
+fn whole_answer(head: response::Parts, body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::from_parts(head, whole(body));
+    remove_connection_headers(response.headers_mut());
+    response
+}
+
+fn ledger_late() -> CallError {
+    CallError::not_run(ResultCode::LedgerUnavailable, "the ledger did not answer in time")
+}
+
 fn log_error(entry: &EntryState, head: &request::Parts, error: &CallError, arrived: Instant) {
     let outcome = match error.run {
         RunState::NotRun => "refused",
--- a/components/ledger/src/index.rs
+++ b/components/ledger/src/index.rs
@@ -52,23 +52,15 @@
     folder.join(format!("ledger-{number:08}.index"))
 }
 
-/// The index of a file.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct FileIndex {
-    /// Length of the file in bytes; an index of a file that has grown since is of no use.
-    length: u64,
-    entries: Vec<IndexedRecord>,
-}
-
-/// Writes the index of a file of some length. It is not synced: a torn one fails its checksum.
+/// Writes the index of a file of some length in bytes: an index of a file that has grown since is of no use. It is not
+/// synced: a torn one fails its checksum.
 pub(crate) fn write_index(
     folder: &Path,
     number: u64,
     length: u64,
-    entries: Vec<IndexedRecord>,
+    entries: &[IndexedRecord],
 ) -> io::Result<()> {
-    let body = postcard::to_stdvec(&FileIndex { length, entries }).map_err(io::Error::other)?;
+    let body = postcard::to_stdvec(&(length, entries)).map_err(io::Error::other)?;
     let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
     bytes.extend_from_slice(&body);
     std::fs::write(path_of(folder, number), bytes)
@@ -81,8 +73,8 @@
     if crc32fast::hash(body).to_le_bytes() != checksum {
         return None;
     }
-    let index: FileIndex = postcard::from_bytes(body).ok()?;
-    (index.length == length).then_some(index.entries)
+    let (indexed_length, entries): (u64, Vec<IndexedRecord>) = postcard::from_bytes(body).ok()?;
+    (indexed_length == length).then_some(entries)
 }
 
 /// Removes the index of a file, if there is one.
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -136,32 +136,17 @@
 
     /// Asks for a chain; `None` when the host does not answer or may lack records.
     pub(crate) async fn chain(&self, turn: TurnKey) -> Option<Vec<TurnRecord>> {
-        for _ in 0..SEND_TRIES {
-            let client = self.connected().await?;
-            match client.chain(call_within(COUNT_TIMEOUT), turn).await {
-                Ok(Ok(chain)) => return Some(chain),
-                Ok(Err(_still_copying)) => return None,
-                Err(failure) => {
-                    self.disconnect(&failure).await;
-                    if !has_broken(&failure) {
-                        return None;
-                    }
-                }
-            }
-        }
-        None
+        let ask =
+            |client: LedgerPortClient| async move { client.chain(call_within(COUNT_TIMEOUT), turn).await };
+        self.call(SEND_TRIES, ask).await?.ok()
     }
 
     /// Asks for snapshots that are newer than the known revisions; `None` when the host does not answer.
     pub(crate) async fn snapshots(&self, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
-        let client = self.connected().await?;
-        match client.snapshots(call_within(COUNT_TIMEOUT), known.to_vec()).await {
-            Ok(answer) => answer.ok(),
-            Err(failure) => {
-                self.disconnect(&failure).await;
-                None
-            }
-        }
+        let ask = |client: LedgerPortClient| async move {
+            client.snapshots(call_within(COUNT_TIMEOUT), known.to_vec()).await
+        };
+        self.call(1, ask).await?.ok()
     }
 
     const fn queue(&self, lane: Lane) -> &LaneQueue {
@@ -279,17 +264,19 @@
         }
     }
 
-    /// Writes records, once more on a fresh connection when the first one breaks; `None` when the host does not answer.
-    async fn write(
+    /// Makes a call, again on a fresh connection as long as one breaks and tries are left; `None` when the host does
+    /// not answer.
+    async fn call<Answer, Asking>(
         &self,
-        records: Vec<LedgerRecord>,
-        lane: Lane,
-        patience: Duration,
-    ) -> Option<PortResult<Vec<RecordReceipt>>> {
-        for _ in 0..SEND_TRIES {
+        tries: u32,
+        ask: impl Fn(LedgerPortClient) -> Asking,
+    ) -> Option<PortResult<Answer>>
+    where
+        Asking: Future<Output = Result<PortResult<Answer>, RpcError>>,
+    {
+        for _ in 0..tries {
             let client = self.connected().await?;
-            let writing = client.write(call_within(patience), records.clone(), lane == Lane::Synced);
-            match writing.await {
+            match ask(client).await {
                 Ok(answer) => return Some(answer),
                 Err(failure) => {
                     self.disconnect(&failure).await;
@@ -313,7 +300,12 @@
             Lane::Counted => COUNT_TIMEOUT,
             Lane::Synced => SYNC_TIMEOUT,
         };
-        let Some(answer) = self.write(records, lane, patience).await else {
+        let is_synced = lane == Lane::Synced;
+        let write = |client: LedgerPortClient| {
+            let records = records.clone();
+            async move { client.write(call_within(patience), records, is_synced).await }
+        };
+        let Some(answer) = self.call(SEND_TRIES, write).await else {
             self.put_back(settlements);
             return false;
         };
--- a/components/ledger/src/log.rs
+++ b/components/ledger/src/log.rs
@@ -221,7 +221,7 @@
         return Ok(entries);
     }
     let entries = scan_file(folder, number)?;
-    write_index(folder, number, length, entries.clone())?;
+    write_index(folder, number, length, &entries)?;
     Ok(entries)
 }
 
@@ -425,7 +425,7 @@
         self.file.sync_data()?;
         self.unsynced_since = None;
         let length = self.file.metadata()?.len();
-        write_index(&self.folder, self.number, length, self.entries.clone())?;
+        write_index(&self.folder, self.number, length, &self.entries)?;
         self.file = new_file(&self.folder, self.number + 1)?;
         self.closed.push(ClosedFile::now(self.number, self.retention_ms));
         self.number += 1;
