Keep the proof of refused tries at the deadline, and answer 503 without a configuration

Cause: run_plain let the deadline cut a try from outside, so that a connection still being opened was reported as outcome unknown (4001) although no try had sent a byte. An entry without a configuration answered a caller's request with 404 (7007), which is final for the caller; find_owner answered 404 (1005) when the member table could not be read. Change: the deadline bounds each try from within and the connecting too; callers receive 3021 with 503 and Retry-After, 7007 stays for operators and peers; an unreadable member table is 3012 with 503 and Retry-After. The unreachable address of the engine's tests is a reserved port instead of one bound and released.

--- a/components/engine/src/chat.rs
+++ b/components/engine/src/chat.rs
@@ -157,17 +157,18 @@
         // later await.
         self.posts += u32::from(is_post);
         let options = self.client.options;
-        let response = match send_request(options.address, request, options.idle_timeout).await {
-            Ok(response) => response,
-            Err(ExchangeError::NotSent(cause)) => {
-                self.posts -= u32::from(is_post);
-                return Ok(ConnectionEnd::Unreachable(cause));
-            }
-            Err(_) => {
-                self.is_posted = true;
-                return Ok(ConnectionEnd::Lost);
-            }
-        };
+        let response =
+            match send_request(options.address, request, Instant::now() + options.idle_timeout).await {
+                Ok(response) => response,
+                Err(ExchangeError::NotSent(cause)) => {
+                    self.posts -= u32::from(is_post);
+                    return Ok(ConnectionEnd::Unreachable(cause));
+                }
+                Err(_) => {
+                    self.is_posted = true;
+                    return Ok(ConnectionEnd::Lost);
+                }
+            };
         let status = response.status();
         if is_post {
             check_accepted(status, is_repeated)?;
--- a/components/engine/src/connection.rs
+++ b/components/engine/src/connection.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -94,17 +94,20 @@
 ///
 /// # Errors
 ///
-/// Returns `NotSent` when no connection was made, and `NoResponse` when the connection broke or no head
-/// arrived within `head_timeout`.
+/// Returns `NotSent` when no connection was made before `deadline`, and `NoResponse` when the connection broke
+/// or no head arrived before `deadline`.
 pub(crate) async fn send_request(
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
-    head_timeout: Duration,
+    deadline: Instant,
 ) -> Result<OpenResponse, ExchangeError> {
     let host = HeaderValue::from_str(&address.to_string());
     let host = host.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     request.headers_mut().insert(HOST, host);
-    let stream = open_stream(address).await.map_err(ExchangeError::NotSent)?;
+    let stream = timeout_at(deadline, open_stream(address)).await;
+    let stream = stream
+        .unwrap_or_else(|_elapsed| Err("the deadline passed before the connection was made".to_owned()))
+        .map_err(ExchangeError::NotSent)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
@@ -112,7 +115,7 @@
         // A failure of the connection is reported through the response.
         let _ = connection.await;
     }));
-    let response = timeout(head_timeout, sender.send_request(request)).await;
+    let response = timeout_at(deadline, sender.send_request(request)).await;
     let response = response.map_err(|_elapsed| ExchangeError::NoResponse("response timed out".to_owned()))?;
     let response = response.map_err(|error| ExchangeError::NoResponse(error.to_string()))?;
     Ok(OpenResponse {
--- a/components/engine/src/control.rs
+++ b/components/engine/src/control.rs
@@ -7,6 +7,7 @@
 use hyper::{Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use crate::client::{EngineClient, empty_request, json_request};
 use crate::connection::{ExchangeError, OpenResponse, open_stream, send_request};
@@ -204,7 +205,12 @@
     }
 
     async fn control(&self, request: Request<Full<Bytes>>) -> Result<OpenResponse, CallError> {
-        let sent = send_request(self.options.address, request, self.options.control_timeout).await;
+        let sent = send_request(
+            self.options.address,
+            request,
+            Instant::now() + self.options.control_timeout,
+        )
+        .await;
         sent.map_err(control_error)
     }
 }
--- a/components/engine/src/plain.rs
+++ b/components/engine/src/plain.rs
@@ -53,16 +53,12 @@
         let mut backoff = RetryBackoff::new();
         let mut last: Option<PlainFailure> = None;
         loop {
-            let outcome =
-                timeout_at(deadline, self.try_plain(order, order.timeout / TRIES_PER_TIMEOUT)).await;
-            let failure = match outcome {
-                Ok(Ok(reply)) => return Ok(reply),
-                Ok(Err(failure)) => failure,
-                Err(_elapsed) => {
-                    return Err(CallError::unknown(
-                        "no response from the backend server before the timeout",
-                    ));
-                }
+            // The deadline ends the try from within, so that the failure still says whether anything was sent.
+            let left = deadline.saturating_duration_since(Instant::now());
+            let try_timeout = left.min(order.timeout / TRIES_PER_TIMEOUT);
+            let failure = match self.try_plain(order, try_timeout).await {
+                Ok(reply) => return Ok(reply),
+                Err(failure) => failure,
             };
             if !failure.may_retry() {
                 return Err(failure.into_error());
@@ -81,12 +77,9 @@
     async fn try_plain(&self, order: &PlainOrder, try_timeout: Duration) -> Result<PlainReply, PlainFailure> {
         let request = build_request(order).map_err(PlainFailure::Permanent)?;
         let deadline = Instant::now() + try_timeout;
-        let mut response = send_request(self.options.address, request, try_timeout).await?;
-        let body = timeout_at(
-            deadline,
-            response.read_body(self.options.answer_limit, try_timeout),
-        )
-        .await;
+        let mut response = send_request(self.options.address, request, deadline).await?;
+        let body = response.read_body(self.options.answer_limit, try_timeout);
+        let body = timeout_at(deadline, body).await;
         let body = body.map_err(|_elapsed| PlainFailure::Lost("response body timed out".to_owned()))??;
         let status = response.status();
         if status.is_server_error() {
--- a/components/engine/tests/engine/plain.rs
+++ b/components/engine/tests/engine/plain.rs
@@ -1,6 +1,6 @@
 //! Tests of plain requests: a request that may not be repeated is sent at most once.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use crate::support::Reaction::{self, Answer, Close, Delayed, Hang};
@@ -11,6 +11,8 @@
 use googletest::prelude::*;
 
 const TIMEOUT: Duration = Duration::from_millis(900);
+/// Loopback address with a reserved port that no server of a test uses.
+const UNREACHABLE_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
 
 fn order(repeatable: bool) -> PlainOrder {
     let request = PlainRequest {
@@ -143,14 +145,32 @@
 #[gtest]
 #[tokio::test]
 async fn reports_a_request_to_an_unreachable_server_as_not_run() {
-    let closed = TcpListener::bind("127.0.0.1:0")
-        .expect("a free port")
-        .local_addr()
-        .expect("bound");
-    let client = EngineClient::new(EngineOptions::builder().address(closed).build());
+    let options = EngineOptions::builder().address(UNREACHABLE_ADDRESS).build();
+    let client = EngineClient::new(options);
     for repeatable in [false, true] {
         let error = client.run_plain(&order(repeatable)).await.expect_err("refused");
         expect_that!((error.code.number(), error.run), eq((3008, RunState::NotRun)));
         expect_that!(error.retry_after_ms, some(anything()));
     }
 }
+
+/// Number of requests; the pause of about one in ten ends in the same millisecond as the deadline.
+const CUT_REQUESTS: u32 = 300;
+
+/// Load pattern: a server is unreachable for longer than its callers wait, so that each request ends in a
+/// pause or in a try that the deadline cuts short. The paused clock makes the rare moment frequent in which
+/// the pause and the deadline end together.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn keeps_the_proof_of_refused_tries_when_the_deadline_cuts_the_last_one() {
+    let options = EngineOptions::builder().address(UNREACHABLE_ADDRESS).build();
+    let client = EngineClient::new(options);
+    let mut order = order(true);
+    order.timeout = Duration::from_millis(15);
+    for request in 0..CUT_REQUESTS {
+        let error = client.run_plain(&order).await.expect_err("refused");
+        let outcome = (error.code.number(), error.run);
+        assert_that!(outcome, eq((3008, RunState::NotRun)), "request {request}");
+        assert_that!(error.retry_after_ms, some(anything()), "request {request}");
+    }
+}
--- a/components/entry/src/cluster.rs
+++ b/components/entry/src/cluster.rs
@@ -5,10 +5,14 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use domain::{AppliedConfiguration, Generation, ListedHost, MemberTable};
+use errors::{CallError, ResultCode};
 use tokio::sync::watch;
 
 use crate::fleet::FleetView;
 
+/// Retry-After delay in milliseconds of an entry without a configuration; it reads one when it starts.
+const NOT_CONFIGURED_RETRY_MS: u64 = 1_000;
+
 /// The member table with its version in the object API.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct MemberView {
@@ -48,6 +52,19 @@
         self.configuration.load_full()
     }
 
+    /// Returns the configuration in force, for a request that cannot be judged without one.
+    ///
+    /// # Errors
+    ///
+    /// Returns 3021, not run, with a time to retry: an entry that has just started has not read the
+    /// configuration yet.
+    pub(crate) fn require_configuration(&self) -> Result<Arc<AppliedConfiguration>, CallError> {
+        self.configuration().ok_or_else(|| {
+            let refusal = CallError::not_run(ResultCode::NotConfigured, "no configuration is in force");
+            refusal.with_retry_after_ms(NOT_CONFIGURED_RETRY_MS)
+        })
+    }
+
     /// Returns the generation in force; zero before the first.
     pub(crate) fn generation(&self) -> Generation {
         self.configuration
--- a/components/entry/src/http/auth.rs
+++ b/components/entry/src/http/auth.rs
@@ -13,13 +13,10 @@
 ///
 /// # Errors
 ///
-/// Returns 2001 when the key is missing or belongs to no team, 7007 without a configuration.
+/// Returns 2001 when the key is missing or belongs to no team, 3021 without a configuration.
 pub(crate) fn authenticate_team(context: &EntryContext, headers: &HeaderMap) -> Result<TeamName, CallError> {
     let digest = bearer_digest(headers)?;
-    let Some(applied) = context.cluster.configuration() else {
-        let refusal = CallError::not_run(ResultCode::NoConfiguration, "no configuration is in force");
-        return Err(refusal.with_retry_after_ms(1000));
-    };
+    let applied = context.cluster.require_configuration()?;
     let mut found = None;
     for team in &applied.content.teams {
         if bool::from(
--- a/components/entry/src/link.rs
+++ b/components/entry/src/link.rs
@@ -20,6 +20,8 @@
 /// Longest time that the owner waits for new output before it answers a request for output.
 pub(crate) const OUTPUT_POLL_TIMEOUT: Duration = Duration::from_secs(5);
 const OUTPUT_POLL_MARGIN: Duration = Duration::from_secs(1);
+/// Retry-After delay in milliseconds while the member table cannot be read.
+const MEMBERS_RETRY_AFTER_MS: u64 = 1_000;
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Connection to the owner of a program.
@@ -47,16 +49,22 @@
 ///
 /// # Errors
 ///
-/// Returns 1005 for an unknown program and 8001 when the owner cannot be reached.
+/// Returns 1005 for an unknown program, 3012 when the member table that may list its owner cannot be read, and
+/// 8001 when the owner cannot be reached.
 pub(crate) async fn find_owner(
     context: &Arc<EntryContext>,
     program: ProgramKey,
 ) -> Result<OwnerLink, CallError> {
     let mut members = context.cluster.members();
     if program.incarnation >= members.table.next {
-        if let Ok(view) = read_members(context.options.store.as_ref()).await {
-            context.cluster.advance_members(view);
-        }
+        let view = read_members(context.options.store.as_ref())
+            .await
+            .map_err(|error| {
+                let message = format!("the member table, which may list the program's owner: {error:#}");
+                let refusal = CallError::not_run(ResultCode::PlatformUnavailable, message);
+                refusal.with_retry_after_ms(MEMBERS_RETRY_AFTER_MS)
+            })?;
+        context.cluster.advance_members(view);
         members = context.cluster.members();
     }
     let Some(owner) = members.table.owner_of(program) else {
--- a/components/entry/src/owner/admission.rs
+++ b/components/entry/src/owner/admission.rs
@@ -206,15 +206,12 @@
 ///
 /// # Errors
 ///
-/// Returns a not-run error: 7007 if no configuration is in force and 1004 if the service is unknown.
+/// Returns a not-run error: 3021 if no configuration is in force and 1004 if the service is unknown.
 pub(crate) fn find_service(
     context: &EntryContext,
     name: &domain::ServiceName,
 ) -> Result<(Arc<domain::AppliedConfiguration>, ServiceConfig), CallError> {
-    let Some(applied) = context.cluster.configuration() else {
-        let refusal = CallError::not_run(ResultCode::NoConfiguration, "no configuration is in force");
-        return Err(refusal.with_retry_after_ms(1000));
-    };
+    let applied = context.cluster.require_configuration()?;
     let Some(service) = applied.content.service(name).cloned() else {
         return Err(CallError::not_run(
             ResultCode::UnknownService,
