Place each shared prefix on a share of the servers that its load asks

Change: an entry counts the prefixes of its turns and places each on as many servers, by rendezvous hashing, as the caches of all servers have room for it; a server without the prefix counts two requests more.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, StatusCode};
 use ledger::{ProgramKey, TurnKey};
+use routing::PromptPrefix;
 
 /// Headers that apply to a single connection and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
@@ -39,6 +40,8 @@
     pub previous_turn: Option<TurnKey>,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Leading part of the prompt, if other programs share it.
+    pub prefix: Option<PromptPrefix>,
 }
 
 impl RequestFacts {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -11,7 +11,9 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
 use ledger::ProgramKey;
-use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
+use routing::{
+    AttemptLimits, AttemptOutcome, BackendServer, NextStep, PromptPrefix, RunPolicy, ServerKey, next_step,
+};
 use slog::info;
 use tokio::time::timeout_at;
 
@@ -37,6 +39,9 @@
     pub(crate) run_policy: RunPolicy,
     pub(crate) affinity: Option<u64>,
     pub(crate) program: Option<ProgramKey>,
+    pub(crate) prefix: Option<PromptPrefix>,
+    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
+    pub(crate) cache_tokens: Option<u64>,
     pub(crate) max_attempts: u32,
     pub(crate) deadline: Instant,
     /// Number of the last event that the caller has received.
@@ -148,6 +153,8 @@
             service: &self.plan.service,
             affinity: self.plan.affinity,
             program: self.plan.program,
+            prefix: self.plan.prefix,
+            cache_tokens: self.plan.cache_tokens,
             tried: &self.tried,
         })
     }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -206,6 +206,11 @@
             run_policy: self.route.run_policy,
             affinity: self.facts.affinity.filter(|_| self.route.sticky),
             program: self.facts.program.filter(|_| self.route.streaming),
+            prefix: self.facts.prefix.filter(|_| self.route.streaming),
+            cache_tokens: self
+                .table
+                .service(service)
+                .and_then(|profile| profile.cache_tokens),
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             last_event: self.facts.last_event,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,7 +9,8 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, LoadTracker, RouteTable, ServerDirectory, ServerKey, ServerQuery, choose_backend,
+    BackendServer, LoadTracker, PrefixTracker, PromptPrefix, RouteTable, ServerDirectory, ServerKey,
+    ServerQuery, choose_backend, prefix_servers,
 };
 use slog::Logger;
 use tokio::sync::watch;
@@ -70,6 +71,26 @@
     }
 }
 
+/// Prefixes of the recent requests for each service, sorted by the name of the service.
+#[derive(Debug, Default)]
+struct ServicePrefixes {
+    trackers: Vec<(String, PrefixTracker)>,
+}
+
+impl ServicePrefixes {
+    fn of_service(&mut self, service: &str) -> &mut PrefixTracker {
+        let found = self
+            .trackers
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        let index = found.unwrap_or_else(|index| {
+            self.trackers
+                .insert(index, (service.to_owned(), PrefixTracker::default()));
+            index
+        });
+        &mut self.trackers[index].1
+    }
+}
+
 /// State that the tasks of an entry share.
 #[derive(Debug)]
 pub struct EntryState {
@@ -86,6 +107,7 @@
     directory: Mutex<ServerDirectory>,
     loads: Mutex<LoadTracker>,
     affinity: Mutex<AffinityMap>,
+    prefixes: Mutex<ServicePrefixes>,
     started: Instant,
 }
 
@@ -95,6 +117,9 @@
     pub(crate) service: &'a str,
     pub(crate) affinity: Option<u64>,
     pub(crate) program: Option<ProgramKey>,
+    pub(crate) prefix: Option<PromptPrefix>,
+    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
+    pub(crate) cache_tokens: Option<u64>,
     pub(crate) tried: &'a [ServerKey],
 }
 
@@ -133,6 +158,7 @@
             directory: Mutex::default(),
             loads: Mutex::default(),
             affinity: Mutex::default(),
+            prefixes: Mutex::default(),
             started: Instant::now(),
         }
     }
@@ -206,12 +232,23 @@
         };
         let mut directory = lock(&self.directory);
         directory.expire(self.now_ms());
+        let prefix_servers = request.prefix.and_then(|prefix| {
+            let mut prefixes = lock(&self.prefixes);
+            let tracker = prefixes.of_service(request.service);
+            if request.tried.is_empty() {
+                tracker.record(prefix, self.now_ms());
+            }
+            let servers = directory.ready(request.service).count();
+            let copies = tracker.copies(prefix, servers, request.cache_tokens?)?;
+            Some(prefix_servers(&directory, request.service, prefix, copies))
+        });
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
             service: request.service,
             failure_domain: &self.failure_domain,
             preferred,
             tried: request.tried,
+            prefix_servers: prefix_servers.as_deref(),
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -202,6 +202,7 @@
         }
         let state = &self.programs[program];
         let query = ServerQuery {
+            prefix_servers: None,
             service: "models",
             failure_domain: "lab",
             preferred: state.server.map(|(key, _)| key),
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: many sessions, each with a long prompt that one server already holds, over servers of
 //! unequal speed. A session stays on the server that caches its prompt unless that server has clearly more
-//! work than the least loaded one. In that case the least loaded server is chosen.
+//! work than the least loaded one. In that case the least loaded server is chosen. A session without a server
+//! goes to one of the servers on which its prefix is placed, unless these have more work than others.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,6 +14,9 @@
 const STICKY_MARGIN_REQUESTS: u32 = 4;
 /// Requests that are added to the load of a lightly loaded server in another failure domain.
 const REMOTE_PENALTY_REQUESTS: u32 = 2;
+/// Requests that are added to the load of a server on which the request's prefix is not placed: the time in
+/// which a server reads a long prefix, in requests that it serves in that time.
+const MISSING_PREFIX_REQUESTS: u32 = 2;
 /// Divisor of a server's capacity that gives the number of the entry's own requests up to which the server
 /// counts as lightly loaded. Above it, and on small servers, only the load decides, because failure domains
 /// have unequal numbers of entries and servers.
@@ -80,6 +84,8 @@
     pub preferred: Option<ServerKey>,
     /// Servers already tried for this request.
     pub tried: &'a [ServerKey],
+    /// Sorted servers on which the prefix of the request is placed; `None` if every server can hold it.
+    pub prefix_servers: Option<&'a [ServerKey]>,
     /// Random number that breaks ties between equally loaded servers.
     pub draw: u64,
     /// Current time in milliseconds of a monotonic clock.
@@ -113,13 +119,21 @@
         let is_avoided = load.avoid_until_ms > query.now_ms;
         let is_remote = server.failure_domain != query.failure_domain;
         let light_load = server.capacity / LIGHT_LOAD_DIVISOR;
-        let weight = if is_remote {
+        let is_preferred = query.preferred == Some(key);
+        let lacks_prefix = !is_preferred
+            && query
+                .prefix_servers
+                .is_some_and(|servers| servers.binary_search(&key).is_err());
+        let mut weight = if is_remote {
             (load.in_flight + REMOTE_PENALTY_REQUESTS)
                 .min(light_load)
                 .max(load.in_flight)
         } else {
             load.in_flight
         };
+        if lacks_prefix {
+            weight += MISSING_PREFIX_REQUESTS;
+        }
         let pick = ServerPick { key, server };
         // One step of a linear congruential generator gives each server its own random rank among equals.
         random_state = random_state
@@ -128,7 +142,7 @@
         let cost = u64::from(is_avoided) << 48 | u64::from(weight) << 16 | random_state >> 48;
         if !is_avoided {
             least = least.min(weight);
-            if query.preferred == Some(key) {
+            if is_preferred {
                 preferred = Some((weight, pick));
             }
         }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -6,6 +6,7 @@
 mod balance;
 mod directory;
 mod outcome;
+mod prefix;
 mod route;
 mod stream;
 
@@ -13,6 +14,7 @@
 pub use balance::{LoadTracker, ServerPick, ServerQuery, choose_backend};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
+pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
 pub use route::{
     RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute, WeightedService,
 };
--- a/components/routing/src/route.rs
+++ b/components/routing/src/route.rs
@@ -88,6 +88,8 @@
     pub name: String,
     /// Largest number of tokens in one event of a stream; set only for model services.
     pub tokens_per_event: Option<u64>,
+    /// Tokens that one server of the service can hold in its cache; set only for model services.
+    pub cache_tokens: Option<u64>,
 }
 
 /// Limits on the size and timing of a caller's requests.
