Judge the load for new programs by the predicted duration of a turn

Cause: admission by the share of occupied slots (none from 80 %) fits engines of 48 slots, which slow all requests long before they are full. Change: a program is refused only if also the predicted turn is 1.84 to 2.34 times as long as on an idle engine, which is what 50 and 80 % mean on 48 slots. Sites of 48 and 64 slots keep their bounds.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response};
 use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnRecord};
-use routing::{RouteMatch, RouteTable, ServiceRoute, admits_program};
+use routing::{EngineLoad, RouteMatch, RouteTable, ServiceRoute, admits_program};
 use slog::info;
 use tokio::time::timeout_at;
 
@@ -284,12 +284,14 @@
 
     /// Refuses a new program while too many slots of the engines are in use.
     fn admit(&self, program: ProgramKey, open_turns: u64) -> Result<(), CallError> {
-        let slots = self.entry.slots_of(self.table.model_services());
-        if admits_program(program.uniform_hash(), open_turns, slots) {
+        let load = self.entry.engine_load(self.table.model_services(), open_turns);
+        if admits_program(program.uniform_hash(), load) {
             return Ok(());
         }
-        let cause =
-            format!("new program refused: {open_turns} turns are in progress on {slots} engine slots");
+        let EngineLoad { slots, engines, .. } = load;
+        let cause = format!(
+            "new program refused: {open_turns} turns are in progress on {slots} slots of {engines} engines"
+        );
         Err(CallError::not_run(ResultCode::QueueFull, cause))
     }
 
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,8 +9,8 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, LoadTracker, PrefixTracker, PromptPrefix, RouteTable, ServerDirectory, ServerKey,
-    ServerQuery, choose_backend, prefix_servers,
+    BackendServer, EngineLoad, LoadTracker, PrefixTracker, PromptPrefix, RouteTable, ServerDirectory,
+    ServerKey, ServerQuery, choose_backend, prefix_servers,
 };
 use slog::Logger;
 use tokio::sync::watch;
@@ -269,13 +269,22 @@
         }
     }
 
-    /// Returns the number of requests that all ready servers of the services can run at a time.
-    pub(crate) fn slots_of<'a>(&self, services: impl Iterator<Item = &'a str>) -> u64 {
+    /// Returns the load of all ready servers of the services while `open_turns` turns are in progress.
+    pub(crate) fn engine_load<'a>(
+        &self,
+        services: impl Iterator<Item = &'a str>,
+        open_turns: u64,
+    ) -> EngineLoad {
         let directory = lock(&self.directory);
-        services
-            .flat_map(|service| directory.ready(service))
-            .map(|(_, server)| u64::from(server.capacity))
-            .sum()
+        let servers = services.flat_map(|service| directory.ready(service));
+        let (slots, engines) = servers.fold((0, 0), |(slots, engines), (_, server)| {
+            (slots + u64::from(server.capacity), engines + 1)
+        });
+        EngineLoad {
+            open_turns,
+            slots,
+            engines,
+        }
     }
 
     /// Records a refusal or a failure of a backend server, so that other servers are preferred for a while.
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -1,26 +1,60 @@
 //! Admission control of new programs.
 //!
 //! Load pattern: a burst brings more programs than the engines can serve in time. Engines share their steps
-//! among all requests that they run, so that all programs end late once every slot is taken. New programs are
-//! therefore rejected as the slots fill up; programs that have started always continue. Which programs are
-//! rejected first depends only on a number that belongs to the program, so that an admitted program passes at
-//! its first attempt and at every entry. With a new random number for each attempt, nearly all programs would
-//! be rejected once and therefore end late.
+//! among all requests that they run and queue the rest, so that all programs end late once the load exceeds
+//! what their aims allow. New programs are therefore rejected as the turns grow longer; programs that have
+//! started always continue. Which programs are rejected first depends only on a number that belongs to the
+//! program, so that an admitted program passes at its first attempt and at every entry. With a new random number
+//! for each attempt, nearly all programs would be rejected once and therefore end late.
+//!
+//! An engine with many slots slows all its requests long before the slots are full; one with few slots hardly
+//! slows them, and a short queue costs little, because a slot becomes free soon. The load is therefore judged by
+//! the predicted duration of a turn and not only by the share of occupied slots.
 
-/// Percentage of occupied slots from which the first new programs are rejected. While less than half of the
-/// slots are occupied, a turn takes little longer than on an idle engine.
+/// Percentage of occupied slots below which no program is rejected.
 const SHED_START_PERCENT: u64 = 50;
-/// Percentage of occupied slots from which every new program is rejected. The remaining slots are reserved
-/// for the next turns of programs that have started.
+/// Percentage of occupied slots below which some programs are admitted.
 const SHED_ALL_PERCENT: u64 = 80;
+/// Predicted duration of a turn, in thousandths of its duration on an idle engine, below which no program is
+/// rejected.
+const SHED_START_PERMILLE: u64 = 1_840;
+/// Predicted duration of a turn, in thousandths of its duration on an idle engine, below which some programs are
+/// admitted.
+const SHED_ALL_PERMILLE: u64 = 2_340;
+/// Thousandths by which one more running request makes a step of an engine longer.
+const STEP_GROWTH_PERMILLE: u64 = 35;
+
+/// Load of all engines that serve the programs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Turns that are in progress or wait.
+    pub open_turns: u64,
+    /// Requests that all engines can run at the same time.
+    pub slots: u64,
+    /// Number of engines.
+    pub engines: u64,
+}
+
+impl EngineLoad {
+    /// Returns the predicted duration of a turn in thousandths of its duration on an idle engine. Running
+    /// requests make the steps longer; turns beyond the slots wait until others have ended.
+    pub fn turn_permille(self) -> u64 {
+        if self.slots == 0 || self.engines == 0 {
+            return 1_000;
+        }
+        let running = self.open_turns.min(self.slots);
+        let step = 1_000 + STEP_GROWTH_PERMILLE * running / self.engines;
+        step * self.open_turns.max(self.slots) / self.slots
+    }
+}
 
-/// Returns whether a new program may start while `open_turns` turns are open on engines with `slots` slots in
-/// all. `draw` is a number that stays the same for a program and is uniformly distributed over its range.
-/// Without any slots, every program is admitted here.
-pub fn admits_program(draw: u32, open_turns: u64, slots: u64) -> bool {
-    if slots == 0 {
+/// Returns whether a new program may start. `draw` is a number that stays the same for a program and is uniformly
+/// distributed over its range. Without any slots, every program is admitted here.
+pub fn admits_program(draw: u32, load: EngineLoad) -> bool {
+    if load.slots == 0 {
         return true;
     }
-    let spread = (SHED_ALL_PERCENT - SHED_START_PERCENT) * u64::from(draw) / u64::from(u32::MAX);
-    open_turns * 100 < slots * (SHED_START_PERCENT + spread)
+    let between = |start: u64, all: u64| start + (all - start) * u64::from(draw) / u64::from(u32::MAX);
+    let has_free_slots = load.open_turns * 100 < load.slots * between(SHED_START_PERCENT, SHED_ALL_PERCENT);
+    has_free_slots || load.turn_permille() < between(SHED_START_PERMILLE, SHED_ALL_PERMILLE)
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,7 +10,7 @@
 mod route;
 mod stream;
 
-pub use admission::admits_program;
+pub use admission::{EngineLoad, admits_program};
 pub use balance::{LoadTracker, ServerPick, ServerQuery, choose_backend};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
