Choose servers by predicted cost: pace, own requests and tokens to read

Cause: a third of the engines needs 30 % longer for each event while programs may take 40 % longer than on idle engines, and sessions stay with a slow engine by a count of requests that says nothing there. Change: the choice compares costs in microseconds: the observed time between events of each server, the entry's own requests (each costs more the fewer slots there are and the more of them are taken) and the tokens that the server has to read. Samples age, so that a server that was slow is tried again.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -40,6 +40,8 @@
     pub previous_turn: Option<TurnKey>,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Tokens of the whole prompt; zero if the request does not state them.
+    pub prompt_tokens: u64,
     /// Leading part of the prompt, if other programs share it.
     pub prefix: Option<PromptPrefix>,
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -11,15 +11,13 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
 use ledger::ProgramKey;
-use routing::{
-    AttemptLimits, AttemptOutcome, BackendServer, NextStep, PromptPrefix, RunPolicy, ServerKey, next_step,
-};
+use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
 use tokio::time::timeout_at;
 
 use crate::dialect::{AnswerKind, AttemptContext};
 use crate::pool::{SendError, ServerAnswer};
-use crate::state::{EntryState, LoadGuard, PickRequest, whole_millis};
+use crate::state::{EntryState, LoadGuard, PickRequest, TurnPrompt, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -39,9 +37,8 @@
     pub(crate) run_policy: RunPolicy,
     pub(crate) affinity: Option<u64>,
     pub(crate) program: Option<ProgramKey>,
-    pub(crate) prefix: Option<PromptPrefix>,
-    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
-    pub(crate) cache_tokens: Option<u64>,
+    /// Prompt of a turn; `None` for other requests.
+    pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) max_attempts: u32,
     pub(crate) deadline: Instant,
     /// Number of the last event that the caller has received.
@@ -153,8 +150,7 @@
             service: &self.plan.service,
             affinity: self.plan.affinity,
             program: self.plan.program,
-            prefix: self.plan.prefix,
-            cache_tokens: self.plan.cache_tokens,
+            prompt: self.plan.prompt,
             tried: &self.tried,
         })
     }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -21,7 +21,7 @@
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan};
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
-use crate::state::EntryState;
+use crate::state::{EntryState, TurnPrompt};
 
 /// Serves one request. Answers with an error of the entry itself when no backend server answered.
 pub(crate) async fn serve(entry: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -206,17 +206,24 @@
             run_policy: self.route.run_policy,
             affinity: self.facts.affinity.filter(|_| self.route.sticky),
             program: self.facts.program.filter(|_| self.route.streaming),
-            prefix: self.facts.prefix.filter(|_| self.route.streaming),
-            cache_tokens: self
-                .table
-                .service(service)
-                .and_then(|profile| profile.cache_tokens),
+            prompt: self.prompt(service),
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             last_event: self.facts.last_event,
         })
     }
 
+    /// Returns the prompt of a turn; `None` for requests to services without a model.
+    fn prompt(&self, service: &str) -> Option<TurnPrompt> {
+        let profile = self.table.service(service).filter(|_| self.route.streaming)?;
+        Some(TurnPrompt {
+            prefix: self.facts.prefix,
+            tokens: self.facts.prompt_tokens,
+            tokens_per_event: profile.tokens_per_event?,
+            cache_tokens: profile.cache_tokens,
+        })
+    }
+
     /// Returns the chain of turns that this turn continues, the newest first.
     async fn chain(&self) -> Result<Vec<TurnRecord>, CallError> {
         let previous = self.facts.previous_turn.filter(|_| self.route.keeps_turns);
@@ -265,6 +272,7 @@
             .map_err(unavailable)?
         {
             ReserveOutcome::Reserved { is_first, open_turns } => {
+                self.entry.record_open_turns(open_turns);
                 let reservation = TurnReservation::new(ledger.clone(), program, turn);
                 // A turn that continues a stored turn does not count as the start of a program, whichever
                 // program it belongs to.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use ledger::{LedgerClient, ProgramKey, TurnKey, TurnRecord};
-use routing::{EventAssembler, RunPolicy, StreamEvent};
+use routing::{EventAssembler, PaceSample, RunPolicy, ServerKey, StreamEvent};
 use slog::{info, warn};
 use tokio::time::timeout_at;
 
@@ -16,6 +16,9 @@
 use crate::pool::ConnectionLease;
 use crate::state::{LoadGuard, whole_millis};
 
+/// Smallest number of events from which the pace of a stream is taken.
+const MIN_PACE_EVENTS: u64 = 3;
+
 /// Token reservation of a turn, made before the turn runs. Dropping it settles the tokens that the turn has
 /// spent.
 #[derive(Debug)]
@@ -88,10 +91,37 @@
 /// The backend server's stream that is being read, with its connection.
 struct StreamSource {
     body: Incoming,
+    server: ServerKey,
     lease: ConnectionLease,
     _load: LoadGuard,
 }
 
+/// Measures the time between the events of one source.
+#[derive(Debug, Default)]
+struct PaceMeter {
+    /// Times of the first and the latest event.
+    span: Option<(Instant, Instant)>,
+    events: u64,
+}
+
+impl PaceMeter {
+    fn count_event(&mut self) {
+        let now = Instant::now();
+        self.span = Some((self.span.map_or(now, |(first, _)| first), now));
+        self.events += 1;
+    }
+
+    /// Returns the pace, or `None` for a stream of fewer than three events.
+    fn sample(&self) -> Option<PaceSample> {
+        let (first, latest) = self.span.filter(|_| self.events >= MIN_PACE_EVENTS)?;
+        let span_us = u64::try_from((latest - first).as_micros()).ok()?;
+        Some(PaceSample {
+            event_us: span_us / (self.events - 1),
+            events: self.events,
+        })
+    }
+}
+
 /// Result of a read from a stream.
 enum StreamRead {
     Bytes(Bytes),
@@ -116,6 +146,8 @@
     arrived: Instant,
     /// Time from the arrival of the request to its first event.
     first_event: Option<Duration>,
+    /// Pace of the events of the present source.
+    pace: PaceMeter,
 }
 
 impl StreamRelay {
@@ -141,6 +173,7 @@
             events: 0,
             arrived,
             first_event: None,
+            pace: PaceMeter::default(),
         }
     }
 
@@ -195,6 +228,7 @@
             self.last_event = event.id;
         }
         self.events += 1;
+        self.pace.count_event();
         self.first_event.get_or_insert_with(|| self.arrived.elapsed());
         if event.has_data() {
             if let Some(reservation) = &mut self.reservation {
@@ -210,6 +244,10 @@
     /// Returns the connection to the pool, settles the tokens and stores the turn.
     async fn finish(&mut self) -> Result<(), StreamBroken> {
         if let Some(source) = self.source.take() {
+            if let Some(sample) = self.pace.sample() {
+                let entry = &self.dispatcher.entry;
+                entry.record_pace(&self.dispatcher.plan.service, source.server, sample);
+            }
             source.lease.finish();
         }
         self.reservation = None;
@@ -254,6 +292,7 @@
             return Err(StreamBroken("a backend server refused to resume the stream"));
         }
         self.server_name.clone_from(&accepted.server_name);
+        self.pace = PaceMeter::default();
         self.source = Some(StreamSource::new(accepted));
         Ok(())
     }
@@ -283,6 +322,7 @@
     fn new(accepted: AcceptedAnswer) -> Self {
         Self {
             body: accepted.answer.response.into_body(),
+            server: accepted.server,
             lease: accepted.answer.lease,
             _load: accepted.load,
         }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::ops::Range;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,8 +10,8 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, EngineLoad, LoadTracker, PrefixTracker, PromptPrefix, RouteTable, ServerDirectory,
-    ServerKey, ServerQuery, choose_backend, prefix_servers,
+    BackendServer, EngineLoad, LoadTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix,
+    PromptQuery, RouteTable, ServerDirectory, ServerKey, ServerQuery, choose_backend, prefix_servers,
 };
 use slog::Logger;
 use tokio::sync::watch;
@@ -36,6 +37,9 @@
 /// Period after the start of an entry in which the system may be recovering.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(3);
 
+/// Largest load in thousandths of the slots that the choice of a server distinguishes.
+const MAX_LOAD_PERMILLE: u64 = 2_000;
+
 /// Phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -71,23 +75,30 @@
     }
 }
 
-/// Prefixes of the recent requests for each service, sorted by the name of the service.
+/// What the entry has observed of a model service.
+#[derive(Debug, Default)]
+struct ModelObservation {
+    prefixes: PrefixTracker,
+    paces: PaceTracker,
+}
+
+/// Observations of the model services, sorted by the name of the service.
 #[derive(Debug, Default)]
-struct ServicePrefixes {
-    trackers: Vec<(String, PrefixTracker)>,
+struct ModelObservations {
+    services: Vec<(String, ModelObservation)>,
 }
 
-impl ServicePrefixes {
-    fn of_service(&mut self, service: &str) -> &mut PrefixTracker {
+impl ModelObservations {
+    fn of_service(&mut self, service: &str) -> &mut ModelObservation {
         let found = self
-            .trackers
+            .services
             .binary_search_by(|(name, _)| name.as_str().cmp(service));
         let index = found.unwrap_or_else(|index| {
-            self.trackers
-                .insert(index, (service.to_owned(), PrefixTracker::default()));
+            self.services
+                .insert(index, (service.to_owned(), ModelObservation::default()));
             index
         });
-        &mut self.trackers[index].1
+        &mut self.services[index].1
     }
 }
 
@@ -107,19 +118,33 @@
     directory: Mutex<ServerDirectory>,
     loads: Mutex<LoadTracker>,
     affinity: Mutex<AffinityMap>,
-    prefixes: Mutex<ServicePrefixes>,
+    models: Mutex<ModelObservations>,
+    /// Open turns of all entries at the last reservation.
+    open_turns: AtomicU64,
     started: Instant,
 }
 
+/// Prompt of a turn, as the request and the configuration describe it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TurnPrompt {
+    /// Leading part that other programs share.
+    pub(crate) prefix: Option<PromptPrefix>,
+    /// Tokens of the whole prompt.
+    pub(crate) tokens: u64,
+    /// Largest number of tokens in one event of the service's streams.
+    pub(crate) tokens_per_event: u64,
+    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
+    pub(crate) cache_tokens: Option<u64>,
+}
+
 /// Criteria for the choice of a backend server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PickRequest<'a> {
     pub(crate) service: &'a str,
     pub(crate) affinity: Option<u64>,
     pub(crate) program: Option<ProgramKey>,
-    pub(crate) prefix: Option<PromptPrefix>,
-    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
-    pub(crate) cache_tokens: Option<u64>,
+    /// Prompt of a turn; `None` for other requests.
+    pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) tried: &'a [ServerKey],
 }
 
@@ -158,7 +183,8 @@
             directory: Mutex::default(),
             loads: Mutex::default(),
             affinity: Mutex::default(),
-            prefixes: Mutex::default(),
+            models: Mutex::default(),
+            open_turns: AtomicU64::new(0),
             started: Instant::now(),
         }
     }
@@ -232,15 +258,21 @@
         };
         let mut directory = lock(&self.directory);
         directory.expire(self.now_ms());
-        let prefix_servers = request.prefix.and_then(|prefix| {
-            let mut prefixes = lock(&self.prefixes);
-            let tracker = prefixes.of_service(request.service);
-            if request.tried.is_empty() {
-                tracker.record(prefix, self.now_ms());
+        let mut models = lock(&self.models);
+        let model = models.of_service(request.service);
+        let placed = request
+            .prompt
+            .and_then(|prompt| self.place_prefix(&directory, model, &request, prompt));
+        let prompt = request.prompt.map(|prompt| {
+            let prefix_tokens = prompt.prefix.map_or(0, |prefix| prefix.tokens);
+            PromptQuery {
+                prefix_tokens,
+                session_tokens: prompt.tokens.saturating_sub(prefix_tokens),
+                prefix_servers: placed.as_deref(),
+                tokens_per_event: prompt.tokens_per_event,
+                load_permille: self.load_permille(&directory, request.service),
+                paces: &model.paces,
             }
-            let servers = directory.ready(request.service).count();
-            let copies = tracker.copies(prefix, servers, request.cache_tokens?)?;
-            Some(prefix_servers(&directory, request.service, prefix, copies))
         });
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
@@ -248,7 +280,7 @@
             failure_domain: &self.failure_domain,
             preferred,
             tried: request.tried,
-            prefix_servers: prefix_servers.as_deref(),
+            prompt,
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
@@ -261,6 +293,50 @@
         Some((pick.key, Arc::clone(pick.server), guard))
     }
 
+    /// Counts the prefix of a turn and returns the servers on which it is placed, or `None` if every server can
+    /// hold it.
+    fn place_prefix(
+        &self,
+        directory: &ServerDirectory,
+        model: &mut ModelObservation,
+        request: &PickRequest<'_>,
+        prompt: TurnPrompt,
+    ) -> Option<Vec<ServerKey>> {
+        let prefix = prompt.prefix?;
+        if request.tried.is_empty() {
+            model.prefixes.record(prefix, self.now_ms());
+        }
+        let servers = directory.ready(request.service).count();
+        let copies = model.prefixes.copies(prefix, servers, prompt.cache_tokens?)?;
+        Some(prefix_servers(directory, request.service, prefix, copies))
+    }
+
+    /// Returns the share of the slots of a service that are in use, in thousandths.
+    fn load_permille(&self, directory: &ServerDirectory, service: &str) -> u64 {
+        let slots = directory
+            .ready(service)
+            .map(|(_, server)| u64::from(server.capacity))
+            .sum::<u64>();
+        (self.open_turns.load(Ordering::Relaxed) * 1_000)
+            .checked_div(slots)
+            .unwrap_or_default()
+            .min(MAX_LOAD_PERMILLE)
+    }
+
+    /// Records the pace of a stream that a backend server has sent.
+    pub(crate) fn record_pace(&self, service: &str, key: ServerKey, sample: PaceSample) {
+        let now_ms = self.now_ms();
+        lock(&self.models)
+            .of_service(service)
+            .paces
+            .record(key, sample, now_ms);
+    }
+
+    /// Records the open turns of all entries that the ledger hosts have reported.
+    pub(crate) fn record_open_turns(&self, open_turns: u64) {
+        self.open_turns.store(open_turns, Ordering::Relaxed);
+    }
+
     /// Records the backend server that holds the prompt of a session and of its program.
     pub(crate) fn record_affinity(&self, affinity: Option<u64>, program: Option<ProgramKey>, key: ServerKey) {
         let mut map = lock(&self.affinity);
@@ -298,6 +374,9 @@
         let mut directory = lock(&self.directory);
         change(&mut directory);
         lock(&self.loads).remove_unlisted(&directory);
+        for (_, model) in &mut lock(&self.models).services {
+            model.paces.remove_unlisted(&directory);
+        }
         self.metrics
             .backend_servers
             .set(i64::try_from(directory.len()).unwrap_or(i64::MAX));
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -206,7 +206,7 @@
         }
         let state = &self.programs[program];
         let query = ServerQuery {
-            prefix_servers: None,
+            prompt: None,
             service: "models",
             failure_domain: "lab",
             preferred: state.server.map(|(key, _)| key),
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -1,28 +1,37 @@
 //! Choice of the backend server for a request.
 //!
 //! Load pattern: many sessions, each with a long prompt that one server already holds, over servers of
-//! unequal speed. A session stays on the server that caches its prompt unless that server has clearly more
-//! work than the least loaded one. In that case the least loaded server is chosen. A session without a server
-//! goes to one of the servers on which its prefix is placed, unless these have more work than others.
+//! unequal speed, of which an entry loads and observes only a part. Each server has a predicted cost in time:
+//! its pace, the requests of the entry that it runs, and the tokens of the prompt that it has to read. A session
+//! stays on the server that caches its prompt until another one is cheaper by more than the reading. Equal
+//! servers are chosen at random, so that the entries do not send their requests to the same one.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
+use crate::pace::PaceTracker;
 
-/// Requests by which a server may exceed the least loaded one before a session moves to another server.
-const STICKY_MARGIN_REQUESTS: u32 = 4;
+/// Requests by which a server may exceed the least loaded one before a session of unknown size moves to another
+/// server.
+const STICKY_MARGIN_REQUESTS: u64 = 4;
 /// Requests that are added to the load of a lightly loaded server in another failure domain.
 const REMOTE_PENALTY_REQUESTS: u32 = 2;
-/// Requests that are added to the load of a server on which the request's prefix is not placed: the time in
-/// which a server reads a long prefix, in requests that it serves in that time.
-const MISSING_PREFIX_REQUESTS: u32 = 2;
 /// Divisor of a server's capacity that gives the number of the entry's own requests up to which the server
 /// counts as lightly loaded. Above it, and on small servers, only the load decides, because failure domains
 /// have unequal numbers of entries and servers.
 const LIGHT_LOAD_DIVISOR: u32 = 16;
 /// Time in milliseconds during which a server that failed is chosen only if there is no other untried server.
 const AVOID_MS: u64 = 1_000;
+/// Cost in microseconds of one more request on a server whose requests have no measured duration.
+const PLAIN_REQUEST_US: u64 = 1_000;
+/// Thousandths by which one more running request makes the streams of a server longer.
+const STEP_GROWTH_PERMILLE: u64 = 35;
+/// Number of prompt tokens that an engine reads in the time in which it generates one token.
+const PROMPT_TOKENS_PER_STEP: u64 = 160;
+/// Divisor of the duration of a stream that gives the largest difference in cost between servers that count as
+/// equal.
+const EQUAL_COST_DIVISOR: u64 = 8;
 
 /// Load of a server, as far as this entry causes or observes it.
 #[derive(Debug, Clone, Copy, Default)]
@@ -73,6 +82,44 @@
     }
 }
 
+/// Prompt of a request to a model service, and what is expected of the service's servers.
+#[derive(Debug, Clone, Copy)]
+pub struct PromptQuery<'a> {
+    /// Tokens of the prefix that other programs share.
+    pub prefix_tokens: u64,
+    /// Tokens of the prompt that belong to the session alone.
+    pub session_tokens: u64,
+    /// Sorted servers on which the prefix is placed; `None` if every server holds it.
+    pub prefix_servers: Option<&'a [ServerKey]>,
+    /// Largest number of tokens in one event.
+    pub tokens_per_event: u64,
+    /// Share of the slots of all servers that are in use, in thousandths; more than 1,000 if requests wait.
+    pub load_permille: u64,
+    /// Observed pace of the servers.
+    pub paces: &'a PaceTracker,
+}
+
+impl PromptQuery<'_> {
+    /// Returns the time in microseconds in which a server reads the tokens that it lacks.
+    fn read_us(&self, key: ServerKey) -> u64 {
+        let has_prefix = self
+            .prefix_servers
+            .is_none_or(|servers| servers.binary_search(&key).is_ok());
+        let prefix_tokens = if has_prefix { 0 } else { self.prefix_tokens };
+        let tokens = self.session_tokens + prefix_tokens;
+        tokens * self.paces.mean_event_us() / (self.tokens_per_event.max(1) * PROMPT_TOKENS_PER_STEP)
+    }
+
+    /// Returns the time in microseconds by which one more request on a server delays the others: the steps grow
+    /// longer, and the fewer slots a server has and the more of them are in use, the longer a request waits for
+    /// one.
+    const fn request_us(&self, capacity: u32) -> u64 {
+        let slots = if capacity == 0 { 1 } else { capacity as u64 };
+        let wait_permille = self.load_permille * self.load_permille / 1_000 / slots;
+        self.paces.mean_stream_us() * (STEP_GROWTH_PERMILLE + wait_permille) / 1_000
+    }
+}
+
 /// Inputs to the choice of a server for one request.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerQuery<'a> {
@@ -84,14 +131,42 @@
     pub preferred: Option<ServerKey>,
     /// Servers already tried for this request.
     pub tried: &'a [ServerKey],
-    /// Sorted servers on which the prefix of the request is placed; `None` if every server can hold it.
-    pub prefix_servers: Option<&'a [ServerKey]>,
-    /// Random number that breaks ties between equally loaded servers.
+    /// Prompt of the request; `None` for services without a model.
+    pub prompt: Option<PromptQuery<'a>>,
+    /// Random number that breaks ties between servers of equal cost.
     pub draw: u64,
     /// Current time in milliseconds of a monotonic clock.
     pub now_ms: u64,
 }
 
+impl ServerQuery<'_> {
+    /// Returns the predicted cost of a server in microseconds, and the largest random amount that is added to it.
+    fn cost_us(&self, key: ServerKey, server: &BackendServer, in_flight: u32) -> (u64, u64) {
+        let is_remote = server.failure_domain != self.failure_domain;
+        let light_load = server.capacity / LIGHT_LOAD_DIVISOR;
+        let requests = if is_remote {
+            (in_flight + REMOTE_PENALTY_REQUESTS)
+                .min(light_load)
+                .max(in_flight)
+        } else {
+            in_flight
+        };
+        let is_preferred = self.preferred == Some(key);
+        let Some(prompt) = &self.prompt else {
+            let margin = if is_preferred { 0 } else { STICKY_MARGIN_REQUESTS };
+            return (
+                (u64::from(requests) + margin) * PLAIN_REQUEST_US,
+                PLAIN_REQUEST_US - 1,
+            );
+        };
+        let request_us = prompt.request_us(server.capacity);
+        let stream_us = prompt.paces.stream_us(key, self.now_ms);
+        let read_us = if is_preferred { 0 } else { prompt.read_us(key) };
+        let equal_us = (prompt.paces.mean_stream_us() / EQUAL_COST_DIVISOR).min(request_us);
+        (stream_us + u64::from(requests) * request_us + read_us, equal_us)
+    }
+}
+
 /// A chosen server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerPick<'a> {
@@ -107,9 +182,7 @@
     tracker: &LoadTracker,
     query: &ServerQuery<'_>,
 ) -> Option<ServerPick<'a>> {
-    let mut best: Option<(u64, ServerPick<'a>)> = None;
-    let mut preferred: Option<(u32, ServerPick<'a>)> = None;
-    let mut least = u32::MAX;
+    let mut best: Option<((bool, u64), ServerPick<'a>)> = None;
     let mut random_state = query.draw;
     for (key, server) in directory.ready(query.service) {
         if query.tried.contains(&key) {
@@ -117,43 +190,21 @@
         }
         let load = tracker.load(key);
         let is_avoided = load.avoid_until_ms > query.now_ms;
-        let is_remote = server.failure_domain != query.failure_domain;
-        let light_load = server.capacity / LIGHT_LOAD_DIVISOR;
-        let is_preferred = query.preferred == Some(key);
-        let lacks_prefix = !is_preferred
-            && query
-                .prefix_servers
-                .is_some_and(|servers| servers.binary_search(&key).is_err());
-        let mut weight = if is_remote {
-            (load.in_flight + REMOTE_PENALTY_REQUESTS)
-                .min(light_load)
-                .max(load.in_flight)
-        } else {
-            load.in_flight
-        };
-        if lacks_prefix {
-            weight += MISSING_PREFIX_REQUESTS;
-        }
-        let pick = ServerPick { key, server };
-        // One step of a linear congruential generator gives each server its own random rank among equals.
+        let (cost_us, equal_us) = query.cost_us(key, server, load.in_flight);
+        // One step of a linear congruential generator gives each server its own random amount.
         random_state = random_state
             .wrapping_mul(6_364_136_223_846_793_005)
             .wrapping_add(1_442_695_040_888_963_407);
-        let cost = u64::from(is_avoided) << 48 | u64::from(weight) << 16 | random_state >> 48;
-        if !is_avoided {
-            least = least.min(weight);
-            if is_preferred {
-                preferred = Some((weight, pick));
-            }
-        }
+        let is_preferred = query.preferred == Some(key);
+        let random_us = if is_preferred {
+            0
+        } else {
+            (random_state >> 32) * equal_us >> 32
+        };
+        let cost = (is_avoided, cost_us + random_us);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
-            best = Some((cost, pick));
+            best = Some((cost, ServerPick { key, server }));
         }
     }
-    if let Some((weight, pick)) = preferred
-        && weight <= least.saturating_add(STICKY_MARGIN_REQUESTS)
-    {
-        return Some(pick);
-    }
     best.map(|(_, pick)| pick)
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -6,14 +6,16 @@
 mod balance;
 mod directory;
 mod outcome;
+mod pace;
 mod prefix;
 mod route;
 mod stream;
 
 pub use admission::{EngineLoad, admits_program};
-pub use balance::{LoadTracker, ServerPick, ServerQuery, choose_backend};
+pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
+pub use pace::{PaceSample, PaceTracker};
 pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
 pub use route::{
     RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute, WeightedService,
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -21,7 +21,7 @@
 
 const fn query(tried: &[ServerKey]) -> ServerQuery<'_> {
     ServerQuery {
-        prefix_servers: None,
+        prompt: None,
         service: "models",
         failure_domain: "one",
         preferred: None,
