Reach ledger hosts at once after a power loss, and wait for them briefly

Refused callers come back 0.7 s later. Change: connection requests are repeated every 150 ms; a turn waits up to 0.5 s for the ledger hosts during the first 3 s of an entry. Ruled out: reading the ledger (0.1 s) and the callers' return (they honour Retry-After). The test of a silent listener failed before (no connection within 300 ms of its return) and passes now. What remains: programs whose non-idempotent call was cut by the power loss fail and cannot be repeated.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -157,6 +157,7 @@
         input: Bytes,
         arrived: Instant,
     ) -> Result<Response<AnswerBody>, CallError> {
+        self.entry.wait_for_ledger().await;
         let chain = self.chain().await?;
         let reservation = self.reserve().await?;
         let mut plan = self.plan(head, input.clone())?;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -37,6 +37,9 @@
 /// Period after the start of an entry in which the system may be recovering.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(3);
 
+/// Longest time for which a turn waits for the ledger hosts after a start of the entry.
+const LEDGER_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Largest load in thousandths of the slots that the choice of a server distinguishes.
 const MAX_LOAD_PERMILLE: u64 = 2_000;
 
@@ -395,6 +398,14 @@
         }
     }
 
+    /// Waits for the ledger hosts for a short time soon after a start. When the whole system has lost power, they
+    /// are back a fraction of a second after the entry, and a refused caller would return only much later.
+    pub(crate) async fn wait_for_ledger(&self) {
+        if self.started.elapsed() < RECOVERY_PERIOD && !self.ledger.is_reachable() {
+            self.ledger.wait_reachable(LEDGER_WAIT_TIMEOUT).await;
+        }
+    }
+
     /// Returns the time since the start of the entry in milliseconds.
     pub fn now_ms(&self) -> u64 {
         whole_millis(self.started.elapsed())
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -6,11 +6,13 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use slog::{Logger, info};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
@@ -100,6 +102,7 @@
 struct ClientState {
     links: Mutex<Vec<Arc<HostLink>>>,
     relays: Arc<Mutex<Vec<SocketAddr>>>,
+    connected: Arc<Notify>,
     tolerated_failures: usize,
     log: Logger,
 }
@@ -128,6 +131,7 @@
             shared: Arc::new(ClientState {
                 links: Mutex::default(),
                 relays: Arc::default(),
+                connected: Arc::default(),
                 tolerated_failures,
                 log,
             }),
@@ -144,7 +148,9 @@
                 continue;
             }
             let relays = Arc::clone(&self.shared.relays);
-            let link = Arc::new(HostLink::new(peer.clone(), relays, self.shared.log.clone()));
+            let connected = Arc::clone(&self.shared.connected);
+            let log = self.shared.log.clone();
+            let link = Arc::new(HostLink::new(peer.clone(), relays, connected, log));
             for mode in [SyncMode::Unsynced, SyncMode::Synced] {
                 tokio::spawn(run_link(Arc::downgrade(&link), mode));
             }
@@ -164,6 +170,23 @@
         connected > self.shared.tolerated_failures
     }
 
+    /// Waits until [`Self::is_reachable`] holds, and returns whether it does; returns `false` after
+    /// `wait_timeout`.
+    pub async fn wait_reachable(&self, wait_timeout: Duration) -> bool {
+        let deadline = Instant::now() + wait_timeout;
+        loop {
+            // Registered before the check, so that a connection in between is not missed.
+            let mut connected = std::pin::pin!(self.shared.connected.notified());
+            connected.as_mut().enable();
+            if self.is_reachable() {
+                return true;
+            }
+            if timeout_at(deadline, connected).await.is_err() {
+                return false;
+            }
+        }
+    }
+
     /// Fetches snapshots that are newer than the known revisions from one of the connected hosts. If none is
     /// connected, returns the first snapshots that any of the seeds sends.
     pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -105,11 +105,18 @@
     connection: tokio::sync::Mutex<Option<LinkConnection>>,
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     is_up: AtomicBool,
+    /// Wakes the callers that wait for a connection to any host.
+    connected: Arc<Notify>,
     log: Logger,
 }
 
 impl HostLink {
-    pub(crate) fn new(peer: HostAddress, relays: Arc<Mutex<Vec<SocketAddr>>>, log: Logger) -> Self {
+    pub(crate) fn new(
+        peer: HostAddress,
+        relays: Arc<Mutex<Vec<SocketAddr>>>,
+        connected: Arc<Notify>,
+        log: Logger,
+    ) -> Self {
         Self {
             peer,
             unsynced: RecordQueue::default(),
@@ -117,6 +124,7 @@
             connection: tokio::sync::Mutex::new(None),
             relays,
             is_up: AtomicBool::new(false),
+            connected,
             log,
         }
     }
@@ -190,6 +198,7 @@
     /// Starts a client on an open stream and marks the host as connected.
     fn start_connection(&self, stream: TcpStream, is_relayed: bool) -> LinkConnection {
         self.is_up.store(true, Ordering::Relaxed);
+        self.connected.notify_waiters();
         info!(self.log, "ledger host connected"; "peer" => &self.peer.name, "relayed" => is_relayed);
         LinkConnection {
             client: connect_host(stream),
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -5,11 +5,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
 use tarpc::context::{self, Context};
 use tarpc::server::{BaseChannel, Channel as _};
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::digest::BucketDigests;
@@ -19,6 +21,10 @@
 /// Largest size of a message: a chain of turns at the limits for callers.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
+/// Interval at which an unanswered connection request is repeated. The kernel repeats it only after a second,
+/// although a host that has just regained power could answer at once.
+const CONNECT_REPEAT_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Reason why a host did not complete a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum PortFault {
@@ -108,9 +114,16 @@
     LedgerPortClient::new(tarpc::client::Config::default(), transport).spawn()
 }
 
-/// Opens a direct connection to a host, without a relay.
+/// Opens a direct connection to a host, without a relay. Does not return while the host neither accepts nor refuses
+/// connections.
 pub(crate) async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
+    let mut attempts = FuturesUnordered::new();
+    let stream = loop {
+        attempts.push(TcpStream::connect(address));
+        if let Ok(Some(connected)) = timeout(CONNECT_REPEAT_INTERVAL, attempts.next()).await {
+            break connected?;
+        }
+    };
     stream.set_nodelay(true)?;
     Ok(stream)
 }
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -8,7 +8,7 @@
 use ledger::{
     LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, TurnRecord,
 };
-use support::{addresses, client_of, start_host, start_hosts};
+use support::{SilentListener, addresses, client_of, start_host, start_hosts};
 use tokio::time::{Duration, sleep, timeout};
 
 const PROGRAM: ProgramKey = ProgramKey(1);
@@ -280,3 +280,35 @@
         .await
         .expect("the settlement arrives");
 }
+
+/// Load pattern: all hosts lose power and come back one after the other; an entry that is back first has sent a
+/// connection request to a host without power, which the kernel repeats only after a second.
+#[gtest]
+#[tokio::test]
+async fn connects_to_a_host_soon_after_it_answers_again() {
+    let silent = SilentListener::start().await;
+    let client = LedgerClient::new(0, support::silent_log());
+    let hosts = vec![("a".to_owned(), silent.address())];
+    client.set_hosts(&LedgerHosts::new(hosts));
+    expect_that!(client.wait_reachable(Duration::from_millis(300)).await, eq(false));
+    silent.answer().await;
+    // Twice the interval at which a connection request is repeated; the kernel's interval is a second.
+    expect_that!(client.wait_reachable(Duration::from_millis(300)).await, eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn waits_until_enough_hosts_are_connected() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a", "b", "c"], folder.path()).await;
+    let client = LedgerClient::new(1, support::silent_log());
+    let addresses = addresses(&hosts);
+    client.set_hosts(&LedgerHosts::new(addresses[..1].to_vec()));
+    expect_that!(client.wait_reachable(Duration::from_millis(200)).await, eq(false));
+    let waiting = client.wait_reachable(WAIT_TIMEOUT);
+    let listed = async {
+        sleep(Duration::from_millis(50)).await;
+        client.set_hosts(&LedgerHosts::new(addresses.clone()));
+    };
+    expect_that!(futures::future::join(waiting, listed).await.0, eq(true));
+}
--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -10,8 +10,9 @@
     serve_port,
 };
 use slog::{Discard, Logger, o};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::{Duration, timeout};
 
 pub fn silent_log() -> Logger {
     Logger::root(Discard, o!())
@@ -97,3 +98,38 @@
         .expect("the hosts are reached");
     client
 }
+
+/// A listener whose queue of new connections is full, so that the kernel drops connection requests like those to
+/// a host without power.
+pub struct SilentListener {
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl SilentListener {
+    /// Starts a listener and fills its queue.
+    pub async fn start() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .bind("127.0.0.1:0".parse().expect("an address"))
+            .expect("a free port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("a bound address");
+        let mut queued = Vec::new();
+        while let Ok(stream) = timeout(Duration::from_millis(100), TcpStream::connect(address)).await {
+            queued.push(stream.expect("queued"));
+        }
+        Self { listener, queued }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("a bound address")
+    }
+
+    /// Empties the queue, so that connection requests are answered again.
+    pub async fn answer(&self) {
+        for _ in &self.queued {
+            drop(self.listener.accept().await.expect("a queued connection"));
+        }
+    }
+}
