Reserve a slot before a turn is sent to a server that may be full

Cause: sixty entries do not know of one another's requests. Change: where the load makes a full server possible (three standard deviations), the entry asks the chosen server for a slot; at a refusal it asks the next cheapest, three at most, then sends to another one without asking. A server that is silent for 80 ms is passed over before anything is sent to it. Ruled out: reports of the servers (0.1 s old and priced as probes), agents beside the servers (a hop and 62 processes).

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, StatusCode};
 use ledger::{ProgramKey, TurnKey};
@@ -67,6 +68,8 @@
     pub left: Duration,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the slot that the server has reserved for the request.
+    pub slot: Option<&'a str>,
 }
 
 /// Meaning of a backend server's answer, by its status and headers.
@@ -100,6 +103,13 @@
     /// Adds the scheduler's own headers for one attempt at a backend server.
     fn add_attempt_headers(&self, headers: &mut HeaderMap, context: AttemptContext<'_>);
 
+    /// Returns the path and the body of the request with which a model server reserves a slot for a request that
+    /// follows at once.
+    fn slot_request(&self) -> (&'static str, Bytes);
+
+    /// Returns the id of the reserved slot from the body of a successful answer.
+    fn parse_slot(&self, body: &[u8]) -> Option<String>;
+
     /// Classifies a backend server's answer to the attempt.
     fn classify(&self, status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AnswerKind;
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
 use hyper::http::request;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use ledger::ProgramKey;
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
@@ -24,6 +24,22 @@
 /// Largest body of an answer that is read completely before it is sent to the caller.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
+/// Limit on the servers of one request that are asked for a free slot in vain. Afterwards the request is sent to
+/// another one without asking.
+const MAX_FULL_SERVERS: usize = 3;
+/// Timeout for the answer of a server that is asked for a free slot; it takes no slot to answer.
+const SLOT_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Answer of a server that may have been asked for a free slot.
+enum SlotAnswer {
+    /// The server has reserved a slot.
+    Reserved(String),
+    /// The server has no free slot, or does not answer.
+    Full,
+    /// The server was not asked, or does not reserve slots.
+    NotAsked,
+}
+
 /// A request as it is sent to backend servers, with the limits on its attempts.
 #[derive(Debug)]
 pub(crate) struct RequestPlan {
@@ -61,6 +77,10 @@
     pub(crate) entry: Arc<EntryState>,
     pub(crate) plan: RequestPlan,
     tried: Vec<ServerKey>,
+    /// Servers that had no free slot when they were asked.
+    full: Vec<ServerKey>,
+    /// Whether servers are still asked for a free slot.
+    asks_slots: bool,
     sent: u32,
     unsent: u32,
     was_lost: bool,
@@ -72,6 +92,8 @@
             entry,
             plan,
             tried: Vec::new(),
+            full: Vec::new(),
+            asks_slots: true,
             sent: 0,
             unsent: 0,
             was_lost: false,
@@ -92,10 +114,23 @@
     pub(crate) async fn dispatch(&mut self) -> Result<AcceptedAnswer, CallError> {
         loop {
             let Some((key, server, load)) = self.pick() else {
+                if !self.full.is_empty() {
+                    self.full.clear();
+                    self.asks_slots = false;
+                    continue;
+                }
                 return Err(self.give_up("no further backend server is available for the request"));
             };
+            let slot = match self.reserve_slot(key, &server).await {
+                SlotAnswer::Full => {
+                    self.full.push(key);
+                    continue;
+                }
+                SlotAnswer::Reserved(slot) => Some(slot),
+                SlotAnswer::NotAsked => None,
+            };
             self.tried.push(key);
-            let outcome = match self.attempt(key, &server, load).await {
+            let outcome = match self.attempt(key, &server, load, slot.as_deref()).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(outcome) => outcome,
             };
@@ -145,13 +180,58 @@
         step == NextStep::TryAnother
     }
 
+    /// Asks a model server for a free slot if it may have none. A request that waits in a server's queue cannot be
+    /// moved, while others may be idle.
+    async fn reserve_slot(&mut self, key: ServerKey, server: &BackendServer) -> SlotAnswer {
+        let may_ask = self.plan.prompt.is_some() && self.asks_slots && self.full.len() < MAX_FULL_SERVERS;
+        if !may_ask || !self.entry.may_be_full(&self.plan.service, server.capacity) {
+            return SlotAnswer::NotAsked;
+        }
+        let (path, body) = self.entry.dialect.slot_request();
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(path);
+        let asking = self.entry.pool.send(server.address, request);
+        let limit = self.plan.deadline.min(Instant::now() + SLOT_TIMEOUT);
+        let label = match timeout_at(limit.into(), asking).await {
+            Ok(Ok(answer)) => {
+                let ServerAnswer { response, lease } = answer;
+                let is_reserved = response.status().is_success();
+                let is_full = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+                let body = timeout_at(limit.into(), response.into_body().collect()).await;
+                let Ok(Ok(body)) = body else {
+                    return SlotAnswer::NotAsked;
+                };
+                lease.finish();
+                let slot = self.entry.dialect.parse_slot(&body.to_bytes());
+                match slot.filter(|_| is_reserved) {
+                    Some(slot) => return SlotAnswer::Reserved(slot),
+                    None if is_full => "full",
+                    None => return SlotAnswer::NotAsked,
+                }
+            }
+            Ok(Err(_)) => return SlotAnswer::NotAsked,
+            Err(_) => {
+                self.entry.avoid(key);
+                "silent"
+            }
+        };
+        self.entry.metrics.attempts.with_label_values(&[label]).inc();
+        if self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "no slot reserved"; "request" => &self.plan.attempt_id, "server" => &server.name,
+                "outcome" => label, "asked" => self.full.len() + 1);
+        }
+        SlotAnswer::Full
+    }
+
     fn pick(&self) -> Option<(ServerKey, Arc<BackendServer>, LoadGuard)> {
+        let excluded: Vec<ServerKey> = self.tried.iter().chain(&self.full).copied().collect();
         self.entry.pick(PickRequest {
             service: &self.plan.service,
             affinity: self.plan.affinity,
             program: self.plan.program,
             prompt: self.plan.prompt,
-            tried: &self.tried,
+            tried: &excluded,
         })
     }
 
@@ -204,9 +284,10 @@
         key: ServerKey,
         server: &BackendServer,
         load: LoadGuard,
+        slot: Option<&str>,
     ) -> Result<AcceptedAnswer, AttemptOutcome> {
         let left = self.plan.deadline.saturating_duration_since(Instant::now());
-        let request = self.request(server, left);
+        let request = self.request(server, left, slot);
         let sending = self.entry.pool.send(server.address, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
@@ -248,7 +329,7 @@
         })
     }
 
-    fn request(&self, server: &BackendServer, left: Duration) -> Request<Full<Bytes>> {
+    fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<Full<Bytes>> {
         let mut parts = request::Request::new(()).into_parts().0;
         parts.method = self.plan.method.clone();
         parts.uri = Uri::from(self.plan.target.clone());
@@ -257,6 +338,7 @@
             server_name: &server.name,
             left,
             last_event: self.plan.last_event,
+            slot,
         };
         self.entry
             .dialect
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,7 +11,8 @@
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
     BackendServer, EngineLoad, LoadTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix,
-    PromptQuery, RouteTable, ServerDirectory, ServerKey, ServerQuery, choose_backend, prefix_servers,
+    PromptQuery, RouteTable, ServerDirectory, ServerKey, ServerQuery, choose_backend, may_be_full,
+    prefix_servers,
 };
 use slog::Logger;
 use tokio::sync::watch;
@@ -314,6 +315,12 @@
         Some(prefix_servers(directory, request.service, prefix, copies))
     }
 
+    /// Returns whether a server with this capacity may have no free slot at the present load of its service.
+    pub(crate) fn may_be_full(&self, service: &str, capacity: u32) -> bool {
+        let load_permille = self.load_permille(&lock(&self.directory), service);
+        may_be_full(load_permille, capacity)
+    }
+
     /// Returns the share of the slots of a service that are in use, in thousandths.
     fn load_permille(&self, directory: &ServerDirectory, service: &str) -> u64 {
         let slots = directory
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -208,3 +208,16 @@
     }
     best.map(|(_, pick)| pick)
 }
+
+/// Returns whether a server may have no free slot while the servers of its service have `load_permille` thousandths
+/// of their slots in use on average.
+///
+/// Load pattern: sixty entries that do not know of one another's requests send them to the same servers. With
+/// randomly placed requests, the number at one server has about the mean as its variance; a server is expected to
+/// have a free slot while its capacity is at least three standard deviations above the mean.
+pub fn may_be_full(load_permille: u64, capacity: u32) -> bool {
+    let slots = u64::from(capacity) * 1_000;
+    let mean = u64::from(capacity) * load_permille;
+    let free = slots.saturating_sub(mean);
+    free * free <= 9 * 1_000 * mean
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -12,7 +12,7 @@
 mod stream;
 
 pub use admission::{EngineLoad, admits_program};
-pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend};
+pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
 pub use pace::{PaceSample, PaceTracker};
