Parenthesize a shift for the linter

Cause: clippy::precedence on the random amount of the choice of a server. Change: parentheses, no change of behaviour.

--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -199,7 +199,7 @@
         let random_us = if is_preferred {
             0
         } else {
-            (random_state >> 32) * equal_us >> 32
+            ((random_state >> 32) * equal_us) >> 32
         };
         let cost = (is_avoided, cost_us + random_us);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
