--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -28,7 +28,7 @@
 /// another one without asking.
 const MAX_FULL_SERVERS: usize = 3;
 /// Timeout for the answer of a server that is asked for a free slot; it takes no slot to answer.
-const SLOT_TIMEOUT: Duration = Duration::from_millis(80);
+const SLOT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Answer of a server that may have been asked for a free slot.
 enum SlotAnswer {
