Fetch a chain of turns from one ledger host first

Change: the connected first host of the group is asked, after its answer or 40 ms the rest of the group, then all others. The rule for a missing turn is the same: it is unknown only if every host has answered.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -234,7 +234,11 @@
         if let Some(chain) = self.entry.chains.chain(previous) {
             return Ok(chain);
         }
-        let chain = timeout_at(self.deadline.into(), self.entry.ledger.fetch_chain(previous)).await;
+        let chain = timeout_at(
+            self.deadline.into(),
+            self.entry.ledger.fetch_chain(previous, self.facts.program),
+        )
+        .await;
         let chain = chain.map_err(|_elapsed| ledger_timeout())?.map_err(|failure| {
             let code = match failure {
                 // The caller may retry: even if every host answered, a host that is being replaced may have
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -20,6 +20,10 @@
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
+/// Delay after which the next hosts are asked for a chain of turns, although an earlier one has not answered yet.
+/// It is many times the duration of a call between failure domains.
+const NEXT_STAGE_DELAY: Duration = Duration::from_millis(40);
+
 /// Error of a ledger operation.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum LedgerError {
@@ -281,18 +285,23 @@
             .map(drop)
     }
 
-    /// Fetches a turn and all its predecessors, the newest first.
+    /// Fetches a turn and all its predecessors, the newest first. `program` is the program that continues the
+    /// turn, which usually stored it too; the hosts of its group are asked first.
     ///
     /// # Errors
     ///
     /// Fails when the responding hosts together lack a turn of the chain.
-    pub async fn fetch_chain(&self, turn: TurnKey) -> Result<Vec<TurnRecord>, LedgerError> {
+    pub async fn fetch_chain(
+        &self,
+        turn: TurnKey,
+        program: Option<ProgramKey>,
+    ) -> Result<Vec<TurnRecord>, LedgerError> {
         let mut chain: Vec<TurnRecord> = Vec::new();
         let mut next = Some(turn);
         // Each host may lack some turns of the chain, so the remaining part is requested from all hosts
         // again.
         while let Some(turn) = next {
-            let part = self.fetch_longest_part(turn).await?;
+            let part = self.fetch_longest_part(turn, program).await?;
             next = part.last().and_then(|oldest| oldest.previous);
             chain.extend(part);
         }
@@ -301,31 +310,70 @@
 
     /// Fetches the longest part of a chain that one host holds. Returns a complete chain as soon as one
     /// arrives.
-    async fn fetch_longest_part(&self, turn: TurnKey) -> Result<Vec<TurnRecord>, LedgerError> {
-        let links = self.links().clone();
-        let mut responses: FuturesUnordered<_> = links.iter().map(|link| link.fetch_chain(turn)).collect();
+    ///
+    /// Load pattern: the callers of stored turns change between entries, and every host of a group holds the whole
+    /// chain. Asking all hosts at once makes each of them send the chain, so that one host is asked first, then
+    /// the rest of the group, then all others.
+    async fn fetch_longest_part(
+        &self,
+        turn: TurnKey,
+        program: Option<ProgramKey>,
+    ) -> Result<Vec<TurnRecord>, LedgerError> {
+        let stages = self.chain_stages(program);
+        let count: usize = stages.iter().map(Vec::len).sum();
+        let mut responses = FuturesUnordered::new();
         let mut answered = 0;
         let mut longest: Vec<TurnRecord> = Vec::new();
-        while let Some(response) = responses.next().await {
-            let Some(part) = response else { continue };
-            answered += 1;
-            if part.last().is_some_and(|oldest| oldest.previous.is_none()) {
-                return Ok(part);
-            }
-            if part.len() > longest.len() {
-                longest = part;
+        let last_stage = stages.len() - 1;
+        for (stage, links) in stages.iter().enumerate() {
+            responses.extend(links.iter().map(|link| link.fetch_chain(turn)));
+            let next_stage_at = Instant::now() + NEXT_STAGE_DELAY;
+            loop {
+                let response = if stage == last_stage {
+                    responses.next().await
+                } else {
+                    match timeout_at(next_stage_at, responses.next()).await {
+                        Ok(response) => response,
+                        Err(_) => break,
+                    }
+                };
+                let Some(response) = response else { break };
+                let Some(part) = response else { continue };
+                answered += 1;
+                if part.last().is_some_and(|oldest| oldest.previous.is_none()) {
+                    return Ok(part);
+                }
+                if part.len() > longest.len() {
+                    longest = part;
+                }
             }
         }
-        match (longest.is_empty(), answered == links.len()) {
+        match (longest.is_empty(), answered == count) {
             (false, _) => Ok(longest),
             (true, true) => Err(LedgerError::UnknownTurn),
             (true, false) => Err(LedgerError::TooFewHosts {
                 answered,
-                needed: links.len(),
+                needed: count,
             }),
         }
     }
 
+    /// Returns the hosts in the order in which they are asked for a chain: a connected host of the program's
+    /// group, the other hosts of the group, and all others.
+    fn chain_stages(&self, program: Option<ProgramKey>) -> [Vec<Arc<HostLink>>; 3] {
+        let mut group = program.map_or_else(Vec::new, |program| self.group(program));
+        let is_in_group = |link: &Arc<HostLink>| group.iter().any(|member| Arc::ptr_eq(member, link));
+        let others = self
+            .links()
+            .iter()
+            .filter(|link| !is_in_group(link))
+            .cloned()
+            .collect();
+        let connected = group.iter().position(|link| link.is_up());
+        let first = connected.map(|index| group.remove(index));
+        [first.into_iter().collect(), group, others]
+    }
+
     /// Estimates the open turns of all entries. Each host counts only the programs in whose group it is, so
     /// that the largest count is scaled from the size of a group to the number of hosts.
     fn estimate_open(&self, receipts: &[RecordReceipt]) -> u64 {
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -8,7 +8,7 @@
 use ledger::{
     LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, TurnRecord,
 };
-use support::{SilentListener, addresses, client_of, start_host, start_hosts};
+use support::{CountingProxy, SilentListener, addresses, client_of, start_host, start_hosts};
 use tokio::time::{Duration, sleep, timeout};
 
 const PROGRAM: ProgramKey = ProgramKey(1);
@@ -79,7 +79,10 @@
     );
     client.store_turn(turn(2, Some(1))).await.expect("two hosts live");
     expect_that!(
-        client.fetch_chain(TurnKey(2)).await.map(|chain| chain.len()),
+        client
+            .fetch_chain(TurnKey(2), Some(PROGRAM))
+            .await
+            .map(|chain| chain.len()),
         ok(eq(&2))
     );
     hosts[1].task.abort();
@@ -101,7 +104,10 @@
     expect_that!(client.store_turn(turn(5, None)).await.is_err(), eq(true));
     // The remaining host still holds the chain.
     expect_that!(
-        client.fetch_chain(TurnKey(2)).await.map(|chain| chain.len()),
+        client
+            .fetch_chain(TurnKey(2), Some(PROGRAM))
+            .await
+            .map(|chain| chain.len()),
         ok(eq(&2))
     );
 }
@@ -122,13 +128,13 @@
     }
     let client = client(&hosts).await;
     let chain = client
-        .fetch_chain(TurnKey(3))
+        .fetch_chain(TurnKey(3), Some(PROGRAM))
         .await
         .expect("every part is on some host");
     let turns: Vec<u128> = chain.iter().map(|record| record.turn.0).collect();
     expect_that!(turns, eq(&[3, 2, 1]));
     expect_that!(
-        client.fetch_chain(TurnKey(9)).await,
+        client.fetch_chain(TurnKey(9), Some(PROGRAM)).await,
         err(eq(&LedgerError::UnknownTurn))
     );
 }
@@ -235,7 +241,7 @@
     expect_that!(
         client(&hosts)
             .await
-            .fetch_chain(TurnKey(1))
+            .fetch_chain(TurnKey(1), Some(PROGRAM))
             .await
             .map(|chain| chain.len()),
         ok(eq(&1))
@@ -312,3 +318,35 @@
     };
     expect_that!(futures::future::join(waiting, listed).await.0, eq(true));
 }
+
+/// Load pattern: the callers of stored turns change between entries, and each turn at another entry fetches its
+/// chain. With every host of the group sending it, the chains were the most of all bytes between failure domains.
+#[gtest]
+#[tokio::test]
+async fn a_chain_is_sent_by_one_host_of_its_group() {
+    const INPUT_BYTES: usize = 200_000;
+    let folder = tempfile::tempdir().expect("a folder");
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let hosts = start_hosts(&names, folder.path()).await;
+    let proxies = join_all(hosts.iter().map(|host| CountingProxy::start(host.address))).await;
+    let addresses = names.iter().zip(&proxies);
+    let addresses = addresses.map(|(name, proxy)| ((*name).to_owned(), proxy.address));
+    let hosts = LedgerHosts::new(addresses.collect());
+    let writer = client_of(1, &hosts).await;
+    let mut record = turn(1, None);
+    record.input = Bytes::from(vec![b'i'; INPUT_BYTES]);
+    writer.store_turn(record).await.expect("all hosts live");
+    let reader = client_of(1, &hosts).await;
+    // The slowest of the group may confirm the turn after the writer has returned.
+    sleep(Duration::from_millis(300)).await;
+    let chain = reader.fetch_chain(TurnKey(1), Some(PROGRAM)).await;
+    expect_that!(chain.map(|chain| chain.len()), ok(eq(&1)));
+    sleep(Duration::from_millis(300)).await;
+    let sent: u64 = proxies.iter().map(CountingProxy::sent_bytes).sum();
+    expect_that!(sent, all![ge(INPUT_BYTES as u64), le(INPUT_BYTES as u64 * 3 / 2)]);
+    // Another program may continue the turn; its own group does not hold it.
+    let chain = reader.fetch_chain(TurnKey(1), Some(ProgramKey(77))).await;
+    expect_that!(chain.map(|chain| chain.len()), ok(eq(&1)));
+    let chain = reader.fetch_chain(TurnKey(1), None).await;
+    expect_that!(chain.map(|chain| chain.len()), ok(eq(&1)));
+}
--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
 use ledger::{
@@ -10,6 +12,7 @@
     serve_port,
 };
 use slog::{Discard, Logger, o};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Duration, timeout};
@@ -133,3 +136,42 @@
         }
     }
 }
+
+/// A proxy in front of a host that counts the bytes that the host sends.
+pub struct CountingProxy {
+    pub address: SocketAddr,
+    sent: Arc<AtomicU64>,
+}
+
+impl CountingProxy {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let sent = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&sent);
+        tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                let counter = Arc::clone(&counter);
+                tokio::spawn(async move {
+                    let host = TcpStream::connect(target).await.expect("the host is running");
+                    let (mut from_client, mut to_client) = client.into_split();
+                    let (mut from_host, mut to_host) = host.into_split();
+                    tokio::spawn(async move { tokio::io::copy(&mut from_client, &mut to_host).await });
+                    let mut buffer = vec![0; 64 * 1024];
+                    while let Ok(length @ 1..) = from_host.read(&mut buffer).await {
+                        counter.fetch_add(length as u64, Ordering::Relaxed);
+                        if to_client.write_all(&buffer[..length]).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, sent }
+    }
+
+    /// Returns the number of bytes that the host has sent.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
