--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -66,17 +66,23 @@
 
 impl ServerDirectory {
     /// Replaces all listed servers. Incarnations that are listed again keep their keys. The missing ones are
-    /// removed at `missing_at_ms` as by [`Self::remove_at`], or at once if it is `None`.
-    pub fn replace_all(&mut self, servers: Vec<BackendServer>, missing_at_ms: Option<u64>) {
+    /// removed at `missing_at_ms` as by [`Self::remove_at`], or at once if it is `None`. Returns the servers whose
+    /// registration is new or changed.
+    pub fn replace_all(
+        &mut self,
+        servers: Vec<BackendServer>,
+        missing_at_ms: Option<u64>,
+    ) -> Vec<Arc<BackendServer>> {
         for name in self.missing_in(&servers) {
             match missing_at_ms {
                 Some(at_ms) => self.remove_at(&name, at_ms),
                 None => self.remove(&name),
             }
         }
-        for server in servers {
-            self.upsert(server);
-        }
+        servers
+            .into_iter()
+            .filter_map(|server| self.upsert(server))
+            .collect()
     }
 
     /// Returns the names of the listed servers that are not among `servers`.
@@ -116,11 +122,16 @@
             .retain(|listed| listed.expires_at_ms.is_none_or(|at_ms| at_ms > now_ms));
     }
 
-    /// Adds an incarnation or updates the one that is listed under its name.
-    pub fn upsert(&mut self, server: BackendServer) {
+    /// Adds an incarnation or updates the one that is listed under its name. Returns the server if its
+    /// registration is new or changed.
+    pub fn upsert(&mut self, server: BackendServer) -> Option<Arc<BackendServer>> {
         match self.position_of(&server.name) {
             Ok(index) => {
                 let listed = &mut self.servers[index];
+                listed.expires_at_ms = None;
+                if *listed.server == server {
+                    return None;
+                }
                 let is_same = listed.server.address == server.address
                     && listed.server.started_at_ms == server.started_at_ms;
                 if !is_same {
@@ -128,17 +139,19 @@
                     self.next_key += 1;
                 }
                 listed.server = Arc::new(server);
-                listed.expires_at_ms = None;
+                Some(Arc::clone(&listed.server))
             }
             Err(index) => {
                 let key = ServerKey(self.next_key);
                 self.next_key += 1;
+                let server = Arc::new(server);
                 let listed = ListedServer {
                     key,
-                    server: Arc::new(server),
+                    server: Arc::clone(&server),
                     expires_at_ms: None,
                 };
                 self.servers.insert(index, listed);
+                Some(server)
             }
         }
     }
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -256,3 +256,56 @@
         );
     }
 }
+
+/// A registration that follows the first one of a server, and whether it counts as a change.
+struct ListingCase {
+    name: &'static str,
+    server: BackendServer,
+    is_change: bool,
+}
+
+/// Load pattern: each time the object store forgets its history, and with each heartbeat, a process receives the
+/// registrations of all servers again.
+#[gtest]
+fn an_unchanged_registration_is_no_change() {
+    let listed = || server("a", 1, "one", 8);
+    let leaving = BackendServer {
+        state: ServerState::Leaving,
+        ..listed()
+    };
+    let cases = [
+        ListingCase {
+            name: "unchanged",
+            server: listed(),
+            is_change: false,
+        },
+        ListingCase {
+            name: "leaving",
+            server: leaving,
+            is_change: true,
+        },
+        ListingCase {
+            name: "another address",
+            server: server("a", 2, "one", 8),
+            is_change: true,
+        },
+        ListingCase {
+            name: "another server",
+            server: server("b", 3, "one", 8),
+            is_change: true,
+        },
+    ];
+    for case in cases {
+        let mut directory = ServerDirectory::default();
+        expect_that!(directory.replace_all(vec![listed()], None).len(), eq(1));
+        expect_that!(directory.replace_all(vec![listed()], None).len(), eq(0));
+        let changed = directory.upsert(case.server.clone());
+        let expected = case.is_change.then_some(case.server);
+        expect_that!(
+            changed.map(|server| (*server).clone()),
+            eq(&expected),
+            "{}",
+            case.name
+        );
+    }
+}
