Let the observed pace and the estimated length of a turn decide more

Change: samples count for 30 s and half of the estimate from the first on; the caller's estimate of the output scales the time of the stream. Ruled out: fetching reports of the engines (priced, old).

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -43,6 +43,8 @@
     pub last_event: Option<u64>,
     /// Tokens of the whole prompt; zero if the request does not state them.
     pub prompt_tokens: u64,
+    /// Number of output tokens that the caller expects.
+    pub expected_tokens: Option<u64>,
     /// Leading part of the prompt, if other programs share it.
     pub prefix: Option<PromptPrefix>,
 }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -220,6 +220,7 @@
         Some(TurnPrompt {
             prefix: self.facts.prefix,
             tokens: self.facts.prompt_tokens,
+            stream_tokens: self.facts.expected_tokens,
             tokens_per_event: profile.tokens_per_event?,
             cache_tokens: profile.cache_tokens,
         })
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -135,6 +135,8 @@
     pub(crate) prefix: Option<PromptPrefix>,
     /// Tokens of the whole prompt.
     pub(crate) tokens: u64,
+    /// Number of output tokens that the caller expects.
+    pub(crate) stream_tokens: Option<u64>,
     /// Largest number of tokens in one event of the service's streams.
     pub(crate) tokens_per_event: u64,
     /// Tokens that a server of the service can hold in its cache, if the configuration states them.
@@ -273,6 +275,7 @@
                 prefix_tokens,
                 session_tokens: prompt.tokens.saturating_sub(prefix_tokens),
                 prefix_servers: placed.as_deref(),
+                stream_tokens: prompt.stream_tokens,
                 tokens_per_event: prompt.tokens_per_event,
                 load_permille: self.load_permille(&directory, request.service),
                 paces: &model.paces,
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -91,6 +91,8 @@
     pub session_tokens: u64,
     /// Sorted servers on which the prefix is placed; `None` if every server holds it.
     pub prefix_servers: Option<&'a [ServerKey]>,
+    /// Number of tokens that the stream is expected to have, if the caller has estimated it.
+    pub stream_tokens: Option<u64>,
     /// Largest number of tokens in one event.
     pub tokens_per_event: u64,
     /// Share of the slots of all servers that are in use, in thousandths; more than 1,000 if requests wait.
@@ -160,7 +162,10 @@
             );
         };
         let request_us = prompt.request_us(server.capacity);
-        let stream_us = prompt.paces.stream_us(key, self.now_ms);
+        let events = prompt
+            .stream_tokens
+            .map(|tokens| tokens.div_ceil(prompt.tokens_per_event.max(1)));
+        let stream_us = prompt.paces.stream_us(key, events, self.now_ms);
         let read_us = if is_preferred { 0 } else { prompt.read_us(key) };
         let equal_us = (prompt.paces.mean_stream_us() / EQUAL_COST_DIVISOR).min(request_us);
         (stream_us + u64::from(requests) * request_us + read_us, equal_us)
--- a/components/routing/src/pace.rs
+++ b/components/routing/src/pace.rs
@@ -10,9 +10,9 @@
 /// Number of samples of a server beyond which older ones lose weight.
 const MAX_SAMPLES: u64 = 6;
 /// Number of samples whose weight the mean of the service has in the estimate for one server.
-const MEAN_SAMPLES: u64 = 2;
+const MEAN_SAMPLES: u64 = 1;
 /// Age in milliseconds at which a sample of a server no longer counts.
-const SAMPLE_LIFE_MS: u64 = 12_000;
+const SAMPLE_LIFE_MS: u64 = 30_000;
 /// Divisor of the weight of a new sample in the mean of the service.
 const MEAN_SHARE: u64 = 16;
 /// Time between two events in microseconds until the first stream has ended.
@@ -90,8 +90,9 @@
         self.paces.retain(|pace| keys.binary_search(&pace.key).is_ok());
     }
 
-    /// Returns the expected time of a whole stream of a server in microseconds, from its first event on.
-    pub fn stream_us(&self, key: ServerKey, now_ms: u64) -> u64 {
+    /// Returns the expected time of a whole stream of a server in microseconds, from its first event on. Without a
+    /// number of events, their mean is used.
+    pub fn stream_us(&self, key: ServerKey, events: Option<u64>, now_ms: u64) -> u64 {
         let event_us = match self.paces.binary_search_by_key(&key, |pace| pace.key) {
             Ok(index) => {
                 let pace = &self.paces[index];
@@ -100,7 +101,8 @@
             }
             Err(_) => self.mean_event_us,
         };
-        event_us * self.mean_events_scaled / EVENT_SCALE
+        let events_scaled = events.map_or(self.mean_events_scaled, |events| events * EVENT_SCALE);
+        event_us * events_scaled / EVENT_SCALE
     }
 
     /// Returns the expected time of a whole stream of any server in microseconds.
--- a/components/routing/tests/prefix.rs
+++ b/components/routing/tests/prefix.rs
@@ -171,6 +171,7 @@
                     prefix_tokens: PREFIX_TOKENS,
                     session_tokens: 1_680,
                     prefix_servers: Some(&servers),
+                    stream_tokens: None,
                     tokens_per_event: 27,
                     load_permille: 500,
                     paces: &paces,
