--- a/components/routing/src/prefix.rs
+++ b/components/routing/src/prefix.rs
@@ -12,7 +12,7 @@
 
 /// Percentage of a server's cache for shared prefixes. The rest is left to running requests and to the
 /// sessions between two turns.
-const PREFIX_CACHE_PERCENT: u64 = 40;
+const PREFIX_CACHE_PERCENT: u64 = 25;
 /// Smallest number of servers for a prefix; with one, its loss would make every program of the prefix slow.
 const MIN_COPIES: usize = 2;
 /// Interval in milliseconds after which the requests counted for a prefix lose half of their weight.
