Repeat a reservation while ledger hosts are still copying after a start

Change: within the 0.5 s for which a turn waits in the first 3 s of an entry, its reservation is written again every 50 ms; it is released only at the end, since a released turn cannot be reserved again.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -157,9 +157,9 @@
         input: Bytes,
         arrived: Instant,
     ) -> Result<Response<AnswerBody>, CallError> {
-        self.entry.wait_for_ledger().await;
+        let patience = self.entry.wait_for_ledger().await;
         let chain = self.chain().await?;
-        let reservation = self.reserve().await?;
+        let reservation = self.reserve(patience).await?;
         let mut plan = self.plan(head, input.clone())?;
         plan.body = chained_body(&chain, &input);
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
@@ -256,8 +256,8 @@
     }
 
     /// Reserves the largest number of tokens that the turn can spend. Returns `None` when the request states
-    /// no program or no token budget.
-    async fn reserve(&self) -> Result<Option<TurnReservation>, CallError> {
+    /// no program or no token budget. Repeats the reservation for up to `patience`.
+    async fn reserve(&self, patience: Duration) -> Result<Option<TurnReservation>, CallError> {
         let (Some(program), Some(budget)) = (self.facts.program, self.facts.token_budget) else {
             return Ok(None);
         };
@@ -268,7 +268,8 @@
             tokens: budget,
             retention_ms: self.route.retention_ms,
         };
-        let reserving = ledger.reserve(program, turn, self.facts.max_tokens, allowed);
+        let max_tokens = self.facts.max_tokens;
+        let reserving = ledger.reserve_within(patience, program, turn, max_tokens, allowed);
         let reserved = timeout_at(self.deadline.into(), reserving).await;
         self.entry.metrics.reserve.observe(before.elapsed().as_secs_f64());
         let unavailable =
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -409,11 +409,15 @@
     }
 
     /// Waits for the ledger hosts for a short time soon after a start. When the whole system has lost power, they
-    /// are back a fraction of a second after the entry, and a refused caller would return only much later.
-    pub(crate) async fn wait_for_ledger(&self) {
-        if self.started.elapsed() < RECOVERY_PERIOD && !self.ledger.is_reachable() {
-            self.ledger.wait_reachable(LEDGER_WAIT_TIMEOUT).await;
+    /// are back a fraction of a second after the entry, and a refused caller would return only much later. Returns
+    /// for how much longer the turn may wait for hosts that are reachable but not complete yet.
+    pub(crate) async fn wait_for_ledger(&self) -> Duration {
+        if self.started.elapsed() >= RECOVERY_PERIOD {
+            return Duration::ZERO;
         }
+        let before = Instant::now();
+        self.ledger.wait_reachable(LEDGER_WAIT_TIMEOUT).await;
+        LEDGER_WAIT_TIMEOUT.saturating_sub(before.elapsed())
     }
 
     /// Returns the time since the start of the entry in milliseconds.
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -12,7 +12,7 @@
 use futures::stream::FuturesUnordered;
 use slog::{Logger, info};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
@@ -24,6 +24,10 @@
 /// It is many times the duration of a call between failure domains.
 const NEXT_STAGE_DELAY: Duration = Duration::from_millis(40);
 
+/// Delay before a reservation is written again to hosts that did not respond with counts: a fraction of the time in
+/// which a host copies the records that it missed.
+const WRITE_REPEAT_DELAY: Duration = Duration::from_millis(50);
+
 /// Error of a ledger operation.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum LedgerError {
@@ -226,6 +230,25 @@
         tokens: u64,
         budget: TokenBudget,
     ) -> Result<ReserveOutcome, LedgerError> {
+        self.reserve_within(Duration::ZERO, program, turn, tokens, budget)
+            .await
+    }
+
+    /// Reserves tokens as [`Self::reserve`] does, but repeats the writing for up to `patience` while too few hosts
+    /// respond. The reservation is released only at the end, since a released turn cannot be reserved again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when too few hosts respond; the reservation is then released on the hosts that received it.
+    pub async fn reserve_within(
+        &self,
+        patience: Duration,
+        program: ProgramKey,
+        turn: TurnKey,
+        tokens: u64,
+        budget: TokenBudget,
+    ) -> Result<ReserveOutcome, LedgerError> {
+        let repeat_until = Instant::now() + patience;
         let record = LedgerRecord::Reserved {
             program,
             turn,
@@ -237,7 +260,16 @@
             program,
             turn,
         };
-        let receipts = self.write(&record, SyncMode::Unsynced).await?;
+        let receipts = loop {
+            match self.write(&record, SyncMode::Unsynced).await {
+                Err(LedgerError::TooFewHosts { .. })
+                    if Instant::now() + WRITE_REPEAT_DELAY < repeat_until =>
+                {
+                    sleep(WRITE_REPEAT_DELAY).await;
+                }
+                receipts => break receipts?,
+            }
+        };
         let committed = receipts.iter().map(|receipt| receipt.committed).max();
         let committed = committed.unwrap_or_default();
         if committed > budget.tokens {
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -8,7 +8,9 @@
 use ledger::{
     LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, TurnRecord,
 };
-use support::{CountingProxy, SilentListener, addresses, client_of, start_host, start_hosts};
+use support::{
+    CountingProxy, SilentListener, addresses, client_of, start_copying_hosts, start_host, start_hosts,
+};
 use tokio::time::{Duration, sleep, timeout};
 
 const PROGRAM: ProgramKey = ProgramKey(1);
@@ -350,3 +352,34 @@
     let chain = reader.fetch_chain(TurnKey(1), None).await;
     expect_that!(chain.map(|chain| chain.len()), ok(eq(&1)));
 }
+
+/// Load pattern: all hosts have lost power and copy from one another after their start, while the first turns arrive.
+#[gtest]
+#[tokio::test]
+async fn a_patient_reservation_waits_for_hosts_that_are_still_copying() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_copying_hosts(&["a", "b", "c"], folder.path()).await;
+    let client = client(&hosts).await;
+    let refused = client.reserve(PROGRAM, TurnKey(1), 10, BUDGET).await;
+    expect_that!(refused, err(matches_pattern!(LedgerError::TooFewHosts { .. })));
+    let copied = async {
+        sleep(Duration::from_millis(200)).await;
+        for host in &hosts {
+            host.host.finish_copying();
+        }
+    };
+    let reserving = client.reserve_within(WAIT_TIMEOUT, PROGRAM, TurnKey(2), 10, BUDGET);
+    let (outcome, ()) = futures::future::join(reserving, copied).await;
+    // The reservation is written several times and counts once; the refused one is released.
+    expect_that!(
+        outcome,
+        ok(matches_pattern!(ReserveOutcome::Reserved {
+            is_first: eq(&true),
+            ..
+        }))
+    );
+    let next = client.reserve(PROGRAM, TurnKey(3), 90, BUDGET).await;
+    expect_that!(next, ok(matches_pattern!(ReserveOutcome::Reserved { .. })));
+    let beyond = client.reserve(PROGRAM, TurnKey(4), 1, BUDGET).await;
+    expect_that!(beyond, ok(eq(&ReserveOutcome::Exhausted { committed: 100 })));
+}
--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -52,8 +52,14 @@
 }
 
 pub async fn start_host(name: &str, folder: &Path) -> RunningHost {
+    let running = start_copying_host(name, folder).await;
+    running.host.finish_copying();
+    running
+}
+
+/// Starts a host that has not copied the records of the other hosts.
+pub async fn start_copying_host(name: &str, folder: &Path) -> RunningHost {
     let host = open_host(&folder.join(name), 1);
-    host.finish_copying();
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
     let task = tokio::spawn(serve(listener, host.clone()));
@@ -80,6 +86,15 @@
     hosts
 }
 
+/// Starts hosts that have not copied the records of the other hosts.
+pub async fn start_copying_hosts(names: &[&str], folder: &Path) -> Vec<RunningHost> {
+    let mut hosts = Vec::new();
+    for name in names {
+        hosts.push(start_copying_host(name, folder).await);
+    }
+    hosts
+}
+
 pub fn addresses(hosts: &[RunningHost]) -> Vec<(String, SocketAddr)> {
     hosts
         .iter()
