Wait briefly for the first configuration and for chains after a start

Change: a request waits up to 0.2 s for the first configuration during the first 3 s of an entry; a chain is asked for again every 50 ms within the same patience as a reservation. Measured: the two cases of start.rs; the first fails without the wait (503).

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnRecord};
 use routing::{EngineLoad, RouteMatch, RouteTable, ServiceRoute, admits_program};
 use slog::info;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use crate::answer::{AnswerBody, error_answer, full_body};
 use crate::chains::chained_body;
@@ -23,6 +23,9 @@
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, TurnPrompt};
 
+/// Delay before a chain of turns is asked for again from ledger hosts that have just started.
+const CHAIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Serves one request. Answers with an error of the entry itself when no backend server answered.
 pub(crate) async fn serve(entry: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = Instant::now();
@@ -44,7 +47,7 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, CallError> {
-    let Some(table) = entry.table.load_full() else {
+    let Some(table) = entry.wait_for_configuration().await else {
         return Err(CallError::not_run(
             ResultCode::NotConfigured,
             "the entry has received no configuration yet",
@@ -158,7 +161,7 @@
         arrived: Instant,
     ) -> Result<Response<AnswerBody>, CallError> {
         let patience = self.entry.wait_for_ledger().await;
-        let chain = self.chain().await?;
+        let chain = self.chain(patience).await?;
         let reservation = self.reserve(patience).await?;
         let mut plan = self.plan(head, input.clone())?;
         plan.body = chained_body(&chain, &input);
@@ -226,8 +229,9 @@
         })
     }
 
-    /// Returns the chain of turns that this turn continues, the newest first.
-    async fn chain(&self) -> Result<Vec<TurnRecord>, CallError> {
+    /// Returns the chain of turns that this turn continues, the newest first. Asks again for up to `patience` while
+    /// too few ledger hosts answer.
+    async fn chain(&self, patience: Duration) -> Result<Vec<TurnRecord>, CallError> {
         let previous = self.facts.previous_turn.filter(|_| self.route.keeps_turns);
         let Some(previous) = previous else {
             return Ok(Vec::new());
@@ -235,11 +239,20 @@
         if let Some(chain) = self.entry.chains.chain(previous) {
             return Ok(chain);
         }
-        let chain = timeout_at(
-            self.deadline.into(),
-            self.entry.ledger.fetch_chain(previous, self.facts.program),
-        )
-        .await;
+        let ask_until = Instant::now() + patience;
+        let fetching = async {
+            loop {
+                match self.entry.ledger.fetch_chain(previous, self.facts.program).await {
+                    Err(LedgerError::TooFewHosts { .. })
+                        if Instant::now() + CHAIN_RETRY_DELAY < ask_until =>
+                    {
+                        sleep(CHAIN_RETRY_DELAY).await;
+                    }
+                    fetched => return fetched,
+                }
+            }
+        };
+        let chain = timeout_at(self.deadline.into(), fetching).await;
         let chain = chain.map_err(|_elapsed| ledger_timeout())?.map_err(|failure| {
             let code = match failure {
                 // The caller may retry: even if every host answered, a host that is being replaced may have
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,7 +15,8 @@
     prefix_servers,
 };
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use crate::chains::ChainCache;
 use crate::dialect::WireDialect;
@@ -38,6 +39,9 @@
 /// Period after the start of an entry in which the system may be recovering.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(3);
 
+/// Longest time for which a request waits for the first configuration after a start of the entry.
+const CONFIGURATION_WAIT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Longest time for which a turn waits for the ledger hosts after a start of the entry.
 const LEDGER_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -112,6 +116,8 @@
     pub(crate) dialect: Box<dyn WireDialect>,
     pub(crate) failure_domain: String,
     pub(crate) table: ArcSwapOption<RouteTable>,
+    /// Wakes the requests that wait for the first configuration.
+    configured: Notify,
     pub(crate) pool: ServerPool,
     pub(crate) ledger: LedgerClient,
     pub(crate) chains: ChainCache,
@@ -179,6 +185,7 @@
             dialect,
             failure_domain,
             table: ArcSwapOption::empty(),
+            configured: Notify::new(),
             pool: ServerPool::default(),
             ledger,
             chains: ChainCache::default(),
@@ -225,6 +232,7 @@
         }
         self.metrics.set_configuration_version(table.version());
         self.table.store(Some(Arc::new(table)));
+        self.configured.notify_waiters();
         Ok(current)
     }
 
@@ -408,6 +416,21 @@
         }
     }
 
+    /// Returns the configuration in force. Soon after a start, waits for a short time until there is one.
+    pub(crate) async fn wait_for_configuration(&self) -> Option<Arc<RouteTable>> {
+        // Registered before the check, so that a configuration in between is not missed.
+        let mut configured = std::pin::pin!(self.configured.notified());
+        configured.as_mut().enable();
+        if let Some(table) = self.table.load_full() {
+            return Some(table);
+        }
+        if self.started.elapsed() < RECOVERY_PERIOD {
+            // After the timeout there is no configuration, and the request is refused.
+            drop(timeout(CONFIGURATION_WAIT_TIMEOUT, configured).await);
+        }
+        self.table.load_full()
+    }
+
     /// Waits for the ledger hosts for a short time soon after a start. When the whole system has lost power, they
     /// are back a fraction of a second after the entry, and a refused caller would return only much later. Returns
     /// for how much longer the turn may wait for hosts that are reachable but not complete yet.
