Move the observations of model services to a file of their own

Cause: state.rs had grown by what an entry observes of models; reserve_slot asked, classified and logged in one function. Change: components/gateway/src/models.rs; reserve_slot logs, ask_for_slot asks. No change of behaviour.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -16,8 +16,9 @@
 use tokio::time::timeout_at;
 
 use crate::dialect::{AnswerKind, AttemptContext};
+use crate::models::TurnPrompt;
 use crate::pool::{SendError, ServerAnswer};
-use crate::state::{EntryState, LoadGuard, PickRequest, TurnPrompt, whole_millis};
+use crate::state::{EntryState, LoadGuard, PickRequest, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -34,9 +35,11 @@
 enum SlotAnswer {
     /// The server has reserved a slot.
     Reserved(String),
-    /// The server has no free slot, or does not answer.
+    /// The server has no free slot.
     Full,
-    /// The server was not asked, or does not reserve slots.
+    /// The server does not answer.
+    Silent,
+    /// The server was not asked, cannot be reached or does not reserve slots. An attempt shows what is wrong.
     NotAsked,
 }
 
@@ -77,7 +80,7 @@
     pub(crate) entry: Arc<EntryState>,
     pub(crate) plan: RequestPlan,
     tried: Vec<ServerKey>,
-    /// Servers that had no free slot when they were asked.
+    /// Servers that had no free slot or did not answer when they were asked for one.
     full: Vec<ServerKey>,
     /// Whether servers are still asked for a free slot.
     asks_slots: bool,
@@ -114,6 +117,7 @@
     pub(crate) async fn dispatch(&mut self) -> Result<AcceptedAnswer, CallError> {
         loop {
             let Some((key, server, load)) = self.pick() else {
+                // Every other server has been tried or is full, so that the request waits at one of the full ones.
                 if !self.full.is_empty() {
                     self.full.clear();
                     self.asks_slots = false;
@@ -122,7 +126,7 @@
                 return Err(self.give_up("no further backend server is available for the request"));
             };
             let slot = match self.reserve_slot(key, &server).await {
-                SlotAnswer::Full => {
+                SlotAnswer::Full | SlotAnswer::Silent => {
                     self.full.push(key);
                     continue;
                 }
@@ -180,38 +184,18 @@
         step == NextStep::TryAnother
     }
 
-    /// Asks a model server for a free slot if it may have none. A request that waits in a server's queue cannot be
+    /// Reserves a slot at a model server that may have none. A request that waits in a server's queue cannot be
     /// moved, while others may be idle.
     async fn reserve_slot(&mut self, key: ServerKey, server: &BackendServer) -> SlotAnswer {
         let may_ask = self.plan.prompt.is_some() && self.asks_slots && self.full.len() < MAX_FULL_SERVERS;
         if !may_ask || !self.entry.may_be_full(&self.plan.service, server.capacity) {
             return SlotAnswer::NotAsked;
         }
-        let (path, body) = self.entry.dialect.slot_request();
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(path);
-        let asking = self.entry.pool.send(server.address, request);
-        let limit = self.plan.deadline.min(Instant::now() + SLOT_TIMEOUT);
-        let label = match timeout_at(limit.into(), asking).await {
-            Ok(Ok(answer)) => {
-                let ServerAnswer { response, lease } = answer;
-                let is_reserved = response.status().is_success();
-                let is_full = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-                let body = timeout_at(limit.into(), response.into_body().collect()).await;
-                let Ok(Ok(body)) = body else {
-                    return SlotAnswer::NotAsked;
-                };
-                lease.finish();
-                let slot = self.entry.dialect.parse_slot(&body.to_bytes());
-                match slot.filter(|_| is_reserved) {
-                    Some(slot) => return SlotAnswer::Reserved(slot),
-                    None if is_full => "full",
-                    None => return SlotAnswer::NotAsked,
-                }
-            }
-            Ok(Err(_)) => return SlotAnswer::NotAsked,
-            Err(_) => {
+        let answer = self.ask_for_slot(server).await;
+        let label = match &answer {
+            SlotAnswer::Reserved(_) | SlotAnswer::NotAsked => return answer,
+            SlotAnswer::Full => "full",
+            SlotAnswer::Silent => {
                 self.entry.avoid(key);
                 "silent"
             }
@@ -221,7 +205,33 @@
             info!(self.entry.log, "no slot reserved"; "request" => &self.plan.attempt_id, "server" => &server.name,
                 "outcome" => label, "asked" => self.full.len() + 1);
         }
-        SlotAnswer::Full
+        answer
+    }
+
+    async fn ask_for_slot(&self, server: &BackendServer) -> SlotAnswer {
+        let (path, body) = self.entry.dialect.slot_request();
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(path);
+        let limit = self.plan.deadline.min(Instant::now() + SLOT_TIMEOUT);
+        let sending = self.entry.pool.send(server.address, request);
+        let answer = match timeout_at(limit.into(), sending).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => return SlotAnswer::NotAsked,
+            Err(_) => return SlotAnswer::Silent,
+        };
+        let ServerAnswer { response, lease } = answer;
+        let status = response.status();
+        let Ok(Ok(body)) = timeout_at(limit.into(), response.into_body().collect()).await else {
+            return SlotAnswer::NotAsked;
+        };
+        lease.finish();
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            return SlotAnswer::Full;
+        }
+        let slot = self.entry.dialect.parse_slot(&body.to_bytes());
+        slot.filter(|_| status.is_success())
+            .map_or(SlotAnswer::NotAsked, SlotAnswer::Reserved)
     }
 
     fn pick(&self) -> Option<(ServerKey, Arc<BackendServer>, LoadGuard)> {
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -20,8 +20,9 @@
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan};
+use crate::models::TurnPrompt;
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
-use crate::state::{EntryState, TurnPrompt};
+use crate::state::EntryState;
 
 /// Delay before a chain of turns is asked for again from ledger hosts that have just started.
 const CHAIN_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod front;
 mod log;
 mod metrics;
+mod models;
 mod net;
 mod pool;
 mod relay;
--- /dev/null
+++ b/components/gateway/src/models.rs
@@ -0,0 +1,100 @@
+//! What an entry observes of the model services: the prefixes of prompts and the pace of the servers.
+
+use routing::{
+    PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory, ServerKey,
+    prefix_servers,
+};
+
+/// Prompt of a turn, as the request and the configuration describe it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TurnPrompt {
+    /// Leading part that other programs share.
+    pub(crate) prefix: Option<PromptPrefix>,
+    /// Tokens of the whole prompt.
+    pub(crate) tokens: u64,
+    /// Number of output tokens that the caller expects.
+    pub(crate) stream_tokens: Option<u64>,
+    /// Largest number of tokens in one event of the service's streams.
+    pub(crate) tokens_per_event: u64,
+    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
+    pub(crate) cache_tokens: Option<u64>,
+}
+
+/// What the entry has observed of a model service.
+#[derive(Debug, Default)]
+pub(crate) struct ModelObservation {
+    prefixes: PrefixTracker,
+    paces: PaceTracker,
+}
+
+impl ModelObservation {
+    /// Counts a turn that begins with a prefix.
+    pub(crate) fn record_prefix(&mut self, prefix: PromptPrefix, now_ms: u64) {
+        self.prefixes.record(prefix, now_ms);
+    }
+
+    /// Records the pace of a stream that a backend server has sent.
+    pub(crate) fn record_pace(&mut self, key: ServerKey, sample: PaceSample, now_ms: u64) {
+        self.paces.record(key, sample, now_ms);
+    }
+
+    /// Returns the sorted servers on which the prefix of a turn is placed, or `None` if every server can hold it.
+    pub(crate) fn prefix_servers(
+        &self,
+        directory: &ServerDirectory,
+        service: &str,
+        prompt: TurnPrompt,
+    ) -> Option<Vec<ServerKey>> {
+        let prefix = prompt.prefix?;
+        let servers = directory.ready(service).count();
+        let copies = self.prefixes.copies(prefix, servers, prompt.cache_tokens?)?;
+        Some(prefix_servers(directory, service, prefix, copies))
+    }
+
+    /// Returns the inputs to the choice of a server for a turn.
+    pub(crate) fn prompt_query<'a>(
+        &'a self,
+        prompt: TurnPrompt,
+        prefix_servers: Option<&'a [ServerKey]>,
+        load_permille: u64,
+    ) -> PromptQuery<'a> {
+        let prefix_tokens = prompt.prefix.map_or(0, |prefix| prefix.tokens);
+        PromptQuery {
+            prefix_tokens,
+            session_tokens: prompt.tokens.saturating_sub(prefix_tokens),
+            prefix_servers,
+            stream_tokens: prompt.stream_tokens,
+            tokens_per_event: prompt.tokens_per_event,
+            load_permille,
+            paces: &self.paces,
+        }
+    }
+}
+
+/// Observations of the model services, sorted by the name of the service.
+#[derive(Debug, Default)]
+pub(crate) struct ModelObservations {
+    services: Vec<(String, ModelObservation)>,
+}
+
+impl ModelObservations {
+    /// Returns the observation of a service, which is empty at first.
+    pub(crate) fn of_service(&mut self, service: &str) -> &mut ModelObservation {
+        let found = self
+            .services
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        let index = found.unwrap_or_else(|index| {
+            self.services
+                .insert(index, (service.to_owned(), ModelObservation::default()));
+            index
+        });
+        &mut self.services[index].1
+    }
+
+    /// Removes the paces of servers that are no longer listed.
+    pub(crate) fn remove_unlisted(&mut self, directory: &ServerDirectory) {
+        for (_, model) in &mut self.services {
+            model.paces.remove_unlisted(directory);
+        }
+    }
+}
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -10,9 +10,8 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, EngineLoad, LoadTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix,
-    PromptQuery, RouteTable, ServerDirectory, ServerKey, ServerQuery, choose_backend, may_be_full,
-    prefix_servers,
+    BackendServer, EngineLoad, LoadTracker, PaceSample, RouteTable, ServerDirectory, ServerKey, ServerQuery,
+    choose_backend, may_be_full,
 };
 use slog::Logger;
 use tokio::sync::{Notify, watch};
@@ -22,6 +21,7 @@
 use crate::dialect::WireDialect;
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
+use crate::models::{ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
 
 /// Capacity of each of the two maps of an [`AffinityMap`], in sessions and programs.
@@ -83,33 +83,6 @@
     }
 }
 
-/// What the entry has observed of a model service.
-#[derive(Debug, Default)]
-struct ModelObservation {
-    prefixes: PrefixTracker,
-    paces: PaceTracker,
-}
-
-/// Observations of the model services, sorted by the name of the service.
-#[derive(Debug, Default)]
-struct ModelObservations {
-    services: Vec<(String, ModelObservation)>,
-}
-
-impl ModelObservations {
-    fn of_service(&mut self, service: &str) -> &mut ModelObservation {
-        let found = self
-            .services
-            .binary_search_by(|(name, _)| name.as_str().cmp(service));
-        let index = found.unwrap_or_else(|index| {
-            self.services
-                .insert(index, (service.to_owned(), ModelObservation::default()));
-            index
-        });
-        &mut self.services[index].1
-    }
-}
-
 /// State that the tasks of an entry share.
 #[derive(Debug)]
 pub struct EntryState {
@@ -134,21 +107,6 @@
     started: Instant,
 }
 
-/// Prompt of a turn, as the request and the configuration describe it.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct TurnPrompt {
-    /// Leading part that other programs share.
-    pub(crate) prefix: Option<PromptPrefix>,
-    /// Tokens of the whole prompt.
-    pub(crate) tokens: u64,
-    /// Number of output tokens that the caller expects.
-    pub(crate) stream_tokens: Option<u64>,
-    /// Largest number of tokens in one event of the service's streams.
-    pub(crate) tokens_per_event: u64,
-    /// Tokens that a server of the service can hold in its cache, if the configuration states them.
-    pub(crate) cache_tokens: Option<u64>,
-}
-
 /// Criteria for the choice of a backend server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PickRequest<'a> {
@@ -274,21 +232,18 @@
         directory.expire(self.now_ms());
         let mut models = lock(&self.models);
         let model = models.of_service(request.service);
+        if let Some(prefix) = request.prompt.and_then(|prompt| prompt.prefix)
+            && request.tried.is_empty()
+        {
+            model.record_prefix(prefix, self.now_ms());
+        }
         let placed = request
             .prompt
-            .and_then(|prompt| self.place_prefix(&directory, model, &request, prompt));
-        let prompt = request.prompt.map(|prompt| {
-            let prefix_tokens = prompt.prefix.map_or(0, |prefix| prefix.tokens);
-            PromptQuery {
-                prefix_tokens,
-                session_tokens: prompt.tokens.saturating_sub(prefix_tokens),
-                prefix_servers: placed.as_deref(),
-                stream_tokens: prompt.stream_tokens,
-                tokens_per_event: prompt.tokens_per_event,
-                load_permille: self.load_permille(&directory, request.service),
-                paces: &model.paces,
-            }
-        });
+            .and_then(|prompt| model.prefix_servers(&directory, request.service, prompt));
+        let load_permille = self.load_permille(&directory, request.service);
+        let prompt = request
+            .prompt
+            .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
             service: request.service,
@@ -308,24 +263,6 @@
         Some((pick.key, Arc::clone(pick.server), guard))
     }
 
-    /// Counts the prefix of a turn and returns the servers on which it is placed, or `None` if every server can
-    /// hold it.
-    fn place_prefix(
-        &self,
-        directory: &ServerDirectory,
-        model: &mut ModelObservation,
-        request: &PickRequest<'_>,
-        prompt: TurnPrompt,
-    ) -> Option<Vec<ServerKey>> {
-        let prefix = prompt.prefix?;
-        if request.tried.is_empty() {
-            model.prefixes.record(prefix, self.now_ms());
-        }
-        let servers = directory.ready(request.service).count();
-        let copies = model.prefixes.copies(prefix, servers, prompt.cache_tokens?)?;
-        Some(prefix_servers(directory, request.service, prefix, copies))
-    }
-
     /// Returns whether a server with this capacity may have no free slot at the present load of its service.
     pub(crate) fn may_be_full(&self, service: &str, capacity: u32) -> bool {
         let load_permille = self.load_permille(&lock(&self.directory), service);
@@ -349,8 +286,7 @@
         let now_ms = self.now_ms();
         lock(&self.models)
             .of_service(service)
-            .paces
-            .record(key, sample, now_ms);
+            .record_pace(key, sample, now_ms);
     }
 
     /// Records the open turns of all entries that the ledger hosts have reported.
@@ -395,9 +331,7 @@
         let mut directory = lock(&self.directory);
         change(&mut directory);
         lock(&self.loads).remove_unlisted(&directory);
-        for (_, model) in &mut lock(&self.models).services {
-            model.paces.remove_unlisted(&directory);
-        }
+        lock(&self.models).remove_unlisted(&directory);
         self.metrics
             .backend_servers
             .set(i64::try_from(directory.len()).unwrap_or(i64::MAX));
