Keep absurd sizes from overflowing the choice of a server

Cause (found on reading the change): Length-Hint, Token-Usage, Prompt-Prefix and registered capacities are numbers of other processes; their products overflowed, which stops a debug build and gives nonsense in a release build. Change: saturating arithmetic, and limits on the stated size of prefixes and caches; one constant for the growth of a step. Measured: the table of absurd sizes panicked before (multiply with overflow) and passes now. Usual sizes give the same choice.

--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -11,6 +11,8 @@
 //! slows them, and a short queue costs little, because a slot becomes free soon. The load is therefore judged by
 //! the predicted duration of a turn and not only by the share of occupied slots.
 
+use crate::pace::STEP_GROWTH_PERMILLE;
+
 /// Percentage of occupied slots below which no program is rejected.
 const SHED_START_PERCENT: u64 = 50;
 /// Percentage of occupied slots below which some programs are admitted.
@@ -21,8 +23,6 @@
 /// Predicted duration of a turn, in thousandths of its duration on an idle engine, below which some programs are
 /// admitted.
 const SHED_ALL_PERMILLE: u64 = 1_670;
-/// Thousandths by which one more running request makes a step of an engine longer.
-const STEP_GROWTH_PERMILLE: u64 = 35;
 
 /// Load of all engines that serve the programs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
-use crate::pace::PaceTracker;
+use crate::pace::{PaceTracker, STEP_GROWTH_PERMILLE};
 
 /// Requests by which a server may exceed the least loaded one before a session of unknown size moves to another
 /// server.
@@ -25,8 +25,6 @@
 const AVOID_MS: u64 = 1_000;
 /// Cost in microseconds of one more request on a server whose requests have no measured duration.
 const PLAIN_REQUEST_US: u64 = 1_000;
-/// Thousandths by which one more running request makes the streams of a server longer.
-const STEP_GROWTH_PERMILLE: u64 = 35;
 /// Number of prompt tokens that an engine reads in the time in which it generates one token.
 const PROMPT_TOKENS_PER_STEP: u64 = 160;
 /// Divisor of the duration of a stream that gives the largest difference in cost between servers that count as
@@ -108,8 +106,12 @@
             .prefix_servers
             .is_none_or(|servers| servers.binary_search(&key).is_ok());
         let prefix_tokens = if has_prefix { 0 } else { self.prefix_tokens };
-        let tokens = self.session_tokens + prefix_tokens;
-        tokens * self.paces.mean_event_us() / (self.tokens_per_event.max(1) * PROMPT_TOKENS_PER_STEP)
+        let tokens = self.session_tokens.saturating_add(prefix_tokens);
+        let per_event = self
+            .tokens_per_event
+            .max(1)
+            .saturating_mul(PROMPT_TOKENS_PER_STEP);
+        tokens.saturating_mul(self.paces.mean_event_us()) / per_event
     }
 
     /// Returns the time in microseconds by which one more request on a server delays the others: the steps grow
@@ -117,8 +119,9 @@
     /// one.
     const fn request_us(&self, capacity: u32) -> u64 {
         let slots = if capacity == 0 { 1 } else { capacity as u64 };
-        let wait_permille = self.load_permille * self.load_permille / 1_000 / slots;
-        self.paces.mean_stream_us() * (STEP_GROWTH_PERMILLE + wait_permille) / 1_000
+        let wait_permille = self.load_permille.saturating_mul(self.load_permille) / 1_000 / slots;
+        let delay_permille = STEP_GROWTH_PERMILLE.saturating_add(wait_permille);
+        self.paces.mean_stream_us().saturating_mul(delay_permille) / 1_000
     }
 }
 
@@ -168,7 +171,9 @@
         let stream_us = prompt.paces.stream_us(key, events, self.now_ms);
         let read_us = if is_preferred { 0 } else { prompt.read_us(key) };
         let equal_us = (prompt.paces.mean_stream_us() / EQUAL_COST_DIVISOR).min(request_us);
-        (stream_us + u64::from(requests) * request_us + read_us, equal_us)
+        let queue_us = u64::from(requests).saturating_mul(request_us);
+        let cost_us = stream_us.saturating_add(queue_us).saturating_add(read_us);
+        (cost_us, equal_us)
     }
 }
 
@@ -206,7 +211,7 @@
         } else {
             ((random_state >> 32) * equal_us) >> 32
         };
-        let cost = (is_avoided, cost_us + random_us);
+        let cost = (is_avoided, cost_us.saturating_add(random_us));
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, ServerPick { key, server }));
         }
@@ -222,7 +227,7 @@
 /// have a free slot while its capacity is at least three standard deviations above the mean.
 pub fn may_be_full(load_permille: u64, capacity: u32) -> bool {
     let slots = u64::from(capacity) * 1_000;
-    let mean = u64::from(capacity) * load_permille;
+    let mean = u64::from(capacity).saturating_mul(load_permille);
     let free = slots.saturating_sub(mean);
-    free * free <= 9 * 1_000 * mean
+    free.saturating_mul(free) <= mean.saturating_mul(9 * 1_000)
 }
--- a/components/routing/src/pace.rs
+++ b/components/routing/src/pace.rs
@@ -7,6 +7,8 @@
 
 use crate::directory::{ServerDirectory, ServerKey};
 
+/// Thousandths by which one more running request makes the steps of an engine longer.
+pub(crate) const STEP_GROWTH_PERMILLE: u64 = 35;
 /// Number of samples of a server beyond which older ones lose weight.
 const MAX_SAMPLES: u64 = 6;
 /// Number of samples whose weight the mean of the service has in the estimate for one server.
@@ -101,8 +103,10 @@
             }
             Err(_) => self.mean_event_us,
         };
-        let events_scaled = events.map_or(self.mean_events_scaled, |events| events * EVENT_SCALE);
-        event_us * events_scaled / EVENT_SCALE
+        let events_scaled = events.map_or(self.mean_events_scaled, |events| {
+            events.saturating_mul(EVENT_SCALE)
+        });
+        event_us.saturating_mul(events_scaled) / EVENT_SCALE
     }
 
     /// Returns the expected time of a whole stream of any server in microseconds.
--- a/components/routing/src/prefix.rs
+++ b/components/routing/src/prefix.rs
@@ -22,6 +22,10 @@
 /// Weight that every prefix has beside its requests. It keeps the number of servers of a prefix steady while
 /// an entry has seen only a few requests.
 const BASE_WEIGHT: u64 = 4 * REQUEST_WEIGHT;
+/// Limit on the stated size of a prefix, in tokens; it keeps the sums below from overflowing.
+const MAX_PREFIX_TOKENS: u64 = 1 << 24;
+/// Limit on the stated size of a cache, in tokens.
+const MAX_CACHE_TOKENS: u64 = 1 << 32;
 /// Limit on the number of prefixes of one service; the one with the fewest requests is dropped.
 const MAX_PREFIXES: usize = 256;
 
@@ -53,6 +57,10 @@
     /// Counts a request that begins with a prefix.
     pub fn record(&mut self, prefix: PromptPrefix, now_ms: u64) {
         self.halve_weights(now_ms);
+        let prefix = PromptPrefix {
+            tokens: prefix.tokens.min(MAX_PREFIX_TOKENS),
+            ..prefix
+        };
         match self
             .loads
             .binary_search_by_key(&prefix.key, |load| load.prefix.key)
@@ -76,7 +84,7 @@
     /// Returns the number of servers on which a prefix is placed, or `None` if the prefixes of all programs
     /// fit into the cache of each server, so that every server can serve every prefix.
     pub fn copies(&self, prefix: PromptPrefix, servers: usize, cache_tokens: u64) -> Option<usize> {
-        let budget = cache_tokens * PREFIX_CACHE_PERCENT / 100;
+        let budget = cache_tokens.min(MAX_CACHE_TOKENS) * PREFIX_CACHE_PERCENT / 100;
         let total: u64 = self.loads.iter().map(|load| load.prefix.tokens).sum();
         if total <= budget {
             return None;
@@ -92,7 +100,9 @@
             .map(|load| share(load) * load.prefix.tokens)
             .sum();
         let room = budget * servers as u64;
-        let copies = (room * share(&self.loads[index])).div_ceil(demand.max(1));
+        let copies = room
+            .saturating_mul(share(&self.loads[index]))
+            .div_ceil(demand.max(1));
         Some(
             usize::try_from(copies)
                 .unwrap_or(usize::MAX)
--- a/components/routing/tests/pace.rs
+++ b/components/routing/tests/pace.rs
@@ -4,8 +4,8 @@
 
 use googletest::prelude::*;
 use routing::{
-    LoadTracker, PaceSample, PaceTracker, PromptQuery, ServerDirectory, ServerKey, ServerQuery,
-    choose_backend, may_be_full,
+    LoadTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory,
+    ServerKey, ServerQuery, choose_backend, may_be_full,
 };
 use support::{SERVICE, fleet};
 
@@ -244,3 +244,81 @@
         expect_that!(pick.key != slow, eq(case.moves), "{} tokens", case.stream_tokens);
     }
 }
+
+/// Sizes that a caller or a registration states.
+struct ExtremeCase {
+    name: &'static str,
+    prefix_tokens: u64,
+    session_tokens: u64,
+    stream_tokens: u64,
+    capacity: u32,
+}
+
+#[gtest]
+fn absurd_sizes_do_not_stop_the_choice() {
+    let usual = || ExtremeCase {
+        name: "usual",
+        prefix_tokens: 12_600,
+        session_tokens: 1_680,
+        stream_tokens: 270,
+        capacity: 6,
+    };
+    let cases = [
+        usual(),
+        ExtremeCase {
+            name: "prefix",
+            prefix_tokens: u64::MAX,
+            ..usual()
+        },
+        ExtremeCase {
+            name: "session",
+            session_tokens: u64::MAX,
+            ..usual()
+        },
+        ExtremeCase {
+            name: "stream",
+            stream_tokens: u64::MAX,
+            ..usual()
+        },
+        ExtremeCase {
+            name: "capacity",
+            capacity: u32::MAX,
+            ..usual()
+        },
+    ];
+    let paces = PaceTracker::default();
+    for case in cases {
+        let mut directory = fleet(SERVERS);
+        let registered: Vec<_> = directory.all().map(|(_, server)| (**server).clone()).collect();
+        for mut server in registered {
+            server.capacity = case.capacity;
+            directory.upsert(server);
+        }
+        let mut tracker = PrefixTracker::default();
+        for key in 0..300 {
+            let tokens = case.prefix_tokens;
+            tracker.record(PromptPrefix { key, tokens }, 0);
+        }
+        let prefix = PromptPrefix {
+            key: 299,
+            tokens: case.prefix_tokens,
+        };
+        for cache_tokens in [1, 172_512, u64::MAX] {
+            let copies = tracker.copies(prefix, SERVERS, cache_tokens);
+            expect_that!(copies.unwrap_or(2), all![ge(2), le(SERVERS)], "{}", case.name);
+        }
+        let mut query = query(&paces, None, 5, 1_000);
+        if let Some(prompt) = &mut query.prompt {
+            prompt.prefix_tokens = case.prefix_tokens;
+            prompt.session_tokens = case.session_tokens;
+            prompt.stream_tokens = Some(case.stream_tokens);
+            prompt.prefix_servers = Some(&[]);
+        }
+        let pick = choose_backend(&directory, &LoadTracker::default(), &query);
+        expect_that!(pick.is_some(), eq(true), "{}", case.name);
+        for load_permille in [0, 1_000, u64::MAX] {
+            // Whatever the answer is, it must not stop the entry.
+            let _ = may_be_full(load_permille, case.capacity);
+        }
+    }
+}
