--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
@@ -213,6 +214,11 @@
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(path);
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = HeaderValue::from_str(&server.address.to_string()) {
+            headers.insert(HOST, host);
+        }
         let limit = self.plan.deadline.min(Instant::now() + SLOT_TIMEOUT);
         let sending = self.entry.pool.send(server.address, request);
         let answer = match timeout_at(limit.into(), sending).await {
