--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::dialect::{AnswerKind, AttemptContext};
 use crate::models::TurnPrompt;
 use crate::pool::{SendError, ServerAnswer};
-use crate::state::{EntryState, LoadGuard, PickRequest, whole_millis};
+use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -70,11 +70,20 @@
 pub(crate) struct AcceptedAnswer {
     pub(crate) head: response::Parts,
     pub(crate) server: ServerKey,
-    pub(crate) server_name: String,
+    pub(crate) attempt: SentAttempt,
     pub(crate) answer: ServerAnswer,
     pub(crate) load: LoadGuard,
 }
 
+/// The attempt that a server answered, as the log shows it.
+#[derive(Debug, Clone)]
+pub(crate) struct SentAttempt {
+    pub(crate) server_name: String,
+    pub(crate) view: DirectoryView,
+    /// When the attempt was handed to a connection.
+    pub(crate) sent_at: Instant,
+}
+
 /// Sends one request to backend servers until one answers or no further attempt is allowed.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
@@ -117,7 +126,7 @@
     /// outcome is unknown.
     pub(crate) async fn dispatch(&mut self) -> Result<AcceptedAnswer, CallError> {
         loop {
-            let Some((key, server, load)) = self.pick() else {
+            let Some(picked) = self.pick() else {
                 // Every other server has been tried or is full, so that the request waits at one of the full ones.
                 if !self.full.is_empty() {
                     self.full.clear();
@@ -126,6 +135,7 @@
                 }
                 return Err(self.give_up("no further backend server is available for the request"));
             };
+            let (key, server) = (picked.key, Arc::clone(&picked.server));
             let slot = match self.reserve_slot(key, &server).await {
                 SlotAnswer::Full | SlotAnswer::Silent => {
                     self.full.push(key);
@@ -135,11 +145,12 @@
                 SlotAnswer::NotAsked => None,
             };
             self.tried.push(key);
-            let outcome = match self.attempt(key, &server, load, slot.as_deref()).await {
+            let view = picked.view;
+            let outcome = match self.attempt(picked, slot.as_deref()).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(outcome) => outcome,
             };
-            self.record_failure(key, &server, outcome);
+            self.record_failure(key, &server, view, outcome);
             match next_step(self.plan.run_policy, outcome, self.was_lost, self.limits()) {
                 NextStep::TryAnother => {}
                 NextStep::RefuseNotRun => return Err(self.give_up("backend servers refused the request")),
@@ -240,7 +251,7 @@
             .map_or(SlotAnswer::NotAsked, SlotAnswer::Reserved)
     }
 
-    fn pick(&self) -> Option<(ServerKey, Arc<BackendServer>, LoadGuard)> {
+    fn pick(&self) -> Option<PickedServer> {
         let excluded: Vec<ServerKey> = self.tried.iter().chain(&self.full).copied().collect();
         self.entry.pick(PickRequest {
             service: &self.plan.service,
@@ -272,7 +283,13 @@
         }
     }
 
-    fn record_failure(&mut self, key: ServerKey, server: &BackendServer, outcome: AttemptOutcome) {
+    fn record_failure(
+        &mut self,
+        key: ServerKey,
+        server: &BackendServer,
+        view: DirectoryView,
+        outcome: AttemptOutcome,
+    ) {
         let label = match outcome {
             AttemptOutcome::NotSent => "not-sent",
             AttemptOutcome::Refused => "refused",
@@ -291,19 +308,25 @@
         self.entry.metrics.attempts.with_label_values(&[label]).inc();
         if self.entry.line_limiter.try_acquire() {
             info!(self.entry.log, "attempt failed"; "request" => &self.plan.attempt_id, "server" => &server.name,
-                "address" => %server.address, "outcome" => label, "sent" => self.sent);
+                "address" => %server.address, "outcome" => label, "sent" => self.sent,
+                "directory" => view.revision, "registered" => view.is_registered);
         }
     }
 
     async fn attempt(
         &mut self,
-        key: ServerKey,
-        server: &BackendServer,
-        load: LoadGuard,
+        picked: PickedServer,
         slot: Option<&str>,
     ) -> Result<AcceptedAnswer, AttemptOutcome> {
+        let PickedServer {
+            key,
+            server,
+            load,
+            view,
+        } = picked;
+        let sent_at = Instant::now();
         let left = self.plan.deadline.saturating_duration_since(Instant::now());
-        let request = self.request(server, left, slot);
+        let request = self.request(&server, left, slot);
         let sending = self.entry.pool.send(server.address, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
@@ -339,7 +362,11 @@
         Ok(AcceptedAnswer {
             head,
             server: key,
-            server_name: server.name.clone(),
+            attempt: SentAttempt {
+                server_name: server.name.clone(),
+                view,
+                sent_at,
+            },
             answer,
             load,
         })
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -19,10 +19,10 @@
 use crate::answer::{AnswerBody, error_answer, full_body};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
-use crate::dispatch::{Dispatcher, RequestPlan};
+use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt};
 use crate::models::TurnPrompt;
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
-use crate::state::EntryState;
+use crate::state::{EntryState, whole_millis};
 
 /// Delay before a chain of turns is asked for again from ledger hosts that have just started.
 const CHAIN_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -143,13 +143,13 @@
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), self.plan(head, input)?);
         loop {
             let accepted = dispatcher.dispatch().await?;
-            let server = accepted.server_name.clone();
+            let attempt = accepted.attempt.clone();
             let (answer, body) = match dispatcher.collect(accepted).await {
                 Ok(collected) => collected,
                 Err(_) if dispatcher.may_repeat() => continue,
                 Err(error) => return Err(error),
             };
-            self.log_answer(&dispatcher, answer.status.as_u16(), &server, arrived);
+            self.log_answer(&dispatcher, answer.status.as_u16(), &attempt, arrived);
             return Ok(buffered_answer(answer, body));
         }
     }
@@ -169,9 +169,9 @@
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
         let mut accepted = dispatcher.dispatch().await?;
         if !accepted.head.status.is_success() {
-            let server = accepted.server_name.clone();
+            let attempt = accepted.attempt.clone();
             let (answer, body) = dispatcher.collect(accepted).await?;
-            self.log_answer(&dispatcher, answer.status.as_u16(), &server, arrived);
+            self.log_answer(&dispatcher, answer.status.as_u16(), &attempt, arrived);
             return Ok(buffered_answer(answer, body));
         }
         let pending_turn = self.route.keeps_turns.then(|| self.pending_turn(input));
@@ -346,15 +346,17 @@
         tokens.max().unwrap_or(1).max(1)
     }
 
-    fn log_answer(&self, dispatcher: &Dispatcher, status: u16, server: &str, arrived: Instant) {
+    fn log_answer(&self, dispatcher: &Dispatcher, status: u16, attempt: &SentAttempt, arrived: Instant) {
         self.entry.metrics.requests.with_label_values(&["answered"]).inc();
         if !self.entry.line_limiter.try_acquire() {
             self.entry.metrics.log_lines_dropped.inc();
             return;
         }
         info!(self.entry.log, "request answered"; "request" => &self.facts.attempt_id, "route" => &self.route.name,
-            "configuration" => self.table.version(), "server" => server, "status" => status,
-            "ms" => arrived.elapsed().as_millis(), "sent" => dispatcher.sent());
+            "configuration" => self.table.version(), "server" => &attempt.server_name, "status" => status,
+            "ms" => arrived.elapsed().as_millis(), "sent" => dispatcher.sent(),
+            "sent_ms" => whole_millis(attempt.sent_at - arrived), "directory" => attempt.view.revision,
+            "registered" => attempt.view.is_registered);
     }
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout_at;
 
 use crate::answer::{AnswerBody, EventStream, StreamBroken};
-use crate::dispatch::{AcceptedAnswer, Dispatcher};
+use crate::dispatch::{AcceptedAnswer, Dispatcher, SentAttempt};
 use crate::pool::ConnectionLease;
 use crate::state::{LoadGuard, whole_millis};
 
@@ -135,8 +135,8 @@
 pub(crate) struct StreamRelay {
     dispatcher: Dispatcher,
     source: Option<StreamSource>,
-    /// Name of the backend server of the current or last source.
-    server_name: String,
+    /// Attempt that the backend server of the current or last source answered.
+    attempt: SentAttempt,
     assembler: EventAssembler,
     reservation: Option<TurnReservation>,
     pending_turn: Option<PendingTurn>,
@@ -163,7 +163,7 @@
         let last_event = dispatcher.plan.last_event;
         Self {
             dispatcher,
-            server_name: accepted.server_name.clone(),
+            attempt: accepted.attempt.clone(),
             source: Some(StreamSource::new(accepted)),
             assembler: EventAssembler::default(),
             reservation,
@@ -291,7 +291,7 @@
         if !accepted.head.status.is_success() {
             return Err(StreamBroken("a backend server refused to resume the stream"));
         }
-        self.server_name.clone_from(&accepted.server_name);
+        self.attempt.clone_from(&accepted.attempt);
         self.pace = PaceMeter::default();
         self.source = Some(StreamSource::new(accepted));
         Ok(())
@@ -313,8 +313,10 @@
             return;
         }
         info!(entry.log, "stream ended"; "request" => &self.dispatcher.plan.attempt_id,
-            "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.server_name, "events" => self.events,
-            "ms" => self.arrived.elapsed().as_millis(), "first_ms" => self.first_event.map(whole_millis), "sent" => self.dispatcher.sent());
+            "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.attempt.server_name, "events" => self.events,
+            "ms" => self.arrived.elapsed().as_millis(), "first_ms" => self.first_event.map(whole_millis), "sent" => self.dispatcher.sent(),
+            "sent_ms" => whole_millis(self.attempt.sent_at - self.arrived),
+            "directory" => self.attempt.view.revision, "registered" => self.attempt.view.is_registered);
     }
 }
 
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -13,7 +13,7 @@
     BackendServer, EngineLoad, LoadTracker, PaceSample, RouteTable, ServerDirectory, ServerKey, ServerQuery,
     choose_backend, may_be_full,
 };
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
@@ -118,6 +118,25 @@
     pub(crate) tried: &'a [ServerKey],
 }
 
+/// The server that was chosen for a request, and what the directory showed then.
+#[derive(Debug)]
+pub(crate) struct PickedServer {
+    pub(crate) key: ServerKey,
+    pub(crate) server: Arc<BackendServer>,
+    pub(crate) load: LoadGuard,
+    pub(crate) view: DirectoryView,
+}
+
+/// State of the directory when a server was chosen. The log shows it, so that a request at a server that had left
+/// can be traced to what the entry knew.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DirectoryView {
+    /// Revision of the discovery service up to which the directory was complete.
+    pub(crate) revision: u64,
+    /// Whether the server had a registration.
+    pub(crate) is_registered: bool,
+}
+
 /// Counts a request as load of a server until the guard is dropped.
 #[derive(Debug)]
 pub(crate) struct LoadGuard {
@@ -215,10 +234,7 @@
     }
 
     /// Chooses a backend server and counts the request as its load.
-    pub(crate) fn pick(
-        self: &Arc<Self>,
-        request: PickRequest<'_>,
-    ) -> Option<(ServerKey, Arc<BackendServer>, LoadGuard)> {
+    pub(crate) fn pick(self: &Arc<Self>, request: PickRequest<'_>) -> Option<PickedServer> {
         let preferred = {
             let affinity = lock(&self.affinity);
             let of_session = request.affinity.and_then(|session| affinity.get(session));
@@ -229,7 +245,10 @@
             })
         };
         let mut directory = lock(&self.directory);
-        directory.expire(self.now_ms());
+        for server in directory.expire(self.now_ms()) {
+            info!(self.log, "backend server without a registration dropped"; "server" => &server.name,
+                "address" => %server.address, "directory" => directory.revision());
+        }
         let mut models = lock(&self.models);
         let model = models.of_service(request.service);
         if let Some(prefix) = request.prompt.and_then(|prompt| prompt.prefix)
@@ -260,7 +279,15 @@
             entry: Arc::clone(self),
             key: pick.key,
         };
-        Some((pick.key, Arc::clone(pick.server), guard))
+        Some(PickedServer {
+            key: pick.key,
+            server: Arc::clone(pick.server),
+            load: guard,
+            view: DirectoryView {
+                revision: directory.revision(),
+                is_registered: directory.is_registered(&pick.server.name),
+            },
+        })
     }
 
     /// Returns whether a server with this capacity may have no free slot at the present load of its service.
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -62,9 +62,27 @@
 pub struct ServerDirectory {
     servers: Vec<ListedServer>,
     next_key: u32,
+    revision: u64,
 }
 
 impl ServerDirectory {
+    /// Returns the revision of the discovery service up to which the directory is complete; 0 before the first
+    /// registrations.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Sets the revision of the discovery service up to which the directory is complete.
+    pub const fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Returns whether a server has a registration; `false` also for one that stays in use without it.
+    pub fn is_registered(&self, name: &str) -> bool {
+        self.position_of(name)
+            .is_ok_and(|index| self.servers[index].expires_at_ms.is_none())
+    }
+
     /// Replaces all listed servers. Incarnations that are listed again keep their keys. The missing ones are
     /// removed at `missing_at_ms` as by [`Self::remove_at`], or at once if it is `None`. Returns the servers whose
     /// registration is new or changed.
@@ -116,10 +134,12 @@
         missing_ready >= MASS_EXPIRY_MIN_SERVERS && missing_ready * MASS_EXPIRY_SHARE_DIVISOR > total
     }
 
-    /// Removes the servers whose scheduled removal time has been reached.
-    pub fn expire(&mut self, now_ms: u64) {
-        self.servers
-            .retain(|listed| listed.expires_at_ms.is_none_or(|at_ms| at_ms > now_ms));
+    /// Removes the servers whose scheduled removal time has been reached, and returns them.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Arc<BackendServer>> {
+        let expired = self.servers.extract_if(.., |listed| {
+            listed.expires_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
+        });
+        expired.map(|listed| listed.server).collect()
     }
 
     /// Adds an incarnation or updates the one that is listed under its name. Returns the server if its
