Keep servers without a registration only after a proven outage, counted from its last proof

What callers saw: requests sent to a server that had left, up to 2.28 s (bound 2 s) after the store had accepted its leaving; the server may be gone by then. Cause: an entry took every failed call for an outage of the object store that expires registrations, also a single watch that the store had cut off, and kept missing servers for 2.2 s from the first answer that it got itself. Both the outage and its end were inferred from the entry's own connection. Change: one failed call is no outage; a second one, on a new connection, is. The time in which servers register again runs from the sending of the last call that failed, so that a late notice cannot lengthen it, and ends before the platform's stable window does. The decision is pure (routing::expiry), with its cases.

--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod balance;
 mod directory;
+mod expiry;
 mod outcome;
 mod pace;
 mod prefix;
@@ -14,6 +15,7 @@
 pub use admission::{EngineLoad, admits_program};
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
+pub use expiry::{ExpiryEvidence, expiry_grace_ms};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
 pub use pace::{PaceSample, PaceTracker};
 pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
