--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -5,6 +5,7 @@
 //! includes every reservation that `t + 1` hosts hold.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -112,6 +113,8 @@
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     connected: Arc<Notify>,
     tolerated_failures: usize,
+    /// Number of polls for snapshots; it selects the host of the next one.
+    polls: AtomicUsize,
     log: Logger,
 }
 
@@ -141,6 +144,7 @@
                 relays: Arc::default(),
                 connected: Arc::default(),
                 tolerated_failures,
+                polls: AtomicUsize::new(0),
                 log,
             }),
         }
@@ -195,11 +199,14 @@
         }
     }
 
-    /// Fetches snapshots that are newer than the known revisions from one of the connected hosts. If none is
+    /// Fetches snapshots that are newer than the known revisions from one of the connected hosts, in turn from the
+    /// first ones by name, one more than may be lost at the same time. These are the first to know. If none is
     /// connected, returns the first snapshots that any of the seeds sends.
     pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
-        let connected: Vec<Arc<HostLink>> =
+        let mut connected: Vec<Arc<HostLink>> =
             self.links().iter().filter(|link| link.is_up()).cloned().collect();
+        connected.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
+        connected.truncate(self.shared.tolerated_failures + 1);
         if connected.is_empty() {
             // Some of the seeds may be down, and a host without power does not even refuse a connection.
             let mut responses: FuturesUnordered<_> = seeds
@@ -213,7 +220,7 @@
             }
             return Vec::new();
         }
-        let choice = rand::random::<u32>() as usize;
+        let choice = self.shared.polls.fetch_add(1, Ordering::Relaxed);
         let response = connected[choice % connected.len()].fetch_snapshots(known).await;
         response.unwrap_or_default()
     }
