Send no more requests to a server whose answer says that it leaves

What callers saw: requests sent to a server that had said in its answers that it leaves, since only the registrations in the object store counted, which may be late or old. Change: an answer or a refusal with it, also one to an order for a slot, makes this start of the server leave in this entry at once, for good: also if the object store lists it as ready, or removes it and lists it again. A new start of the server under its name is used. The last 1,024 departures are remembered. One log line each.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -112,6 +112,9 @@
     /// Returns the id of the reserved slot from the body of a successful answer.
     fn parse_slot(&self, body: &[u8]) -> Option<String>;
 
+    /// Returns whether a backend server says in an answer that it leaves.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Classifies a backend server's answer to the attempt.
     fn classify(&self, status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AnswerKind;
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -38,6 +38,8 @@
     Reserved(String),
     /// The server has no free slot.
     Full,
+    /// The server says that it leaves.
+    Leaving,
     /// The server does not answer.
     Silent,
     /// The server was not asked, cannot be reached or does not reserve slots. An attempt shows what is wrong.
@@ -137,7 +139,7 @@
             };
             let (key, server) = (picked.key, Arc::clone(&picked.server));
             let slot = match self.reserve_slot(key, &server).await {
-                SlotAnswer::Full | SlotAnswer::Silent => {
+                SlotAnswer::Full | SlotAnswer::Leaving | SlotAnswer::Silent => {
                     self.full.push(key);
                     continue;
                 }
@@ -207,6 +209,10 @@
         let label = match &answer {
             SlotAnswer::Reserved(_) | SlotAnswer::NotAsked => return answer,
             SlotAnswer::Full => "full",
+            SlotAnswer::Leaving => {
+                self.entry.record_departure(key, &self.plan.attempt_id);
+                "leaving"
+            }
             SlotAnswer::Silent => {
                 self.entry.avoid(key);
                 "silent"
@@ -239,6 +245,9 @@
         };
         let ServerAnswer { response, lease } = answer;
         let status = response.status();
+        if self.entry.dialect.is_leaving(response.headers()) {
+            return SlotAnswer::Leaving;
+        }
         let Ok(Ok(body)) = timeout_at(limit.into(), response.into_body().collect()).await else {
             return SlotAnswer::NotAsked;
         };
@@ -335,11 +344,15 @@
         };
         let status = answer.response.status();
         let headers = answer.response.headers();
-        match self
+        let kind = self
             .entry
             .dialect
-            .classify(status, headers, &self.plan.attempt_id)
-        {
+            .classify(status, headers, &self.plan.attempt_id);
+        let is_from_server = matches!(kind, AnswerKind::Answered | AnswerKind::Refused);
+        if is_from_server && self.entry.dialect.is_leaving(headers) {
+            self.entry.record_departure(key, &self.plan.attempt_id);
+        }
+        match kind {
             AnswerKind::Answered => {}
             // The connection may deliver the answer to an earlier request instead of the expected one.
             AnswerKind::Foreign => return Err(AttemptOutcome::Lost),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -347,6 +347,16 @@
         }
     }
 
+    /// Records that a backend server has said in its answer to a request that it leaves. The answer is known before
+    /// the discovery service lists the server as leaving, or instead.
+    pub(crate) fn record_departure(&self, key: ServerKey, request: &str) {
+        let mut directory = lock(&self.directory);
+        if let Some(server) = directory.record_departure(key) {
+            info!(self.log, "backend server says that it leaves"; "server" => &server.name,
+                "address" => %server.address, "directory" => directory.revision(), "request" => request);
+        }
+    }
+
     /// Records a refusal or a failure of a backend server, so that other servers are preferred for a while.
     pub(crate) fn avoid(&self, key: ServerKey) {
         lock(&self.loads).avoid(key, self.now_ms());
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::departure::DepartureList;
+
 /// Smallest number of servers missing at the same time for which a mass expiry of registrations is suspected.
 const MASS_EXPIRY_MIN_SERVERS: usize = 3;
 /// Divisor of the number of servers that gives the number of missing ones above which a mass expiry is
@@ -61,6 +63,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerDirectory {
     servers: Vec<ListedServer>,
+    departures: DepartureList,
     next_key: u32,
     revision: u64,
 }
@@ -142,9 +145,24 @@
         expired.map(|listed| listed.server).collect()
     }
 
+    /// Records that an incarnation leaves, as it has said itself. It takes no new work from then on, also when it is
+    /// listed again. Returns the server if it was listed as ready.
+    pub fn record_departure(&mut self, key: ServerKey) -> Option<Arc<BackendServer>> {
+        let listed = self.servers.iter_mut().find(|listed| listed.key == key)?;
+        self.departures.record(&listed.server);
+        if listed.server.state == ServerState::Leaving {
+            return None;
+        }
+        Arc::make_mut(&mut listed.server).state = ServerState::Leaving;
+        Some(Arc::clone(&listed.server))
+    }
+
     /// Adds an incarnation or updates the one that is listed under its name. Returns the server if its
     /// registration is new or changed.
-    pub fn upsert(&mut self, server: BackendServer) -> Option<Arc<BackendServer>> {
+    pub fn upsert(&mut self, mut server: BackendServer) -> Option<Arc<BackendServer>> {
+        if self.departures.contains(&server) {
+            server.state = ServerState::Leaving;
+        }
         match self.position_of(&server.name) {
             Ok(index) => {
                 let listed = &mut self.servers[index];
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod balance;
+mod departure;
 mod directory;
 mod expiry;
 mod outcome;
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -309,3 +309,69 @@
         );
     }
 }
+
+/// A registration that follows after a server has said that it leaves.
+struct DepartureCase {
+    name: &'static str,
+    is_removed_before: bool,
+    server: BackendServer,
+    is_ready: bool,
+}
+
+/// Load pattern: servers are replaced one after the other while the discovery service shows old registrations.
+#[gtest]
+fn a_server_that_says_that_it_leaves_is_not_ready_again_before_it_restarts() {
+    let case = |name, is_removed_before, server, is_ready| DepartureCase {
+        name,
+        is_removed_before,
+        server,
+        is_ready,
+    };
+    let listed = || server("a", 1, "one", 8);
+    let restarted = BackendServer {
+        started_at_ms: Some(5),
+        ..listed()
+    };
+    let cases = [
+        case("listed again", false, listed(), false),
+        case("removed and listed again", true, listed(), false),
+        case("more slots", false, server("a", 1, "one", 9), false),
+        case("restarted", false, restarted.clone(), true),
+        case("removed and restarted", true, restarted, true),
+        case("another address", true, server("a", 2, "one", 8), true),
+    ];
+    for case in cases {
+        let mut directory = directory(&[listed()]);
+        let key = key_of(&directory, "a");
+        let left = directory.record_departure(key);
+        expect_that!(left.map(|server| server.name.clone()), some(eq("a")));
+        expect_that!(directory.record_departure(key), none());
+        expect_that!(directory.ready("models").count(), eq(0), "{}", case.name);
+        if case.is_removed_before {
+            directory.remove("a");
+        }
+        directory.replace_all(vec![case.server], None);
+        let ready = directory.ready("models").count();
+        expect_that!(ready, eq(usize::from(case.is_ready)), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn the_oldest_departures_are_forgotten_first() {
+    const REMEMBERED: usize = 1_024;
+    let mut directory = ServerDirectory::default();
+    let leaving = |number: usize| server(&format!("s{number}"), 1, "one", 8);
+    for number in 0..=REMEMBERED {
+        directory.upsert(leaving(number));
+        directory.record_departure(key_of(&directory, &format!("s{number}")));
+        directory.remove(&format!("s{number}"));
+    }
+    for number in [0, 1, REMEMBERED] {
+        directory.upsert(leaving(number));
+    }
+    let ready: Vec<&str> = directory
+        .ready("models")
+        .map(|(_, server)| server.name.as_str())
+        .collect();
+    expect_that!(ready, eq(&["s0"]));
+}
