Ignore a registration older than the one that says that its server leaves

What callers saw: requests sent to a server that had registered as draining, after an older heartbeat of it had been accepted by the object store (a call without an answer may be done seconds later). Cause: the sequence of a registration was not read; the last one written counted. Change: a ready registration of the same start of a server with a lower sequence than the one that says that it leaves is ignored, also after its removal. A newer one counts as before.

--- a/components/routing/src/departure.rs
+++ b/components/routing/src/departure.rs
@@ -1,8 +1,9 @@
-//! Backend servers that have said in an answer that they leave.
+//! Backend servers that have said that they leave, in an answer or in a registration.
 //!
 //! Load pattern: servers are replaced one after the other while the discovery service is slow, turns processes away or
-//! shows an old registration. A server's own answers tell of its leaving before, and whatever the discovery service
-//! shows, this start of the server gets no more requests.
+//! shows old registrations. A server's own answers tell of its leaving before, and whatever the discovery service
+//! shows, this start of the server gets no more requests. A registration that says so is superseded by newer ones
+//! only: heartbeats that were sent before may be accepted after it.
 
 use std::net::SocketAddr;
 
@@ -11,12 +12,22 @@
 /// Largest number of departures that are remembered; the oldest are forgotten first.
 const MAX_DEPARTURES: usize = 1_024;
 
+/// How a server has said that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DepartureNotice {
+    /// In an answer.
+    Answer,
+    /// In the registration with this sequence.
+    Registration(u64),
+}
+
 /// One start of a server that leaves.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Departure {
     name: String,
     address: SocketAddr,
     started_at_ms: Option<u64>,
+    notice: DepartureNotice,
     /// Number of departures that were recorded before.
     position: u64,
 }
@@ -29,12 +40,16 @@
 }
 
 impl DepartureList {
-    /// Records that this start of a server leaves.
-    pub(crate) fn record(&mut self, server: &BackendServer) {
+    /// Records that this start of a server leaves. What it has said in an answer stands.
+    pub(crate) fn record(&mut self, server: &BackendServer, notice: DepartureNotice) {
+        if notice != DepartureNotice::Answer && self.notice(server) == Some(DepartureNotice::Answer) {
+            return;
+        }
         let departure = Departure {
             name: server.name.clone(),
             address: server.address,
             started_at_ms: server.started_at_ms,
+            notice,
             position: self.recorded,
         };
         self.recorded += 1;
@@ -49,14 +64,12 @@
         }
     }
 
-    /// Returns whether this start of a server has said that it leaves.
-    pub(crate) fn contains(&self, server: &BackendServer) -> bool {
-        let departure = self
-            .position_of(&server.name)
-            .map(|index| &self.departures[index]);
-        departure.is_ok_and(|departure| {
-            departure.address == server.address && departure.started_at_ms == server.started_at_ms
-        })
+    /// Returns how this start of a server has said that it leaves; `None` if it has not.
+    pub(crate) fn notice(&self, server: &BackendServer) -> Option<DepartureNotice> {
+        let departure = &self.departures[self.position_of(&server.name).ok()?];
+        let is_same_start =
+            departure.address == server.address && departure.started_at_ms == server.started_at_ms;
+        is_same_start.then_some(departure.notice)
     }
 
     fn position_of(&self, name: &str) -> Result<usize, usize> {
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::departure::DepartureList;
+use crate::departure::{DepartureList, DepartureNotice};
 
 /// Smallest number of servers missing at the same time for which a mass expiry of registrations is suspected.
 const MASS_EXPIRY_MIN_SERVERS: usize = 3;
@@ -145,11 +145,25 @@
         expired.map(|listed| listed.server).collect()
     }
 
+    /// Returns whether a registration is older than one of the same incarnation that said that the server leaves, and
+    /// records the latter if it is one. `sequence` is the number of the registration.
+    pub fn is_superseded(&mut self, server: &BackendServer, sequence: u64) -> bool {
+        match (self.departures.notice(server), server.state) {
+            (Some(DepartureNotice::Registration(latest)), _) if sequence < latest => true,
+            (_, ServerState::Leaving) => {
+                let notice = DepartureNotice::Registration(sequence);
+                self.departures.record(server, notice);
+                false
+            }
+            (_, ServerState::Ready) => false,
+        }
+    }
+
     /// Records that an incarnation leaves, as it has said itself. It takes no new work from then on, also when it is
     /// listed again. Returns the server if it was listed as ready.
     pub fn record_departure(&mut self, key: ServerKey) -> Option<Arc<BackendServer>> {
         let listed = self.servers.iter_mut().find(|listed| listed.key == key)?;
-        self.departures.record(&listed.server);
+        self.departures.record(&listed.server, DepartureNotice::Answer);
         if listed.server.state == ServerState::Leaving {
             return None;
         }
@@ -160,7 +174,7 @@
     /// Adds an incarnation or updates the one that is listed under its name. Returns the server if its
     /// registration is new or changed.
     pub fn upsert(&mut self, mut server: BackendServer) -> Option<Arc<BackendServer>> {
-        if self.departures.contains(&server) {
+        if self.departures.notice(&server) == Some(DepartureNotice::Answer) {
             server.state = ServerState::Leaving;
         }
         match self.position_of(&server.name) {
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -375,3 +375,46 @@
         .collect();
     expect_that!(ready, eq(&["s0"]));
 }
+
+/// A registration that follows one with sequence 9 that says that the server leaves.
+struct SequenceCase {
+    name: &'static str,
+    server: BackendServer,
+    sequence: u64,
+    is_superseded: bool,
+}
+
+#[gtest]
+fn an_old_registration_is_superseded_by_the_one_that_says_that_the_server_leaves() {
+    let case = |name, server, sequence, is_superseded| SequenceCase {
+        name,
+        server,
+        sequence,
+        is_superseded,
+    };
+    let listed = || server("a", 1, "one", 8);
+    let leaving = || BackendServer {
+        state: ServerState::Leaving,
+        ..listed()
+    };
+    let restarted = BackendServer {
+        started_at_ms: Some(5),
+        ..listed()
+    };
+    let cases = [
+        case("older", listed(), 8, true),
+        case("the same number", listed(), 9, false),
+        case("newer", listed(), 10, false),
+        case("older and leaving", leaving(), 8, true),
+        case("restarted", restarted, 1, false),
+        case("another server", server("b", 1, "one", 8), 1, false),
+    ];
+    for case in cases {
+        let mut directory = ServerDirectory::default();
+        expect_that!(directory.is_superseded(&leaving(), 9), eq(false));
+        let is_superseded = directory.is_superseded(&case.server, case.sequence);
+        expect_that!(is_superseded, eq(case.is_superseded), "{}", case.name);
+        // The notice stands whatever follows.
+        expect_that!(directory.is_superseded(&listed(), 8), eq(true), "{}", case.name);
+    }
+}
