--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -135,6 +135,28 @@
     }
 }
 
+/// Returns the index of the host that a poll for snapshots asks, among `hosts` hosts sorted by name.
+///
+/// Load pattern: answers of the discovery service are lost for all processes, and the first `keepers` hosts notice it
+/// first; or it turns some processes away, which may be just these. The polls therefore alternate between the two
+/// groups, and within each go from host to host.
+///
+/// # Panics
+///
+/// Panics when there is no host.
+pub const fn polled_host(poll: usize, hosts: usize, keepers: usize) -> usize {
+    assert!(hosts > 0, "a poll needs a host");
+    if keepers == 0 || keepers >= hosts {
+        return poll % hosts;
+    }
+    let turn = poll / 2;
+    if poll.is_multiple_of(2) {
+        turn % keepers
+    } else {
+        keepers + turn % (hosts - keepers)
+    }
+}
+
 impl LedgerClient {
     /// Creates a client that works while up to `tolerated_failures` hosts are unavailable.
     pub fn new(tolerated_failures: usize, log: Logger) -> Self {
@@ -199,14 +221,12 @@
         }
     }
 
-    /// Fetches snapshots that are newer than the known revisions from one of the connected hosts, in turn from the
-    /// first ones by name, one more than may be lost at the same time. These are the first to know. If none is
-    /// connected, returns the first snapshots that any of the seeds sends.
+    /// Fetches snapshots that are newer than the known revisions from one of the connected hosts, as
+    /// [`polled_host`] chooses it. If none is connected, returns the first snapshots that any of the seeds sends.
     pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
         let mut connected: Vec<Arc<HostLink>> =
             self.links().iter().filter(|link| link.is_up()).cloned().collect();
         connected.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
-        connected.truncate(self.shared.tolerated_failures + 1);
         if connected.is_empty() {
             // Some of the seeds may be down, and a host without power does not even refuse a connection.
             let mut responses: FuturesUnordered<_> = seeds
@@ -220,8 +240,9 @@
             }
             return Vec::new();
         }
-        let choice = self.shared.polls.fetch_add(1, Ordering::Relaxed);
-        let response = connected[choice % connected.len()].fetch_snapshots(known).await;
+        let poll = self.shared.polls.fetch_add(1, Ordering::Relaxed);
+        let choice = polled_host(poll, connected.len(), self.shared.tolerated_failures + 1);
+        let response = connected[choice].fetch_snapshots(known).await;
         response.unwrap_or_default()
     }
 
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -17,7 +17,7 @@
 mod snapshot;
 mod table;
 
-pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget};
+pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, polled_host};
 pub use digest::BucketDigests;
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
