Count a registration without a start time as the same start of a leaving server

Cause: found on reading. A registration that lacks the start time of a server that has said that it leaves (another writer's, say) counted as a new start, so that requests went to it again. Change: only a stated, other start time shows a restart. The time left of an attempt is taken from the time of its sending. Measured: the new case of the directory's test fails before and passes now; tests of routing pass.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -334,7 +334,7 @@
             view,
         } = picked;
         let sent_at = Instant::now();
-        let left = self.plan.deadline.saturating_duration_since(Instant::now());
+        let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
         let sending = self.entry.pool.send(server.address, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
--- a/components/routing/src/departure.rs
+++ b/components/routing/src/departure.rs
@@ -64,11 +64,12 @@
         }
     }
 
-    /// Returns how this start of a server has said that it leaves; `None` if it has not.
+    /// Returns how this start of a server has said that it leaves; `None` if it has not. A server without a start time
+    /// counts as the same start: only a stated one shows that it has restarted.
     pub(crate) fn notice(&self, server: &BackendServer) -> Option<DepartureNotice> {
         let departure = &self.departures[self.position_of(&server.name).ok()?];
-        let is_same_start =
-            departure.address == server.address && departure.started_at_ms == server.started_at_ms;
+        let has_restarted = server.started_at_ms.is_some() && server.started_at_ms != departure.started_at_ms;
+        let is_same_start = departure.address == server.address && !has_restarted;
         is_same_start.then_some(departure.notice)
     }
 
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -314,6 +314,8 @@
 struct DepartureCase {
     name: &'static str,
     is_removed_before: bool,
+    /// Start time that the server stated before.
+    started_at_ms: Option<u64>,
     server: BackendServer,
     is_ready: bool,
 }
@@ -321,9 +323,10 @@
 /// Load pattern: servers are replaced one after the other while the discovery service shows old registrations.
 #[gtest]
 fn a_server_that_says_that_it_leaves_is_not_ready_again_before_it_restarts() {
-    let case = |name, is_removed_before, server, is_ready| DepartureCase {
+    let case = |name, is_removed_before, started_at_ms, server, is_ready| DepartureCase {
         name,
         is_removed_before,
+        started_at_ms,
         server,
         is_ready,
     };
@@ -333,15 +336,22 @@
         ..listed()
     };
     let cases = [
-        case("listed again", false, listed(), false),
-        case("removed and listed again", true, listed(), false),
-        case("more slots", false, server("a", 1, "one", 9), false),
-        case("restarted", false, restarted.clone(), true),
-        case("removed and restarted", true, restarted, true),
-        case("another address", true, server("a", 2, "one", 8), true),
+        case("listed again", false, None, listed(), false),
+        case("removed and listed again", true, None, listed(), false),
+        case("more slots", false, None, server("a", 1, "one", 9), false),
+        case("restarted", false, None, restarted.clone(), true),
+        case("restarted again", false, Some(4), restarted.clone(), true),
+        case("the same start", true, Some(5), restarted.clone(), false),
+        case("without its start time", true, Some(5), listed(), false),
+        case("removed and restarted", true, None, restarted, true),
+        case("another address", true, None, server("a", 2, "one", 8), true),
     ];
     for case in cases {
-        let mut directory = directory(&[listed()]);
+        let before = BackendServer {
+            started_at_ms: case.started_at_ms,
+            ..listed()
+        };
+        let mut directory = directory(&[before]);
         let key = key_of(&directory, "a");
         let left = directory.record_departure(key);
         expect_that!(left.map(|server| server.name.clone()), some(eq("a")));
