--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -41,6 +41,8 @@
     pub previous_turn: Option<TurnKey>,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the caller takes up again.
+    pub resumes: Option<String>,
     /// Tokens of the whole prompt; zero if the request does not state them.
     pub prompt_tokens: u64,
     /// Number of output tokens that the caller expects.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -65,6 +65,8 @@
     pub(crate) deadline: Instant,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the caller takes up again.
+    pub(crate) resumes: Option<String>,
 }
 
 /// Head of a backend server's answer, with the connection from which its body is read.
@@ -81,6 +83,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct SentAttempt {
     pub(crate) server_name: String,
+    /// Version of the server's software.
+    pub(crate) server_version: String,
     pub(crate) view: DirectoryView,
     /// When the attempt was handed to a connection.
     pub(crate) sent_at: Instant,
@@ -377,6 +381,7 @@
             server: key,
             attempt: SentAttempt {
                 server_name: server.name.clone(),
+                server_version: server.software_version.clone(),
                 view,
                 sent_at,
             },
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -215,6 +215,7 @@
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
             last_event: self.facts.last_event,
+            resumes: self.facts.resumes.clone(),
         })
     }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -291,12 +291,25 @@
         if !accepted.head.status.is_success() {
             return Err(StreamBroken("a backend server refused to resume the stream"));
         }
+        self.log_resumed(&accepted.attempt);
         self.attempt.clone_from(&accepted.attempt);
         self.pace = PaceMeter::default();
         self.source = Some(StreamSource::new(accepted));
         Ok(())
     }
 
+    fn log_resumed(&self, next: &SentAttempt) {
+        let entry = &self.dispatcher.entry;
+        if !entry.line_limiter.try_acquire() {
+            entry.metrics.log_lines_dropped.inc();
+            return;
+        }
+        info!(entry.log, "stream resumed"; "request" => &self.dispatcher.plan.attempt_id, "after" => self.last_event,
+            "events" => self.events, "server" => &self.attempt.server_name, "version" => &self.attempt.server_version,
+            "next_server" => &next.server_name, "next_version" => &next.server_version,
+            "directory" => next.view.revision, "ms" => self.arrived.elapsed().as_millis());
+    }
+
     fn log_end(&self, outcome: &'static str) {
         let entry = &self.dispatcher.entry;
         entry
@@ -315,6 +328,7 @@
         info!(entry.log, "stream ended"; "request" => &self.dispatcher.plan.attempt_id,
             "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.attempt.server_name, "events" => self.events,
             "ms" => self.arrived.elapsed().as_millis(), "first_ms" => self.first_event.map(whole_millis), "sent" => self.dispatcher.sent(),
+            "version" => &self.attempt.server_version, "resumes" => &self.dispatcher.plan.resumes,
             "sent_ms" => whole_millis(self.attempt.sent_at - self.arrived),
             "directory" => self.attempt.view.revision, "registered" => self.attempt.view.is_registered);
     }
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -122,6 +122,7 @@
             service: "models".to_owned(),
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1),
             failure_domain: "lab".to_owned(),
+            software_version: "v1".to_owned(),
             capacity: 1,
             state: ServerState::Ready,
         });
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -44,6 +44,8 @@
     pub address: SocketAddr,
     /// Failure domain of the server.
     pub failure_domain: String,
+    /// Version of the server's software, as the server states it; empty if it states none.
+    pub software_version: String,
     /// Largest number of requests that run at the same time.
     pub capacity: u32,
     /// Whether the server takes new work.
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -14,6 +14,7 @@
         service: "models".to_owned(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         failure_domain: domain.to_owned(),
+        software_version: "v1".to_owned(),
         capacity,
         state: ServerState::Ready,
     }
--- a/components/routing/tests/support/mod.rs
+++ b/components/routing/tests/support/mod.rs
@@ -17,6 +17,7 @@
             service: SERVICE.to_owned(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
             failure_domain: format!("hall-{}", index % 5),
+            software_version: "v1".to_owned(),
             capacity: 6,
             state: ServerState::Ready,
         });
