Let a stream go on within one answer only at the software version that began it

Callers saw streams that held events from two software versions of one service, whose outputs do not fit together. Cause: a registration's version was not read, so that an entry went on at any ready server of the service when a server broke a stream off. Change: `BuildKey` identifies service and version, a restart at another version is a new incarnation, and once a server has answered a resumable stream, only servers of its software are chosen. Why it works: no other place chooses a server for the rest of a stream.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -1,5 +1,6 @@
 //! Domain types shared by every process.
 
+mod build;
 mod call;
 mod configuration;
 mod host;
@@ -8,6 +9,7 @@
 mod program;
 mod quantity;
 
+pub use build::BuildKey;
 pub use call::{
     CallOutcome, CallPayload, CallReply, CallRequest, ChatMessage, ChatRole, PlainReply, PlainRequest,
     TokenUsage,
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use domain::BuildKey;
 use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -46,6 +47,25 @@
     NotAsked,
 }
 
+/// How far a stream is bound to the software that produces its events. What two versions write does not fit together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum VersionBond {
+    /// Any software may serve the request.
+    Free,
+    /// The stream goes on only at servers with this software.
+    Bound(BuildKey),
+}
+
+impl VersionBond {
+    /// Returns the software that a server must run; `None` if any will do.
+    const fn required(self) -> Option<BuildKey> {
+        match self {
+            Self::Free => None,
+            Self::Bound(build) => Some(build),
+        }
+    }
+}
+
 /// A request as it is sent to backend servers, with the limits on its attempts.
 #[derive(Debug)]
 pub(crate) struct RequestPlan {
@@ -59,6 +79,7 @@
     pub(crate) run_policy: RunPolicy,
     pub(crate) affinity: Option<u64>,
     pub(crate) program: Option<ProgramKey>,
+    pub(crate) bond: VersionBond,
     /// Prompt of a turn; `None` for other requests.
     pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) max_attempts: u32,
@@ -272,6 +293,7 @@
             program: self.plan.program,
             prompt: self.plan.prompt,
             tried: &excluded,
+            build: self.plan.bond.required(),
         })
     }
 
@@ -370,6 +392,9 @@
             }
         }
         self.sent += 1;
+        if self.plan.run_policy == RunPolicy::Resumable {
+            self.plan.bond = VersionBond::Bound(server.build());
+        }
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
         self.entry
             .record_affinity(self.plan.affinity, self.plan.program, key);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::answer::{AnswerBody, error_answer, full_body};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
-use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt};
+use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond};
 use crate::models::TurnPrompt;
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, whole_millis};
@@ -211,6 +211,7 @@
             run_policy: self.route.run_policy,
             affinity: self.facts.affinity.filter(|_| self.route.sticky),
             program: self.facts.program.filter(|_| self.route.streaming),
+            bond: VersionBond::Free,
             prompt: self.prompt(service),
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
+use domain::BuildKey;
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
@@ -116,6 +117,8 @@
     /// Prompt of a turn; `None` for other requests.
     pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) tried: &'a [ServerKey],
+    /// Software that the server must run; `None` if any will do.
+    pub(crate) build: Option<BuildKey>,
 }
 
 /// The server that was chosen for a request, and what the directory showed then.
@@ -269,6 +272,7 @@
             failure_domain: &self.failure_domain,
             preferred,
             tried: request.tried,
+            build: request.build,
             prompt,
             draw: rand::random(),
             now_ms: self.now_ms(),
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -212,6 +212,7 @@
             failure_domain: "lab",
             preferred: state.server.map(|(key, _)| key),
             tried: &[],
+            build: None,
             draw: self.rng.random(),
             now_ms: self.now_us / 1_000,
         };
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -9,6 +9,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use domain::BuildKey;
+
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
 use crate::pace::{PaceTracker, STEP_GROWTH_PERMILLE};
 
@@ -136,6 +138,8 @@
     pub preferred: Option<ServerKey>,
     /// Servers already tried for this request.
     pub tried: &'a [ServerKey],
+    /// Software that the server must run; `None` if any will do.
+    pub build: Option<BuildKey>,
     /// Prompt of the request; `None` for services without a model.
     pub prompt: Option<PromptQuery<'a>>,
     /// Random number that breaks ties between servers of equal cost.
@@ -195,7 +199,8 @@
     let mut best: Option<((bool, u64), ServerPick<'a>)> = None;
     let mut random_state = query.draw;
     for (key, server) in directory.ready(query.service) {
-        if query.tried.contains(&key) {
+        let is_other_build = query.build.is_some_and(|build| build != server.build());
+        if is_other_build || query.tried.contains(&key) {
             continue;
         }
         let load = tracker.load(key);
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use domain::BuildKey;
 use serde::{Deserialize, Serialize};
 
 use crate::departure::{DepartureList, DepartureNotice};
@@ -52,6 +53,13 @@
     pub state: ServerState,
 }
 
+impl BackendServer {
+    /// Returns the key of the server's software. Events of different software do not fit together in one stream.
+    pub fn build(&self) -> BuildKey {
+        BuildKey::from_names(&self.service, &self.software_version)
+    }
+}
+
 /// A listed incarnation with its key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct ListedServer {
@@ -187,7 +195,8 @@
                     return None;
                 }
                 let is_same = listed.server.address == server.address
-                    && listed.server.started_at_ms == server.started_at_ms;
+                    && listed.server.started_at_ms == server.started_at_ms
+                    && listed.server.build() == server.build();
                 if !is_same {
                     listed.key = ServerKey(self.next_key);
                     self.next_key += 1;
@@ -235,6 +244,12 @@
         })
     }
 
+    /// Returns whether an incarnation is listed and takes new work.
+    pub fn is_ready(&self, key: ServerKey) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|listed| listed.key == key && listed.server.state == ServerState::Ready)
+    }
+
     /// Returns every listed server.
     pub fn all(&self) -> impl Iterator<Item = (ServerKey, &Arc<BackendServer>)> {
         self.servers.iter().map(|listed| (listed.key, &listed.server))
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -27,6 +27,7 @@
         failure_domain: "one",
         preferred: None,
         tried,
+        build: None,
         draw: 7,
         now_ms: 0,
     }
@@ -59,6 +60,13 @@
     restarted.started_at_ms = Some(5);
     directory.upsert(restarted);
     expect_that!(key_of(&directory, "a"), not(eq(first)));
+    let second = key_of(&directory, "a");
+    let mut updated = server("a", 1, "one", 8);
+    updated.started_at_ms = Some(5);
+    updated.software_version = "v2".to_owned();
+    directory.upsert(updated);
+    expect_that!(key_of(&directory, "a"), not(eq(second)));
+    expect_that!(directory.is_ready(second), eq(false));
     directory.replace_all(vec![server("b", 2, "one", 8)], None);
     expect_that!(
         directory
@@ -429,3 +437,60 @@
         expect_that!(directory.is_superseded(&listed(), 8), eq(true), "{}", case.name);
     }
 }
+
+/// Servers by service and version, and the one that is chosen for the software of the first.
+struct BuildCase {
+    name: &'static str,
+    others: &'static [(&'static str, &'static str)],
+    tried: usize,
+    chosen: Option<usize>,
+}
+
+/// Load pattern: servers of two versions serve side by side, and the cheapest one runs the other version.
+#[gtest]
+fn a_stream_is_sent_only_to_servers_with_its_software() {
+    let case = |name, others, tried, chosen| BuildCase {
+        name,
+        others,
+        tried,
+        chosen,
+    };
+    let cases = [
+        case("the only one", &[("models", "v2")][..], 0, Some(0)),
+        case("the only one was tried", &[("models", "v2")], 1, None),
+        case(
+            "another one of its version",
+            &[("models", "v2"), ("models", "v1")],
+            1,
+            Some(2),
+        ),
+        case("its version of another service", &[("others", "v1")], 1, None),
+    ];
+    for case in cases {
+        let all = std::iter::once(&("models", "v1")).chain(case.others).enumerate();
+        let servers: Vec<BackendServer> = all
+            .map(|(index, (service, version))| BackendServer {
+                service: (*service).to_owned(),
+                software_version: (*version).to_owned(),
+                ..server(&format!("s{index}"), 1, "one", 8)
+            })
+            .collect();
+        let directory = directory(&servers);
+        let first = key_of(&directory, "s0");
+        let mut tracker = LoadTracker::default();
+        (0..4).for_each(|_| tracker.begin(first));
+        let tried: Vec<ServerKey> = std::iter::repeat_n(first, case.tried).collect();
+        let query = ServerQuery {
+            build: Some(servers[0].build()),
+            ..query(&tried)
+        };
+        let pick = choose_backend(&directory, &tracker, &query);
+        let chosen = case.chosen.map(|index| format!("s{index}"));
+        expect_that!(
+            pick.map(|pick| pick.server.name.clone()),
+            eq(&chosen),
+            "{}",
+            case.name
+        );
+    }
+}
--- a/components/routing/tests/pace.rs
+++ b/components/routing/tests/pace.rs
@@ -160,6 +160,7 @@
         failure_domain: "hall-a",
         preferred,
         tried: &[],
+        build: None,
         prompt: Some(PromptQuery {
             prefix_tokens: 0,
             session_tokens: 0,
--- a/components/routing/tests/prefix.rs
+++ b/components/routing/tests/prefix.rs
@@ -167,6 +167,7 @@
                 failure_domain: "hall-a",
                 preferred: case.is_resumed.then(|| others[0]),
                 tried: &[],
+                build: None,
                 prompt: Some(PromptQuery {
                     prefix_tokens: PREFIX_TOKENS,
                     session_tokens: 1_680,
