Take a stream up again only at the software version that began it

Callers saw streams go on at another version when they took them up with a new attempt, at the same entry or another one. Cause: what an entry knew of a stream ended with its answer, or with its process; `Resumes` was not read, so that nobody could tell the second entry which version began the stream. Change: the server is chosen before the tokens are reserved, and the record of the reservation names its software (`Begun`), so that t + 1 ledger hosts know it before the first event, without a further message. If no event was delivered and another version takes over, `Moved` replaces it, synced, at most once. An attempt that takes a stream up asks the hosts of its group. No server of that version: 503 with 3023 at once; no record, or no attempt named: 503 with 3024. Both are not run. Why it works: any t + 1 hosts of a group share a host with the t + 1 that hold the record, over lost entries, lost hosts and restarts. Compatibility: logs of earlier versions are read as before; ledger hosts are upgraded before entries, because older ones do not know the new records.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -112,6 +112,10 @@
     NotConfigured = 3021, 503;
     /// No ledger host that answered has a record of the turn that the request continues.
     TurnNotFound = 3022, 503;
+    /// No backend server runs the software version that began the stream.
+    VersionUnavailable = 3023, 503;
+    /// No ledger host that answered has a record of the stream that the caller takes up again.
+    StreamNotFound = 3024, 503;
     /// The call may have run; its outcome is unknown.
     OutcomeUnknown = 4001, 504;
     /// The stream was interrupted and cannot be resumed without mixing two answers.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -12,7 +12,7 @@
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use ledger::ProgramKey;
+use ledger::{ProgramKey, TurnKey};
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
 use tokio::time::timeout_at;
@@ -52,6 +52,9 @@
 pub(crate) enum VersionBond {
     /// Any software may serve the request.
     Free,
+    /// The ledger names this software, and no server has answered yet. Another one may begin the stream once the
+    /// ledger names that.
+    Claimed(BuildKey),
     /// The stream goes on only at servers with this software.
     Bound(BuildKey),
 }
@@ -60,7 +63,7 @@
     /// Returns the software that a server must run; `None` if any will do.
     const fn required(self) -> Option<BuildKey> {
         match self {
-            Self::Free => None,
+            Self::Free | Self::Claimed(_) => None,
             Self::Bound(build) => Some(build),
         }
     }
@@ -79,6 +82,8 @@
     pub(crate) run_policy: RunPolicy,
     pub(crate) affinity: Option<u64>,
     pub(crate) program: Option<ProgramKey>,
+    /// Program under which the ledger has the turn, and the turn.
+    pub(crate) account: (ProgramKey, TurnKey),
     pub(crate) bond: VersionBond,
     /// Prompt of a turn; `None` for other requests.
     pub(crate) prompt: Option<TurnPrompt>,
@@ -116,6 +121,8 @@
 pub(crate) struct Dispatcher {
     pub(crate) entry: Arc<EntryState>,
     pub(crate) plan: RequestPlan,
+    /// Server that was chosen before the request was admitted.
+    first: Option<PickedServer>,
     tried: Vec<ServerKey>,
     /// Servers that had no free slot or did not answer when they were asked for one.
     full: Vec<ServerKey>,
@@ -131,6 +138,7 @@
         Self {
             entry,
             plan,
+            first: None,
             tried: Vec::new(),
             full: Vec::new(),
             asks_slots: true,
@@ -145,6 +153,24 @@
         self.sent
     }
 
+    /// Chooses the server that is tried first, so that the ledger can name its software before the stream begins.
+    /// Returns that software.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no server takes the request.
+    pub(crate) fn choose_first(&mut self) -> Result<BuildKey, CallError> {
+        let Some(picked) = self.pick() else {
+            return Err(self.give_up("no backend server is available for the request"));
+        };
+        let build = picked.server.build();
+        if self.plan.bond == VersionBond::Free {
+            self.plan.bond = VersionBond::Claimed(build);
+        }
+        self.first = Some(picked);
+        Ok(build)
+    }
+
     /// Tries backend servers until one answers.
     ///
     /// # Errors
@@ -153,7 +179,9 @@
     /// outcome is unknown.
     pub(crate) async fn dispatch(&mut self) -> Result<AcceptedAnswer, CallError> {
         loop {
-            let Some(picked) = self.pick() else {
+            let chosen = self.first.take();
+            let chosen = chosen.filter(|picked| self.entry.takes_work(picked.key));
+            let Some(picked) = chosen.or_else(|| self.pick()) else {
                 // Every other server has been tried or is full, so that the request waits at one of the full ones.
                 if !self.full.is_empty() {
                     self.full.clear();
@@ -171,6 +199,7 @@
                 SlotAnswer::Reserved(slot) => Some(slot),
                 SlotAnswer::NotAsked => None,
             };
+            self.claim_version(&server).await?;
             self.tried.push(key);
             let view = picked.view;
             let outcome = match self.attempt(picked, slot.as_deref()).await {
@@ -285,6 +314,38 @@
             .map_or(SlotAnswer::NotAsked, SlotAnswer::Reserved)
     }
 
+    /// Has the ledger name the server's software if it names another one.
+    async fn claim_version(&mut self, server: &BackendServer) -> Result<(), CallError> {
+        let build = server.build();
+        let VersionBond::Claimed(claimed) = self.plan.bond else {
+            return Ok(());
+        };
+        if claimed == build {
+            return Ok(());
+        }
+        let (program, turn) = self.plan.account;
+        let moving = self.entry.ledger.move_stream(program, turn, build);
+        let moved = timeout_at(self.plan.deadline.into(), moving).await;
+        let is_moved = matches!(moved, Ok(Ok(())));
+        if self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "stream begins at another version"; "request" => &self.plan.attempt_id,
+                "server" => &server.name, "version" => &server.software_version, "recorded" => is_moved);
+        }
+        if is_moved {
+            self.plan.bond = VersionBond::Bound(build);
+            return Ok(());
+        }
+        if self.was_lost {
+            return Err(CallError::unknown(
+                "the ledger hosts did not record the version of the stream",
+            ));
+        }
+        Err(CallError::not_run(
+            ResultCode::LedgerUnavailable,
+            "the ledger hosts did not record the version of the stream",
+        ))
+    }
+
     fn pick(&self) -> Option<PickedServer> {
         let excluded: Vec<ServerKey> = self.tried.iter().chain(&self.full).copied().collect();
         self.entry.pick(PickRequest {
@@ -392,8 +453,8 @@
             }
         }
         self.sent += 1;
-        if self.plan.run_policy == RunPolicy::Resumable {
-            self.plan.bond = VersionBond::Bound(server.build());
+        if let VersionBond::Claimed(build) = self.plan.bond {
+            self.plan.bond = VersionBond::Bound(build);
         }
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
         self.entry
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use domain::BuildKey;
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -11,8 +12,8 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
 use hyper::{Request, Response};
-use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnRecord};
-use routing::{EngineLoad, RouteMatch, RouteTable, ServiceRoute, admits_program};
+use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord};
+use routing::{EngineLoad, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
@@ -24,8 +25,8 @@
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, whole_millis};
 
-/// Delay before a chain of turns is asked for again from ledger hosts that have just started.
-const CHAIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Delay before ledger hosts that have just started are asked again.
+const LEDGER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves one request. Answers with an error of the entry itself when no backend server answered.
 pub(crate) async fn serve(entry: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -140,7 +141,8 @@
         input: Bytes,
         arrived: Instant,
     ) -> Result<Response<AnswerBody>, CallError> {
-        let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), self.plan(head, input)?);
+        let plan = self.plan(head, input, None)?;
+        let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
         loop {
             let accepted = dispatcher.dispatch().await?;
             let attempt = accepted.attempt.clone();
@@ -163,10 +165,15 @@
     ) -> Result<Response<AnswerBody>, CallError> {
         let patience = self.entry.wait_for_ledger().await;
         let chain = self.chain(patience).await?;
-        let reservation = self.reserve(patience).await?;
-        let mut plan = self.plan(head, input.clone())?;
+        let began_at = self.began_at(patience).await?;
+        let mut plan = self.plan(head, input.clone(), began_at)?;
         plan.body = chained_body(&chain, &input);
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
+        let build = match self.route.run_policy {
+            RunPolicy::Resumable => Some(dispatcher.choose_first()?),
+            RunPolicy::Idempotent | RunPolicy::AtMostOnce => None,
+        };
+        let reservation = self.reserve(patience, build).await?;
         let mut accepted = dispatcher.dispatch().await?;
         if !accepted.head.status.is_success() {
             let attempt = accepted.attempt.clone();
@@ -190,13 +197,16 @@
         Ok(response)
     }
 
-    fn plan(&self, head: &request::Parts, body: Bytes) -> Result<RequestPlan, CallError> {
-        let draw = self.facts.affinity.unwrap_or_else(rand::random);
-        let Some(service) = self.route.service_for(draw) else {
-            return Err(CallError::not_run(
-                ResultCode::UnknownService,
-                "the configuration lists no service for the route",
-            ));
+    /// Plans the request. `began_at` is the software that began the stream, if the caller takes one up again.
+    fn plan(
+        &self,
+        head: &request::Parts,
+        body: Bytes,
+        began_at: Option<BuildKey>,
+    ) -> Result<RequestPlan, CallError> {
+        let service = match began_at {
+            None => self.new_service()?,
+            Some(build) => self.service_of(build)?,
         };
         let headers = self.entry.dialect.forwarded_headers(&head.headers);
         let target = head.uri.path_and_query().cloned();
@@ -211,7 +221,8 @@
             run_policy: self.route.run_policy,
             affinity: self.facts.affinity.filter(|_| self.route.sticky),
             program: self.facts.program.filter(|_| self.route.streaming),
-            bond: VersionBond::Free,
+            account: self.account(),
+            bond: began_at.map_or(VersionBond::Free, VersionBond::Bound),
             prompt: self.prompt(service),
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
@@ -220,6 +231,70 @@
         })
     }
 
+    fn new_service(&self) -> Result<&str, CallError> {
+        let draw = self.facts.affinity.unwrap_or_else(rand::random);
+        self.route.service_for(draw).ok_or_else(|| {
+            CallError::not_run(
+                ResultCode::UnknownService,
+                "the configuration lists no service for the route",
+            )
+        })
+    }
+
+    /// Returns the service of the route that runs this software. The request fails at once if there is none.
+    fn service_of(&self, build: BuildKey) -> Result<&str, CallError> {
+        let services = self.route.services.iter().map(|share| share.service.as_str());
+        let mut serving = services.filter(|service| self.entry.serves_build(service, build));
+        serving.next().ok_or_else(|| {
+            CallError::not_run(
+                ResultCode::VersionUnavailable,
+                "no backend server runs the software version that began the stream",
+            )
+        })
+    }
+
+    /// Returns the program under which the ledger has the turn, and the turn.
+    fn account(&self) -> (ProgramKey, TurnKey) {
+        let turn = self.facts.turn();
+        (self.facts.program.unwrap_or(ProgramKey(turn.0)), turn)
+    }
+
+    /// Returns the software that began the stream that the caller takes up again; `None` if the stream is new. Asks
+    /// again for up to `patience` while too few ledger hosts answer.
+    async fn began_at(&self, patience: Duration) -> Result<Option<BuildKey>, CallError> {
+        let is_taken_up = self.facts.resumes.is_some() || self.facts.last_event.is_some_and(|last| last > 0);
+        if self.route.run_policy != RunPolicy::Resumable || !is_taken_up {
+            return Ok(None);
+        }
+        let unknown = || {
+            CallError::not_run(
+                ResultCode::StreamNotFound,
+                "no ledger host that answered knows the stream that the request takes up again",
+            )
+        };
+        let first = self.facts.resumes.as_ref().ok_or_else(unknown)?;
+        let turn = TurnKey::from_id(first.as_bytes());
+        let program = self.facts.program.unwrap_or(ProgramKey(turn.0));
+        let ask_until = Instant::now() + patience;
+        let fetching = async {
+            loop {
+                match self.entry.ledger.fetch_build(program, turn).await {
+                    Err(LedgerError::TooFewHosts { .. })
+                        if Instant::now() + LEDGER_RETRY_DELAY < ask_until =>
+                    {
+                        sleep(LEDGER_RETRY_DELAY).await;
+                    }
+                    fetched => return fetched,
+                }
+            }
+        };
+        let build = timeout_at(self.deadline.into(), fetching).await;
+        let build = build
+            .map_err(|_elapsed| ledger_timeout())?
+            .map_err(|failure| CallError::not_run(ResultCode::LedgerUnavailable, failure.to_string()))?;
+        build.map(Some).ok_or_else(unknown)
+    }
+
     /// Returns the prompt of a turn; `None` for requests to services without a model.
     fn prompt(&self, service: &str) -> Option<TurnPrompt> {
         let profile = self.table.service(service).filter(|_| self.route.streaming)?;
@@ -247,9 +322,9 @@
             loop {
                 match self.entry.ledger.fetch_chain(previous, self.facts.program).await {
                     Err(LedgerError::TooFewHosts { .. })
-                        if Instant::now() + CHAIN_RETRY_DELAY < ask_until =>
+                        if Instant::now() + LEDGER_RETRY_DELAY < ask_until =>
                     {
-                        sleep(CHAIN_RETRY_DELAY).await;
+                        sleep(LEDGER_RETRY_DELAY).await;
                     }
                     fetched => return fetched,
                 }
@@ -271,21 +346,33 @@
         Ok(chain)
     }
 
-    /// Reserves the largest number of tokens that the turn can spend. Returns `None` when the request states
-    /// no program or no token budget. Repeats the reservation for up to `patience`.
-    async fn reserve(&self, patience: Duration) -> Result<Option<TurnReservation>, CallError> {
-        let (Some(program), Some(budget)) = (self.facts.program, self.facts.token_budget) else {
+    /// Reserves the largest number of tokens that the turn can spend, and has the ledger name the software `build` at
+    /// which its stream begins. Returns `None` when the request states no program or no token budget, and has no such
+    /// stream. Repeats the reservation for up to `patience`.
+    async fn reserve(
+        &self,
+        patience: Duration,
+        build: Option<BuildKey>,
+    ) -> Result<Option<TurnReservation>, CallError> {
+        let limit = self.facts.token_budget.filter(|_| self.facts.program.is_some());
+        if limit.is_none() && build.is_none() {
             return Ok(None);
-        };
-        let turn = self.facts.turn();
+        }
+        let budget = limit.unwrap_or(u64::MAX);
+        let (program, turn) = self.account();
         let ledger = &self.entry.ledger;
         let before = Instant::now();
         let allowed = TokenBudget {
             tokens: budget,
             retention_ms: self.route.retention_ms,
         };
-        let max_tokens = self.facts.max_tokens;
-        let reserving = ledger.reserve_within(patience, program, turn, max_tokens, allowed);
+        let claim = TurnClaim {
+            program,
+            turn,
+            tokens: self.facts.max_tokens,
+            build,
+        };
+        let reserving = ledger.reserve_within(patience, claim, allowed);
         let reserved = timeout_at(self.deadline.into(), reserving).await;
         self.entry.metrics.reserve.observe(before.elapsed().as_secs_f64());
         let unavailable =
@@ -299,7 +386,7 @@
                 let reservation = TurnReservation::new(ledger.clone(), program, turn);
                 // A turn that continues a stored turn does not count as the start of a program, whichever
                 // program it belongs to.
-                if is_first && self.facts.previous_turn.is_none() {
+                if is_first && limit.is_some() && self.facts.previous_turn.is_none() {
                     self.admit(program, open_turns)?;
                 }
                 Ok(Some(reservation))
@@ -327,8 +414,7 @@
     }
 
     fn pending_turn(&self, input: Bytes) -> PendingTurn {
-        let turn = self.facts.turn();
-        let program = self.facts.program.unwrap_or(ProgramKey(turn.0));
+        let (program, turn) = self.account();
         PendingTurn::new(
             program,
             turn,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -294,6 +294,19 @@
         })
     }
 
+    /// Returns whether a chosen server still takes new work.
+    pub(crate) fn takes_work(&self, key: ServerKey) -> bool {
+        lock(&self.directory).is_ready(key)
+    }
+
+    /// Returns whether a server of a service takes new work and runs this software.
+    pub(crate) fn serves_build(&self, service: &str, build: BuildKey) -> bool {
+        let directory = lock(&self.directory);
+        directory
+            .ready(service)
+            .any(|(_, server)| server.build() == build)
+    }
+
     /// Returns whether a server with this capacity may have no free slot at the present load of its service.
     pub(crate) fn may_be_full(&self, service: &str, capacity: u32) -> bool {
         let load_permille = self.load_permille(&lock(&self.directory), service);
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use domain::BuildKey;
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use slog::{Logger, info};
@@ -17,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
-use crate::port::{HostAddress, RecordReceipt};
+use crate::port::{HostAddress, RecordReceipt, StreamBuild};
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
@@ -54,6 +55,45 @@
     pub retention_ms: u64,
 }
 
+/// Tokens that a turn claims, and the software at which its stream begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnClaim {
+    /// Program that the turn belongs to.
+    pub program: ProgramKey,
+    /// The turn.
+    pub turn: TurnKey,
+    /// Largest number of tokens that the turn may spend.
+    pub tokens: u64,
+    /// Software that produces the events of the stream; `None` if the stream cannot be taken up again.
+    pub build: Option<BuildKey>,
+}
+
+impl TurnClaim {
+    const fn record(self, retention_ms: u64) -> LedgerRecord {
+        let Self {
+            program,
+            turn,
+            tokens,
+            build,
+        } = self;
+        match build {
+            None => LedgerRecord::Reserved {
+                program,
+                turn,
+                tokens,
+                retention_ms,
+            },
+            Some(build) => LedgerRecord::Begun {
+                program,
+                turn,
+                tokens,
+                retention_ms,
+                build,
+            },
+        }
+    }
+}
+
 /// Outcome of a reservation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReserveOutcome {
@@ -157,6 +197,14 @@
     }
 }
 
+/// Returns that of two records of a stream's software which has replaced the other.
+fn later_build(left: Option<StreamBuild>, right: Option<StreamBuild>) -> Option<StreamBuild> {
+    match (left, right) {
+        (Some(left), Some(right)) if right.is_moved && !left.is_moved => Some(right),
+        (left, right) => left.or(right),
+    }
+}
+
 impl LedgerClient {
     /// Creates a client that works while up to `tolerated_failures` hosts are unavailable.
     pub fn new(tolerated_failures: usize, log: Logger) -> Self {
@@ -258,8 +306,13 @@
         tokens: u64,
         budget: TokenBudget,
     ) -> Result<ReserveOutcome, LedgerError> {
-        self.reserve_within(Duration::ZERO, program, turn, tokens, budget)
-            .await
+        let claim = TurnClaim {
+            program,
+            turn,
+            tokens,
+            build: None,
+        };
+        self.reserve_within(Duration::ZERO, claim, budget).await
     }
 
     /// Reserves tokens as [`Self::reserve`] does, but repeats the writing for up to `patience` while too few hosts
@@ -271,22 +324,16 @@
     pub async fn reserve_within(
         &self,
         patience: Duration,
-        program: ProgramKey,
-        turn: TurnKey,
-        tokens: u64,
+        claim: TurnClaim,
         budget: TokenBudget,
     ) -> Result<ReserveOutcome, LedgerError> {
         let repeat_until = Instant::now() + patience;
-        let record = LedgerRecord::Reserved {
-            program,
-            turn,
-            tokens,
-            retention_ms: budget.retention_ms,
-        };
+        let record = claim.record(budget.retention_ms);
+        let tokens = claim.tokens;
         let guard = ReservationGuard {
             client: self,
-            program,
-            turn,
+            program: claim.program,
+            turn: claim.turn,
         };
         let receipts = loop {
             match self.write(&record, SyncMode::Unsynced).await {
@@ -345,6 +392,70 @@
             .map(drop)
     }
 
+    /// Records that another software than the claimed one begins a turn's stream, and waits until that is durable.
+    ///
+    /// # Errors
+    ///
+    /// Fails when too few hosts have synced the record. Some of them may hold it nevertheless, so that no software
+    /// may begin the stream any more.
+    pub async fn move_stream(
+        &self,
+        program: ProgramKey,
+        turn: TurnKey,
+        build: BuildKey,
+    ) -> Result<(), LedgerError> {
+        let record = LedgerRecord::Moved { program, turn, build };
+        self.write(&record, SyncMode::Synced).await.map(drop)
+    }
+
+    /// Fetches the software that produces the events of a turn's stream; `None` if no host has a record of it.
+    ///
+    /// Every claim and every move is on `t + 1` hosts of the program's group before an event is delivered, so that
+    /// one of any `t + 1` hosts knows the latest of them. The other hosts are asked only for what the group does not
+    /// know, for example because it has changed since.
+    ///
+    /// # Errors
+    ///
+    /// Fails when too few hosts respond.
+    pub async fn fetch_build(
+        &self,
+        program: ProgramKey,
+        turn: TurnKey,
+    ) -> Result<Option<BuildKey>, LedgerError> {
+        let needed = self.shared.tolerated_failures + 1;
+        let group = self.group(program);
+        let mut responses: FuturesUnordered<_> =
+            group.iter().map(|link| link.fetch_build(program, turn)).collect();
+        let mut answered = 0;
+        let mut latest: Option<StreamBuild> = None;
+        while let Some(response) = responses.next().await {
+            let Some(found) = response else { continue };
+            answered += 1;
+            latest = later_build(latest, found);
+            if answered >= needed
+                && let Some(latest) = latest
+            {
+                return Ok(Some(latest.build));
+            }
+        }
+        if answered < needed {
+            return Err(LedgerError::TooFewHosts { answered, needed });
+        }
+        let others: Vec<Arc<HostLink>> = {
+            let links = self.links();
+            let is_other = |link: &&Arc<HostLink>| !group.iter().any(|member| Arc::ptr_eq(member, link));
+            links.iter().filter(is_other).cloned().collect()
+        };
+        let mut responses: FuturesUnordered<_> = others
+            .iter()
+            .map(|link| link.fetch_build(program, turn))
+            .collect();
+        while let Some(response) = responses.next().await {
+            latest = later_build(latest, response.flatten());
+        }
+        Ok(latest.map(|latest| latest.build))
+    }
+
     /// Fetches a turn and all its predecessors, the newest first. `program` is the program that continues the
     /// turn, which usually stored it too; the hosts of its group are asked first.
     ///
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -9,8 +9,10 @@
 
 use crate::digest::BucketDigests;
 use crate::log::{DiskLog, LogError};
-use crate::port::{ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, wall_clock_ms};
-use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
+use crate::port::{
+    ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
+};
+use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::{KindSnapshot, SnapshotSet};
 use crate::table::{FoundRecord, RecordTable};
 
@@ -269,7 +271,10 @@
         let records = self.read_records(found).await?;
         let turns = records.into_iter().filter_map(|record| match record {
             LedgerRecord::Turn(turn) => Some(turn),
-            LedgerRecord::Reserved { .. } | LedgerRecord::Settled { .. } => None,
+            LedgerRecord::Reserved { .. }
+            | LedgerRecord::Settled { .. }
+            | LedgerRecord::Begun { .. }
+            | LedgerRecord::Moved { .. } => None,
         });
         Ok(turns.collect())
     }
@@ -305,6 +310,20 @@
         Ok(self.snapshot_set().newer_than(&known))
     }
 
+    async fn stream_build(
+        self,
+        _: Context,
+        program: ProgramKey,
+        turn: TurnKey,
+    ) -> PortResult<Option<StreamBuild>> {
+        let found = self.table().stream_build(program, turn);
+        // A record that says that the stream moved may still be missing.
+        if !found.is_some_and(|found| found.is_moved) && self.is_copying() {
+            return Err(PortFault::Copying);
+        }
+        Ok(found)
+    }
+
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
         let mut found = Vec::new();
         let mut bytes = 0;
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -17,14 +17,16 @@
 mod snapshot;
 mod table;
 
-pub use client::{LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, polled_host};
+pub use client::{
+    LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, TurnClaim, polled_host,
+};
 pub use digest::BucketDigests;
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
 pub use log::{DiskLog, LogError};
 pub use port::{
-    ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, connect_host,
-    serve_port, wall_clock_ms,
+    ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild,
+    connect_host, serve_port, wall_clock_ms,
 };
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -15,10 +15,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::port::{
-    HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, connect_host, context_with_timeout,
-    open_stream,
+    HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
+    context_with_timeout, open_stream,
 };
-use crate::record::{LedgerRecord, TurnKey, TurnRecord};
+use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::relay::connect_through;
 use crate::snapshot::KindSnapshot;
 
@@ -158,6 +158,20 @@
         self.call(MAX_CALL_ATTEMPTS, request).await?.ok()
     }
 
+    /// Fetches the software of a turn's stream. Returns `None` if the host does not respond or may lack records.
+    pub(crate) async fn fetch_build(
+        &self,
+        program: ProgramKey,
+        turn: TurnKey,
+    ) -> Option<Option<StreamBuild>> {
+        let request = |client: LedgerPortClient| async move {
+            client
+                .stream_build(context_with_timeout(UNSYNCED_CALL_TIMEOUT), program, turn)
+                .await
+        };
+        self.call(MAX_CALL_ATTEMPTS, request).await?.ok()
+    }
+
     /// Fetches snapshots that are newer than the known revisions. Returns `None` if the host does not
     /// respond.
     pub(crate) async fn fetch_snapshots(&self, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use domain::BuildKey;
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
@@ -15,7 +16,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::digest::BucketDigests;
-use crate::record::{LedgerRecord, RecordKey, TurnKey, TurnRecord};
+use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
 /// Largest size of a message: a chain of turns at the limits for callers.
@@ -52,6 +53,16 @@
     pub open_turns: u64,
 }
 
+/// Software that produces the events of a turn's stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StreamBuild {
+    /// The software.
+    pub build: BuildKey,
+    /// Whether it has replaced the one that was chosen first.
+    pub is_moved: bool,
+}
+
 /// Keys of records in the order of their arrival at a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -100,6 +111,9 @@
 
     /// Returns the records with these keys that the host still holds, up to a limit of the response's size.
     async fn records(keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>>;
+
+    /// Returns the software that produces the events of a turn's stream; `None` if the host has no record of it.
+    async fn stream_build(program: ProgramKey, turn: TurnKey) -> PortResult<Option<StreamBuild>>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -1,6 +1,7 @@
 //! Records of the ledger and their keys.
 
 use bytes::Bytes;
+use domain::BuildKey;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -78,18 +79,43 @@
     },
     /// Stores a completed turn.
     Turn(TurnRecord),
+    /// Reserves tokens as [`Self::Reserved`] does, for a turn whose stream may be taken up again. It replaces that
+    /// record.
+    Begun {
+        /// Program that the turn belongs to.
+        program: ProgramKey,
+        /// Turn that the tokens are reserved for.
+        turn: TurnKey,
+        /// Largest number of tokens that the turn may spend.
+        tokens: u64,
+        /// How long the program's account is retained, in milliseconds.
+        retention_ms: u64,
+        /// Software that produces the events of the stream.
+        build: BuildKey,
+    },
+    /// Replaces the software of a turn of which no event has been delivered yet; at most once for a turn.
+    Moved {
+        /// Program that the turn belongs to.
+        program: ProgramKey,
+        /// Turn whose stream another software begins.
+        turn: TurnKey,
+        /// Software that produces the events of the stream.
+        build: BuildKey,
+    },
 }
 
 /// Kind of a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RecordKind {
-    /// Kind of [`LedgerRecord::Reserved`].
+    /// Kind of [`LedgerRecord::Reserved`] and [`LedgerRecord::Begun`].
     Reserved,
     /// Kind of [`LedgerRecord::Settled`].
     Settled,
     /// Kind of [`LedgerRecord::Turn`].
     Turn,
+    /// Kind of [`LedgerRecord::Moved`].
+    Moved,
 }
 
 /// Identifies a record; no two different records share a key.
@@ -108,19 +134,22 @@
     /// Returns the key that identifies the record.
     pub const fn key(&self) -> RecordKey {
         let (kind, program, turn) = match self {
-            Self::Reserved { program, turn, .. } => (RecordKind::Reserved, *program, *turn),
+            Self::Reserved { program, turn, .. } | Self::Begun { program, turn, .. } => {
+                (RecordKind::Reserved, *program, *turn)
+            }
+            Self::Moved { program, turn, .. } => (RecordKind::Moved, *program, *turn),
             Self::Settled { program, turn, .. } => (RecordKind::Settled, *program, *turn),
             Self::Turn(record) => (RecordKind::Turn, record.program, record.turn),
         };
         RecordKey { kind, program, turn }
     }
 
-    /// Returns how long the record must be retained, in milliseconds. Returns 0 for a settlement, which
-    /// expires with the account that its reservation retains.
+    /// Returns how long the record must be retained, in milliseconds. Returns 0 for a settlement and for a change of
+    /// the software, which expire with the account that the reservation retains.
     pub const fn retention_ms(&self) -> u64 {
         match self {
-            Self::Reserved { retention_ms, .. } => *retention_ms,
-            Self::Settled { .. } => 0,
+            Self::Reserved { retention_ms, .. } | Self::Begun { retention_ms, .. } => *retention_ms,
+            Self::Settled { .. } | Self::Moved { .. } => 0,
             Self::Turn(record) => record.retention_ms,
         }
     }
--- a/components/ledger/src/table.rs
+++ b/components/ledger/src/table.rs
@@ -3,10 +3,12 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use bytes::Bytes;
+use domain::BuildKey;
 use rustc_hash::FxBuildHasher;
 
 use crate::digest::{BucketDigests, bucket_range};
 use crate::index::{IndexedRecord, RecordPlace};
+use crate::port::StreamBuild;
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 
 /// Time for which records are stored beyond their retention, so that a host that was unavailable can still
@@ -22,6 +24,10 @@
     reserved: Option<u64>,
     settled: Option<u64>,
     retention_ms: u64,
+    /// Software that produces the events of the turn's stream, if the stream may be taken up again.
+    build: Option<BuildKey>,
+    /// Whether `build` is that of a [`LedgerRecord::Moved`].
+    is_moved: bool,
     has_turn_record: bool,
     /// Whether the turn started on this host and is not settled yet.
     is_open: bool,
@@ -38,7 +44,8 @@
         let reserved = self.reserved.map(|_| RecordKind::Reserved);
         let settled = self.settled.map(|_| RecordKind::Settled);
         let turn = self.has_turn_record.then_some(RecordKind::Turn);
-        reserved.into_iter().chain(settled).chain(turn)
+        let moved = self.is_moved.then_some(RecordKind::Moved);
+        reserved.into_iter().chain(settled).chain(turn).chain(moved)
     }
 }
 
@@ -159,7 +166,8 @@
     /// copied from another host.
     pub fn apply_written(&mut self, record: &LedgerRecord, now_ms: u64) {
         let is_new = self.apply(record, now_ms);
-        if let LedgerRecord::Reserved { program, turn, .. } = record
+        if let LedgerRecord::Reserved { program, turn, .. } | LedgerRecord::Begun { program, turn, .. } =
+            record
             && is_new
             && let Some(account) = self.accounts.get_mut(program)
             && account.update(*turn, |entry| {
@@ -206,6 +214,15 @@
         self.accounts.get(&program).map_or(0, |account| account.committed)
     }
 
+    /// Returns the software that produces the events of a turn's stream, if it is known.
+    pub fn stream_build(&self, program: ProgramKey, turn: TurnKey) -> Option<StreamBuild> {
+        let entry = self.accounts.get(&program)?.entry_of(turn);
+        Some(StreamBuild {
+            build: entry.build?,
+            is_moved: entry.is_moved,
+        })
+    }
+
     /// Returns a turn and its predecessors, the newest first, up to the first one that is not stored here.
     pub fn chain(&self, turn: TurnKey) -> Vec<FoundRecord> {
         let mut chain = Vec::new();
@@ -224,6 +241,7 @@
             RecordKind::Turn => entry.has_turn_record,
             RecordKind::Reserved => entry.reserved.is_some(),
             RecordKind::Settled => entry.settled.is_some(),
+            RecordKind::Moved => entry.is_moved,
         }
     }
 
@@ -233,11 +251,26 @@
         let entry = self.entry(key);
         let record = match kind {
             RecordKind::Turn => return self.turns.get(&turn).map(found_record),
-            RecordKind::Reserved => LedgerRecord::Reserved {
+            RecordKind::Reserved => match entry.build {
+                None => LedgerRecord::Reserved {
+                    program,
+                    turn,
+                    tokens: entry.reserved?,
+                    retention_ms: entry.retention_ms,
+                },
+                // After a move this is the software of the move, which prevails on every host.
+                Some(build) => LedgerRecord::Begun {
+                    program,
+                    turn,
+                    tokens: entry.reserved?,
+                    retention_ms: entry.retention_ms,
+                    build,
+                },
+            },
+            RecordKind::Moved => LedgerRecord::Moved {
                 program,
                 turn,
-                tokens: entry.reserved?,
-                retention_ms: entry.retention_ms,
+                build: entry.build.filter(|_| entry.is_moved)?,
             },
             RecordKind::Settled => LedgerRecord::Settled {
                 program,
@@ -341,6 +374,20 @@
                 entry.retention_ms = *retention_ms;
                 entry.reserved.replace(*tokens).is_none()
             }
+            LedgerRecord::Begun {
+                tokens,
+                retention_ms,
+                build,
+                ..
+            } => {
+                entry.retention_ms = *retention_ms;
+                entry.build.get_or_insert(*build);
+                entry.reserved.replace(*tokens).is_none()
+            }
+            LedgerRecord::Moved { build, .. } => {
+                entry.build = Some(*build);
+                !std::mem::replace(&mut entry.is_moved, true)
+            }
             LedgerRecord::Settled { tokens, .. } => entry.settled.replace(*tokens).is_none(),
             LedgerRecord::Turn(_) => !std::mem::replace(&mut entry.has_turn_record, true),
         });
--- a/components/ledger/tests/client.rs
+++ b/components/ledger/tests/client.rs
@@ -3,10 +3,12 @@
 mod support;
 
 use bytes::Bytes;
+use domain::BuildKey;
 use futures::future::join_all;
 use googletest::prelude::*;
 use ledger::{
-    LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnKey, TurnRecord,
+    LedgerClient, LedgerError, LedgerHosts, ProgramKey, ReserveOutcome, TokenBudget, TurnClaim, TurnKey,
+    TurnRecord,
 };
 use support::{
     CountingProxy, SilentListener, addresses, client_of, start_copying_hosts, start_host, start_hosts,
@@ -368,7 +370,13 @@
             host.host.finish_copying();
         }
     };
-    let reserving = client.reserve_within(WAIT_TIMEOUT, PROGRAM, TurnKey(2), 10, BUDGET);
+    let claim = TurnClaim {
+        program: PROGRAM,
+        turn: TurnKey(2),
+        tokens: 10,
+        build: None,
+    };
+    let reserving = client.reserve_within(WAIT_TIMEOUT, claim, BUDGET);
     let (outcome, ()) = futures::future::join(reserving, copied).await;
     // The reservation is written several times and counts once; the refused one is released.
     expect_that!(
@@ -383,3 +391,62 @@
     let beyond = client.reserve(PROGRAM, TurnKey(4), 1, BUDGET).await;
     expect_that!(beyond, ok(eq(&ReserveOutcome::Exhausted { committed: 100 })));
 }
+
+/// Hosts that are lost after a stream has begun, and what is known of it.
+struct BuildCase {
+    name: &'static str,
+    /// Software of the claim and of the move, if there is one.
+    builds: (u64, Option<u64>),
+    lost: &'static [usize],
+    known: std::result::Result<Option<u64>, ()>,
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_software_of_a_stream_outlives_the_entry_that_began_it_and_a_lost_host() {
+    let case = |name, builds, lost, known| BuildCase {
+        name,
+        builds,
+        lost,
+        known,
+    };
+    let cases = [
+        case("no host lost", (5, None), &[][..], Ok(Some(5))),
+        case("first host lost", (5, None), &[0], Ok(Some(5))),
+        case("second host lost", (5, None), &[1], Ok(Some(5))),
+        case("third host lost", (5, None), &[2], Ok(Some(5))),
+        case("moved", (5, Some(6)), &[], Ok(Some(6))),
+        case("moved, first host lost", (5, Some(6)), &[0], Ok(Some(6))),
+        case("moved, second host lost", (5, Some(6)), &[1], Ok(Some(6))),
+        case("moved, third host lost", (5, Some(6)), &[2], Ok(Some(6))),
+        case("two hosts lost", (5, None), &[0, 1], Err(())),
+    ];
+    for case in cases {
+        let folder = tempfile::tempdir().expect("a folder");
+        let hosts = start_hosts(&["a", "b", "c"], folder.path()).await;
+        let first = client(&hosts).await;
+        let claim = TurnClaim {
+            program: PROGRAM,
+            turn: TurnKey(1),
+            tokens: 10,
+            build: Some(BuildKey(case.builds.0)),
+        };
+        let claimed = first.reserve_within(Duration::ZERO, claim, BUDGET).await;
+        expect_that!(claimed, ok(anything()), "{}", case.name);
+        if let Some(build) = case.builds.1 {
+            let moved = first.move_stream(PROGRAM, TurnKey(1), BuildKey(build)).await;
+            expect_that!(moved, ok(anything()), "{}", case.name);
+        }
+        drop(first);
+        let second = client(&hosts).await;
+        for lost in case.lost {
+            hosts[*lost].task.abort();
+        }
+        let known = second.fetch_build(PROGRAM, TurnKey(1)).await;
+        let known = known.map(|build| build.map(|build| build.0)).map_err(drop);
+        expect_that!(known, eq(case.known), "{}", case.name);
+        let unknown = second.fetch_build(PROGRAM, TurnKey(2)).await;
+        let unknown = unknown.map(|build| build.map(|build| build.0)).map_err(drop);
+        expect_that!(unknown, eq(case.known.map(|_| None)), "{}", case.name);
+    }
+}
--- a/components/ledger/tests/table.rs
+++ b/components/ledger/tests/table.rs
@@ -1,9 +1,11 @@
 //! The record table: token counts, chains, retention, cached payloads, open turns and digests.
 
 use bytes::Bytes;
+use domain::BuildKey;
 use googletest::prelude::*;
 use ledger::{
-    FoundRecord, IndexedRecord, LedgerRecord, ProgramKey, RecordPlace, RecordTable, TurnKey, TurnRecord,
+    FoundRecord, IndexedRecord, LedgerRecord, ProgramKey, RecordPlace, RecordTable, StreamBuild, TurnKey,
+    TurnRecord,
 };
 
 const PROGRAM: ProgramKey = ProgramKey(1);
@@ -27,6 +29,24 @@
     }
 }
 
+const fn begun(turn: u128, build: u64) -> LedgerRecord {
+    LedgerRecord::Begun {
+        program: PROGRAM,
+        turn: TurnKey(turn),
+        tokens: 40,
+        retention_ms: 300_000,
+        build: BuildKey(build),
+    }
+}
+
+const fn moved(turn: u128, build: u64) -> LedgerRecord {
+    LedgerRecord::Moved {
+        program: PROGRAM,
+        turn: TurnKey(turn),
+        build: BuildKey(build),
+    }
+}
+
 fn turn_record(turn: u128, previous: Option<u128>) -> LedgerRecord {
     LedgerRecord::Turn(TurnRecord {
         program: PROGRAM,
@@ -271,3 +291,60 @@
         is_empty()
     );
 }
+
+/// Records of a turn, and the software that produces its events.
+struct BuildCase {
+    name: &'static str,
+    records: Vec<LedgerRecord>,
+    build: Option<(u64, bool)>,
+    committed: u64,
+}
+
+#[gtest]
+fn the_software_of_a_stream_is_the_same_in_every_order_and_on_every_host() {
+    let case = |name, records, build, committed| BuildCase {
+        name,
+        records,
+        build,
+        committed,
+    };
+    let cases = [
+        case("no stream", vec![reserved(1, 40)], None, 40),
+        case("begun", vec![begun(1, 5)], Some((5, false)), 40),
+        case("settled", vec![begun(1, 5), settled(1, 10)], Some((5, false)), 10),
+        case("moved", vec![begun(1, 5), moved(1, 6)], Some((6, true)), 40),
+        case("moved first", vec![moved(1, 6), begun(1, 5)], Some((6, true)), 40),
+        case(
+            "twice",
+            vec![begun(1, 5), moved(1, 6), begun(1, 5), moved(1, 6)],
+            Some((6, true)),
+            40,
+        ),
+        case("another turn", vec![begun(2, 5)], None, 40),
+    ];
+    for case in cases {
+        let mut table = RecordTable::new(CACHE_LIMIT_BYTES);
+        for record in &case.records {
+            table.apply_written(record, 0);
+        }
+        let expected = case.build.map(|(build, is_moved)| StreamBuild {
+            build: BuildKey(build),
+            is_moved,
+        });
+        // Another host copies the records in the opposite order.
+        let mut copy = RecordTable::new(CACHE_LIMIT_BYTES);
+        let (keys, _) = table.arrivals_since(0, usize::MAX);
+        for key in keys.iter().rev() {
+            let Some(FoundRecord::InMemory(record)) = table.record(key) else {
+                panic!("{}: not in memory: {key:?}", case.name);
+            };
+            copy.apply(&record, 0);
+        }
+        for table in [&table, &copy] {
+            let found = table.stream_build(PROGRAM, TurnKey(1));
+            expect_that!(found, eq(expected), "{}", case.name);
+            expect_that!(table.committed(PROGRAM), eq(case.committed), "{}", case.name);
+        }
+        expect_that!(copy.digests(), eq(table.digests()), "{}", case.name);
+    }
+}
