Bound the memory that bytes without end can take

Operators report that one bad message took a whole process down; the users' new rule says that bytes that are no answer may come without end, in a head or a body. Cause: answers up to 32 MB were read completely into memory, each of several at a time; the events of a stream, refusals and answers to orders for slots were not bounded at all. Evidence: bytes_without_end_exhaust_neither_the_time_nor_the_memory_of_an_entry (real process, six requests at a time) failed before: 211 MB for bodies, 93 MB for an event, where the smallest deployment kills a process at 88 MB. It passes now. Ruled out: heads and garbage, which the HTTP library bounds (they passed before). Measured: the test, and those of platform, gateway and routing, pass.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use domain::BuildKey;
 use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -15,17 +15,24 @@
 use ledger::{ProgramKey, TurnKey};
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
+use crate::answer::{AnswerBody, full_body};
 use crate::dialect::{AnswerKind, AttemptContext};
+use crate::long_answer::LongAnswer;
 use crate::models::TurnPrompt;
 use crate::pool::{SendError, ServerAnswer};
 use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// Largest body of an answer that is read completely before it is sent to the caller.
-const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Largest body of an answer that is read completely before it is sent to the caller; a longer one is passed on as it
+/// arrives. A broken answer of this size can still be repeated.
+const BUFFERED_ANSWER_BYTES: usize = 64 * 1024;
+/// Largest body of an answer that says only that a request did not run, or of the answer to an order.
+const SHORT_ANSWER_BYTES: usize = 16 * 1024;
+/// Time in which the rest of a refusal is read, so that its connection can be reused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Limit on the servers of one request that are asked for a free slot in vain. Afterwards the request is sent to
 /// another one without asking.
@@ -215,35 +222,57 @@
         }
     }
 
-    /// Reads the body of an answer to its end.
+    /// Reads the body of an answer to its end, or the first part of a long one.
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks off, the body is too large or the deadline passes. The request has
-    /// run by then.
+    /// Fails when the connection breaks off or the deadline passes before that. The request has run by then.
     pub(crate) async fn collect(
         &mut self,
         accepted: AcceptedAnswer,
-    ) -> Result<(response::Parts, Bytes), CallError> {
+    ) -> Result<(response::Parts, AnswerBody), CallError> {
         let AcceptedAnswer {
             head,
             server,
+            attempt,
             answer,
             load,
-            ..
         } = accepted;
-        let body = Limited::new(answer.response.into_body(), MAX_ANSWER_BYTES).collect();
-        let collected = timeout_at(self.plan.deadline.into(), body).await;
-        drop(load);
-        if let Ok(Ok(body)) = collected {
-            answer.lease.finish();
-            return Ok((head, body.to_bytes()));
+        let ServerAnswer { response, lease } = answer;
+        let mut body = response.into_body();
+        let mut read = BytesMut::new();
+        while read.len() <= BUFFERED_ANSWER_BYTES {
+            match timeout_at(self.plan.deadline.into(), body.frame()).await {
+                Ok(None) => {
+                    lease.finish();
+                    return Ok((head, full_body(read.freeze())));
+                }
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        read.extend_from_slice(&bytes);
+                    }
+                }
+                Ok(Some(Err(_))) | Err(_) => return Err(self.lose_answer(server)),
+            }
         }
+        let long = LongAnswer {
+            entry: Arc::clone(&self.entry),
+            attempt_id: self.plan.attempt_id.clone(),
+            server_name: attempt.server_name,
+            bytes: read.len(),
+            read,
+            body,
+            lease,
+            _load: load,
+            deadline: self.plan.deadline,
+        };
+        Ok((head, long.into_body()))
+    }
+
+    fn lose_answer(&mut self, server: ServerKey) -> CallError {
         self.was_lost = true;
         self.entry.avoid(server);
-        Err(CallError::unknown(
-            "the answer of the backend server could not be read to its end",
-        ))
+        CallError::unknown("the answer of the backend server could not be read to its end")
     }
 
     /// Returns whether the request may be sent to another backend server after an answer that broke off.
@@ -302,7 +331,8 @@
         if self.entry.dialect.is_leaving(response.headers()) {
             return SlotAnswer::Leaving;
         }
-        let Ok(Ok(body)) = timeout_at(limit.into(), response.into_body().collect()).await else {
+        let reading = Limited::new(response.into_body(), SHORT_ANSWER_BYTES).collect();
+        let Ok(Ok(body)) = timeout_at(limit.into(), reading).await else {
             return SlotAnswer::NotAsked;
         };
         lease.finish();
@@ -498,7 +528,8 @@
 fn finish_refusal(answer: ServerAnswer) {
     tokio::spawn(async move {
         let ServerAnswer { response, lease } = answer;
-        if response.into_body().collect().await.is_ok() {
+        let reading = Limited::new(response.into_body(), SHORT_ANSWER_BYTES).collect();
+        if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, reading).await {
             lease.finish();
         }
     });
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
-use crate::answer::{AnswerBody, error_answer, full_body};
+use crate::answer::{AnswerBody, error_answer};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond};
@@ -152,7 +152,7 @@
                 Err(error) => return Err(error),
             };
             self.log_answer(&dispatcher, answer.status.as_u16(), &attempt, arrived);
-            return Ok(buffered_answer(answer, body));
+            return Ok(forwarded_answer(answer, body));
         }
     }
 
@@ -179,7 +179,7 @@
             let attempt = accepted.attempt.clone();
             let (answer, body) = dispatcher.collect(accepted).await?;
             self.log_answer(&dispatcher, answer.status.as_u16(), &attempt, arrived);
-            return Ok(buffered_answer(answer, body));
+            return Ok(forwarded_answer(answer, body));
         }
         let pending_turn = self.route.keeps_turns.then(|| self.pending_turn(input));
         let mut headers = std::mem::take(&mut accepted.head.headers);
@@ -448,9 +448,9 @@
     }
 }
 
-/// Builds the answer to the caller from a backend server's completely read answer.
-fn buffered_answer(head: response::Parts, body: Bytes) -> Response<AnswerBody> {
-    let mut response = Response::from_parts(head, full_body(body));
+/// Builds the answer to the caller from a backend server's answer.
+fn forwarded_answer(head: response::Parts, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::from_parts(head, body);
     remove_connection_headers(response.headers_mut());
     response
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod front;
 mod log;
+mod long_answer;
 mod metrics;
 mod models;
 mod net;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -21,6 +21,8 @@
 /// Period before the end of the idle timeout in which a connection is not reused: the request needs time to
 /// arrive before the server closes the connection.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+/// Largest head of an answer, and largest part of a body that is read at once.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Limit on the idle connections to one server.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
@@ -171,7 +173,9 @@
     let stream = net::connect(address, CONNECT_TIMEOUT)
         .await
         .map_err(|error| error.to_string())?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
     // The request that uses the connection receives its failure, so that it is not reported here.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,6 +19,11 @@
 /// Smallest number of events from which the pace of a stream is taken.
 const MIN_PACE_EVENTS: u64 = 3;
 
+/// Largest event of a stream. A server that sends more without an end of the event has failed.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Largest output of a turn that is stored.
+const MAX_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Token reservation of a turn, made before the turn runs. Dropping it settles the tokens that the turn has
 /// spent.
 #[derive(Debug)]
@@ -204,9 +209,17 @@
                     return Ok(Some(bytes));
                 }
             }
+            if self.output_bytes() > MAX_OUTPUT_BYTES {
+                return Err(StreamBroken("the output of the turn is too long"));
+            }
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
+            // The buffer holds no complete event here.
+            if self.assembler.buffered_bytes() > MAX_EVENT_BYTES {
+                self.resume().await?;
+                continue;
+            }
             match source.read(self.dispatcher.plan.deadline).await {
                 StreamRead::Bytes(bytes) => self.assembler.push(&bytes),
                 StreamRead::End if !self.assembler.has_partial() => {
@@ -219,6 +232,10 @@
         }
     }
 
+    fn output_bytes(&self) -> usize {
+        self.pending_turn.as_ref().map_or(0, |turn| turn.output.len())
+    }
+
     /// Counts an event and returns its bytes, or `None` when the caller has already received it.
     fn take_event(&mut self, event: StreamEvent) -> Option<Bytes> {
         if event.id.is_some() {
--- a/components/routing/src/stream.rs
+++ b/components/routing/src/stream.rs
@@ -63,6 +63,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards the bytes of an incomplete event.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
