Answer requests that wait to be accepted when an entry stops

Operators report that requests that had just been accepted were cut off in a planned stop. Cause: the listener was closed with connections in its queue, which the kernel then resets, requests included; and the graceful shutdown closes at once a connection that has not received a request yet. Evidence: requests_that_wait_to_be_accepted_are_answered_before_the_entry_closes failed before (16 of 16 callers without an answer) and passes now. Accepting the queue alone was not enough: about 5 of 16 were still closed. Change: the queue is accepted before the listener is closed, and a connection without a request waits for the first one for 0.5 s.

--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners of an entry: callers, readiness and metrics.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,8 +12,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
 use crate::exchange;
@@ -26,18 +29,20 @@
 const IDLE_TIMEOUT_FACTOR: f64 = 1.2;
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Time in which the first request of a connection must arrive once the entry accepts no more connections.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failure to accept a connection; the usual cause is that the process has no file descriptors
 /// left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections of callers until the phase [`StopPhase::Closing`]; each connection runs as a task of
+/// Accepts connections of callers until the phase [`StopPhase::Closing`], and those that wait then; each connection runs as a task of
 /// `connections`.
 pub async fn serve_callers(entry: Arc<EntryState>, listener: TcpListener, connections: TaskTracker) {
     let mut phase = entry.phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => return,
+            _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -45,10 +50,38 @@
             }
             Err(failure) => {
                 warn!(entry.log, "connection not accepted"; "error" => %failure);
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // Closing the listener resets the connections in its queue, some of which bear a request already.
+    let queued = match queued_connections(listener) {
+        Ok(queued) => queued,
+        Err(failure) => {
+            warn!(entry.log, "waiting connections not accepted"; "error" => %failure);
+            return;
+        }
+    };
+    info!(entry.log, "accepted the last connections"; "connections" => queued.len());
+    for stream in queued {
+        connections.spawn(serve_caller(Arc::clone(&entry), stream));
+    }
+}
+
+/// Accepts the connections that wait in the queue of a listener, and closes it.
+///
+/// # Errors
+///
+/// Fails when the listener or a connection cannot be handed to or taken from the runtime.
+fn queued_connections(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut queued = Vec::new();
+    // An error means that the queue is empty or that the process has no file descriptors left.
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        queued.push(TcpStream::from_std(stream)?);
+    }
+    Ok(queued)
 }
 
 async fn serve_caller(entry: Arc<EntryState>, stream: TcpStream) {
@@ -63,7 +96,9 @@
         limits.max_header_bytes.max(MIN_BUFFER_BYTES)
     });
     let mut phase = entry.phase.subscribe();
+    let (first_request, mut has_request) = watch::channel(false);
     let service = service_fn(move |request| {
+        first_request.send_replace(true);
         let entry = Arc::clone(&entry);
         async move { Ok::<_, Infallible>(exchange::serve(entry, request).await) }
     });
@@ -76,8 +111,15 @@
     // The result is ignored: an error means that the caller disconnected or that a relayed stream broke off.
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => connection.as_mut().graceful_shutdown(),
+        _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => {}
+    }
+    // A graceful shutdown closes a connection at once that has not received a request yet.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = has_request.wait_for(|has_request| *has_request) => {}
+        () = sleep(FIRST_REQUEST_TIMEOUT) => {}
     }
+    connection.as_mut().graceful_shutdown();
     drop(connection.await);
 }
 
@@ -91,7 +133,7 @@
             Ok((stream, _)) => drop(tokio::spawn(serve_page(stream, Arc::clone(&handler)))),
             Err(failure) => {
                 warn!(log, "connection not accepted"; "error" => %failure);
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
