Report an engine as serving only once its models are known

Entries sent calls to an agent whose engine had not loaded the model; the agent refused them. Cause: until an agent has its first configuration it does not know that its service is a model, and reported a healthy backend server without loading of models; likewise while the first listing of the models fails, as it may beside load. Entries send calls to every agent that reports that. Change: the backend server counts as healthy once the kind of the service is known and, for a model, its models have been listed; it is probed within 50 ms after that, and a change of health is published at once.

--- a/components/agent/src/heartbeat.rs
+++ b/components/agent/src/heartbeat.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use domain::{Heartbeat, HostName, HostRole, HostState, ListedHost, LoadDigest};
+use domain::{Heartbeat, HostName, HostRole, HostState, ListedHost, LoadDigest, ServiceKind};
 use slog::{info, warn};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -16,6 +16,8 @@
 use crate::shared::{AgentShared, BackendReport};
 
 const HOST_LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which the agent looks whether it has its first configuration, which names the kind of its service.
+const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Latest heartbeat of an entry.
 #[derive(Debug, Clone)]
@@ -24,8 +26,8 @@
     pub(crate) arrival: Instant,
 }
 
-/// Publishes the agent's heartbeat at its interval, and at once when the agent starts to leave or its model's
-/// state changes through an order.
+/// Publishes the agent's heartbeat at its interval, and at once when the agent starts to leave, its model's state
+/// changes through an order or the health of its backend server changes.
 pub(crate) async fn publish_heartbeats(
     shared: Arc<AgentShared>,
     publisher: HeartbeatPublisher,
@@ -75,33 +77,48 @@
     }
 }
 
-/// Fetches the load of the backend server at the heartbeat interval, or tests whether it accepts connections.
+/// Fetches the load of the backend server at the heartbeat interval, or tests whether it accepts connections. Probes
+/// it at once when the kind of the service becomes known.
 pub(crate) async fn probe_backend(shared: Arc<AgentShared>) {
     loop {
         let report = probe_once(&shared).await;
         let before = shared.backend.swap(Arc::new(report));
         if before.healthy != report.healthy {
             info!(shared.options.log, "backend server"; "healthy" => report.healthy);
+            shared.publish_now.notify_one();
         }
         if before.model != report.model {
             info!(shared.options.log, "model"; "state" => ?report.model);
         }
-        tokio::time::sleep(shared.options.heartbeat_interval).await;
+        let interval = shared.options.heartbeat_interval;
+        tokio::time::sleep(match shared.service_kind() {
+            None => interval.min(CONFIGURATION_POLL_INTERVAL),
+            Some(_) => interval,
+        })
+        .await;
     }
 }
 
 async fn probe_once(shared: &AgentShared) -> BackendReport {
-    if !shared.serves_model() {
-        return BackendReport {
+    match shared.service_kind() {
+        // Whether the backend server serves a model is not known yet, so that it takes no calls.
+        None => BackendReport::default(),
+        Some(ServiceKind::Model) => probe_engine(shared).await,
+        Some(ServiceKind::Tool | ServiceKind::Plain) => BackendReport {
             healthy: shared.engine.accepts_connections().await,
             ..BackendReport::default()
-        };
+        },
     }
+}
+
+/// Probes a model engine. It counts as healthy once its models have been listed.
+async fn probe_engine(shared: &AgentShared) -> BackendReport {
     let previous = **shared.backend.load();
     let load = shared.engine.fetch_load().await;
+    let model = probe_model(shared, previous.model, load.is_ok()).await;
     BackendReport {
-        healthy: load.is_ok(),
-        model: probe_model(shared, previous.model, load.is_ok()).await,
+        healthy: load.is_ok() && (model.is_some() || previous.healthy),
+        model: model.unwrap_or(previous.model),
         load: load.unwrap_or(previous.load),
     }
 }
--- a/components/agent/src/model.rs
+++ b/components/agent/src/model.rs
@@ -30,46 +30,54 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn derive_state(&self, previous: ModelState, listed: Result<bool, CallError>) -> ModelState {
+    /// Returns the state that a listing shows; `None` if the engine has not answered.
+    fn derive_state(&self, listed: Result<bool, CallError>) -> Option<ModelState> {
         let mut started_at = self.load_started_at();
         match listed {
             Ok(true) => {
                 *started_at = None;
-                ModelState::Loaded
+                Some(ModelState::Loaded)
             }
             Ok(false) => {
                 *started_at = started_at.filter(|started_at| started_at.elapsed() < LOAD_TIMEOUT);
-                if started_at.is_some() {
+                let is_loading = started_at.is_some();
+                Some(if is_loading {
                     ModelState::Loading
                 } else {
                     ModelState::Absent
-                }
+                })
             }
-            Err(error) if error.code == ResultCode::BackendFailed => ModelState::Fixed,
-            Err(_) => previous,
+            Err(error) if error.code == ResultCode::BackendFailed => Some(ModelState::Fixed),
+            Err(_) => None,
         }
     }
 }
 
-/// Lists the engine's models and refuses calls while the service's model is not among them.
-pub(crate) async fn probe_model(shared: &AgentShared, previous: ModelState, healthy: bool) -> ModelState {
+/// Lists the engine's models and refuses calls while the service's model is not among them. Returns the state of the
+/// model; `None` if the engine has not answered.
+pub(crate) async fn probe_model(
+    shared: &AgentShared,
+    previous: ModelState,
+    healthy: bool,
+) -> Option<ModelState> {
     let orders = &shared.model;
     if !healthy {
         // An engine that has failed must not count against the limit of loads in progress.
         *orders.load_started_at() = None;
-        return if previous == ModelState::Loading {
+        return Some(if previous == ModelState::Loading {
             ModelState::Absent
         } else {
             previous
-        };
+        });
     }
     let unload_epoch = orders.unload_epoch.load(Ordering::SeqCst);
     let listed = shared.engine.list_models().await;
     let listed = listed.map(|models| models.contains(&shared.options.service));
-    let state = orders.derive_state(previous, listed);
+    let state = orders.derive_state(listed);
+    let is_serving = state.unwrap_or(previous).is_serving();
     let mut table = shared.call_table();
     if unload_epoch.is_multiple_of(2) && orders.unload_epoch.load(Ordering::SeqCst) == unload_epoch {
-        table.set_suspended(!state.is_serving());
+        table.set_suspended(!is_serving);
     }
     state
 }
--- a/components/agent/tests/process/main.rs
+++ b/components/agent/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod configuration;
 mod entry;
+mod health;
 mod leaving;
 mod memory;
 mod support;
--- a/components/standins/src/testbed.rs
+++ b/components/standins/src/testbed.rs
@@ -72,6 +72,7 @@
         let text = testbed.deployment.configuration.clone();
         testbed.apply_configuration(&first, &text).await?;
         testbed.wait_ready().await?;
+        testbed.wait_healthy().await?;
         Ok(testbed)
     }
 
--- a/components/standins/src/testbed/ready.rs
+++ b/components/standins/src/testbed/ready.rs
@@ -28,6 +28,33 @@
         }
     }
 
+    /// Waits until every running entry knows that the backend server of every agent is healthy.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a backend server is not healthy within 45 s; the error holds the last status.
+    pub async fn wait_healthy(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        for entry in self.entry_names() {
+            loop {
+                let reply = self
+                    .send_operator_request(&entry, "GET", "/admin/status", "")
+                    .await?;
+                let status: Value = reply.decode()?;
+                let hosts = status["hosts"].as_array();
+                if hosts.is_some_and(|hosts| hosts.iter().all(is_healthy)) {
+                    break;
+                }
+                anyhow::ensure!(
+                    Instant::now() < deadline,
+                    "backend servers not healthy in time: {status}"
+                );
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until an entry answers an operator's request.
     ///
     /// # Errors
@@ -86,3 +113,8 @@
     let row = hosts.and_then(|hosts| hosts.iter().find(|row| row["name"] == host));
     row.is_some_and(|row| row["generation"].as_u64() >= Some(generation) && row["leaving"] != true)
 }
+
+/// Returns whether the row of an agent shows that its backend server is healthy; the rows of entries show no load.
+fn is_healthy(row: &Value) -> bool {
+    row["load"].is_null() || row["load"]["healthy"] == true
+}
