Refuse to take up a stored turn again

Cause: the entry that receives the second attempt does not know the events that the caller has, which belong to the output that is stored; the chain would have lost them, silently. Evidence: a_stored_turn_is_not_taken_up_again failed before (200, and run) and passes now. Change: 503 with 3024, not run, at once. Within one answer a stored turn still goes on.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -266,6 +266,12 @@
         if self.route.run_policy != RunPolicy::Resumable || !is_taken_up {
             return Ok(None);
         }
+        if self.route.keeps_turns {
+            return Err(CallError::not_run(
+                ResultCode::StreamNotFound,
+                "a stored turn cannot be taken up again: its earlier events are not known",
+            ));
+        }
         let unknown = || {
             CallError::not_run(
                 ResultCode::StreamNotFound,
