--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -35,8 +35,8 @@
 /// left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections of callers until the phase [`StopPhase::Closing`], and those that wait then; each connection runs as a task of
-/// `connections`.
+/// Accepts connections of callers until the phase [`StopPhase::Closing`], and those that wait then. Each connection runs
+/// as a task of `connections`.
 pub async fn serve_callers(entry: Arc<EntryState>, listener: TcpListener, connections: TaskTracker) {
     let mut phase = entry.phase.subscribe();
     loop {
