Log the limits that backend servers name in their answers

Cause: not fixed yet. Change: the dialect reads the header, an entry remembers for each start of a server the limit that an answer named last, and logs when it is named, changed or lifted. An answer to a request that was sent before the limit was known does not lift it. Nothing else depends on the limit yet.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -8,6 +8,7 @@
 mod name;
 mod program;
 mod quantity;
+mod rate;
 
 pub use build::BuildKey;
 pub use call::{
@@ -26,3 +27,4 @@
 pub use name::{FailureDomain, HostName, ServiceName, TeamName};
 pub use program::{FinishedCall, IntentRecord, ProgramPhase, ProgramState, UnsettledAttempt, UrgencyClass};
 pub use quantity::{MicroUnits, TimeMillis, TokenCount};
+pub use rate::{InstanceKey, RequestRate};
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use domain::RequestRate;
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, StatusCode};
 use ledger::{ProgramKey, TurnKey};
@@ -89,6 +90,17 @@
     Foreign,
 }
 
+/// What an answer says of the requests that its backend server takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// The server names no limit.
+    Unlimited,
+    /// The server takes this rate of requests from all hosts together.
+    Limited(RequestRate),
+    /// The limit cannot be read.
+    Malformed,
+}
+
 /// Names and meaning of the headers that are exchanged with callers and backend servers.
 pub trait WireDialect: fmt::Debug + Send + Sync {
     /// Parses the headers of a caller's request.
@@ -117,6 +129,9 @@
     /// Returns whether a backend server says in an answer that it leaves.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// Returns the limit that a backend server names in an answer.
+    fn limit_notice(&self, headers: &HeaderMap) -> LimitNotice;
+
     /// Classifies a backend server's answer to the attempt.
     fn classify(&self, status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AnswerKind;
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -22,7 +22,9 @@
 use crate::long_answer::LongAnswer;
 use crate::models::TurnPrompt;
 use crate::pool::{SendError, ServerAnswer};
-use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
+use crate::state::{
+    AnswerTrace, DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis,
+};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -451,6 +453,7 @@
             view,
         } = picked;
         let sent_at = Instant::now();
+        let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
         let sending = self.entry.pool.send(server.address, request);
@@ -469,6 +472,14 @@
         if is_from_server && self.entry.dialect.is_leaving(headers) {
             self.entry.record_departure(key, &self.plan.attempt_id);
         }
+        if is_from_server {
+            let notice = self.entry.dialect.limit_notice(headers);
+            let trace = AnswerTrace {
+                request: &self.plan.attempt_id,
+                sent_at_ms,
+            };
+            self.entry.record_limit(key, &server.name, notice, trace);
+        }
         match kind {
             AnswerKind::Answered => {}
             // The connection may deliver the answer to an earlier request instead of the expected one.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,7 +18,8 @@
 mod state;
 
 pub use dialect::{
-    AnswerKind, AttemptContext, HeaderFault, RequestFacts, WireDialect, remove_connection_headers,
+    AnswerKind, AttemptContext, HeaderFault, LimitNotice, RequestFacts, WireDialect,
+    remove_connection_headers,
 };
 pub use front::{PageHandler, serve_callers, serve_pages};
 pub use log::{LogGuard, open_log};
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,15 +11,15 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, EngineLoad, LoadTracker, PaceSample, RouteTable, ServerDirectory, ServerKey, ServerQuery,
-    choose_backend, may_be_full,
+    BackendServer, EngineLoad, LimitTracker, LoadTracker, PaceSample, RouteTable, ServerDirectory, ServerKey,
+    ServerQuery, choose_backend, may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 use crate::chains::ChainCache;
-use crate::dialect::WireDialect;
+use crate::dialect::{LimitNotice, WireDialect};
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
 use crate::models::{ModelObservations, TurnPrompt};
@@ -101,6 +101,7 @@
     pub(crate) phase: watch::Sender<StopPhase>,
     directory: Mutex<ServerDirectory>,
     loads: Mutex<LoadTracker>,
+    limits: Mutex<LimitTracker>,
     affinity: Mutex<AffinityMap>,
     models: Mutex<ModelObservations>,
     /// Open turns of all entries at the last reservation.
@@ -121,6 +122,15 @@
     pub(crate) build: Option<BuildKey>,
 }
 
+/// The answer from which the entry learns something about a backend server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AnswerTrace<'a> {
+    /// Id of the request that was answered.
+    pub(crate) request: &'a str,
+    /// When the request was sent, in milliseconds since the start of the entry.
+    pub(crate) sent_at_ms: u64,
+}
+
 /// The server that was chosen for a request, and what the directory showed then.
 #[derive(Debug)]
 pub(crate) struct PickedServer {
@@ -175,6 +185,7 @@
             phase: watch::Sender::new(StopPhase::Serving),
             directory: Mutex::default(),
             loads: Mutex::default(),
+            limits: Mutex::default(),
             affinity: Mutex::default(),
             models: Mutex::default(),
             open_turns: AtomicU64::new(0),
@@ -374,6 +385,39 @@
         }
     }
 
+    /// Records what an answer of a backend server says of the requests that it takes.
+    pub(crate) fn record_limit(
+        &self,
+        key: ServerKey,
+        server: &str,
+        notice: LimitNotice,
+        answer: AnswerTrace<'_>,
+    ) {
+        let mut limits = lock(&self.limits);
+        match notice {
+            LimitNotice::Limited(rate) => {
+                let before = limits.limit(key).map(|limit| limit.rate.0);
+                if limits.record_limited(key, rate, self.now_ms()) {
+                    info!(self.log, "backend server limits its requests"; "server" => server,
+                        "per_second_thousandths" => rate.0, "before" => before, "request" => answer.request);
+                }
+            }
+            LimitNotice::Unlimited => {
+                if let Some(lifted) = limits.record_unlimited(key, answer.sent_at_ms) {
+                    info!(self.log, "backend server lifts its limit"; "server" => server,
+                        "before" => lifted.rate.0, "heard_ms_ago" => self.now_ms() - lifted.heard_at_ms,
+                        "request" => answer.request);
+                }
+            }
+            LimitNotice::Malformed => {
+                if self.line_limiter.try_acquire() {
+                    info!(self.log, "limit of a backend server cannot be read, ignored"; "server" => server,
+                        "request" => answer.request);
+                }
+            }
+        }
+    }
+
     /// Records a refusal or a failure of a backend server, so that other servers are preferred for a while.
     pub(crate) fn avoid(&self, key: ServerKey) {
         lock(&self.loads).avoid(key, self.now_ms());
@@ -386,6 +430,7 @@
         change(&mut directory);
         lock(&self.loads).remove_unlisted(&directory);
         lock(&self.models).remove_unlisted(&directory);
+        lock(&self.limits).remove_unlisted(&directory);
         self.metrics
             .backend_servers
             .set(i64::try_from(directory.len()).unwrap_or(i64::MAX));
