Share the limit of a backend server among all entries

Cause: the limit was not read, and a bound for all entries together had no owner. Change: a ledger host chosen by the server's key hands out permits at the named rate; entries ask before each request to a limited server. The wait for a permit is part of a server's predicted cost, new programs are admitted by the load of the servers without a limit, and a request that no server takes in time is refused at once (3025). A debug run of the tests found an overflow in the comparison of costs, mended here.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -116,6 +116,8 @@
     VersionUnavailable = 3023, 503;
     /// No ledger host that answered has a record of the stream that the caller takes up again.
     StreamNotFound = 3024, 503;
+    /// Every backend server that could take the request has reached the limit that it has named.
+    ServerLimited = 3025, 503;
     /// The call may have run; its outcome is unknown.
     OutcomeUnknown = 4001, 504;
     /// The stream was interrupted and cannot be resumed without mixing two answers.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -5,17 +5,17 @@
 
 use bytes::{Bytes, BytesMut};
 use domain::BuildKey;
-use errors::{CallError, ResultCode};
+use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use ledger::{ProgramKey, TurnKey};
+use ledger::{PermitAnswer, PermitRequest, ProgramKey, TurnKey};
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::answer::{AnswerBody, full_body};
 use crate::dialect::{AnswerKind, AttemptContext};
@@ -42,6 +42,16 @@
 /// Timeout for the answer of a server that is asked for a free slot; it takes no slot to answer.
 const SLOT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Part of the time until the deadline for which a request waits at most for a limited server, as a divisor. The rest is
+/// left for the request itself.
+const PERMIT_WAIT_DIVISOR: u32 = 4;
+/// Longest time for which a request waits for a limited server.
+const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
+/// Limit on the refused permits of one request. More servers are not asked, as they are likely to refuse it too.
+const MAX_REFUSED_PERMITS: u32 = 4;
+/// Time in milliseconds for which a limited server is passed over while no ledger host answers.
+const NO_PERMIT_MS: u64 = 200;
+
 /// Answer of a server that may have been asked for a free slot.
 enum SlotAnswer {
     /// The server has reserved a slot.
@@ -137,6 +147,8 @@
     full: Vec<ServerKey>,
     /// Whether servers are still asked for a free slot.
     asks_slots: bool,
+    /// Permits that limited servers have refused the request.
+    refused_permits: u32,
     sent: u32,
     unsent: u32,
     was_lost: bool,
@@ -151,6 +163,7 @@
             tried: Vec::new(),
             full: Vec::new(),
             asks_slots: true,
+            refused_permits: 0,
             sent: 0,
             unsent: 0,
             was_lost: false,
@@ -200,6 +213,9 @@
                 return Err(self.give_up("no further backend server is available for the request"));
             };
             let (key, server) = (picked.key, Arc::clone(&picked.server));
+            if !self.obtain_permit(&picked).await? {
+                continue;
+            }
             let slot = match self.reserve_slot(key, &server).await {
                 SlotAnswer::Full | SlotAnswer::Leaving | SlotAnswer::Silent => {
                     self.full.push(key);
@@ -283,10 +299,87 @@
         step == NextStep::TryAnother
     }
 
+    /// Obtains the permit to send the request to a server that limits its requests, and waits until it is due. Returns
+    /// `false` when another server is to be chosen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when every server that could take the request has reached its limit.
+    async fn obtain_permit(&mut self, picked: &PickedServer) -> Result<bool, CallError> {
+        let Some(limit) = self.entry.limit(picked.key) else {
+            return Ok(true);
+        };
+        let longest_ms = self.max_permit_wait_ms();
+        if picked.wait_ms > longest_ms || self.refused_permits >= MAX_REFUSED_PERMITS {
+            return Err(self.limit_reached(picked.wait_ms));
+        }
+        let best_ms = picked.spare_ms.map(|spare_ms| picked.wait_ms + spare_ms);
+        let request = PermitRequest {
+            instance: picked.server.instance(),
+            rate: limit.rate,
+            heard_ms_ago: self.entry.now_ms().saturating_sub(limit.heard_at_ms),
+            max_wait_ms: best_ms.map_or(longest_ms, |best_ms| best_ms.min(longest_ms)),
+        };
+        let answer = self.entry.ledger.request_permit(request).await;
+        self.log_permit(&picked.server, request, answer);
+        let wait_ms = match answer {
+            Some(PermitAnswer::Lifted) => {
+                self.entry.forget_limit(picked.key, &picked.server.name);
+                return Ok(true);
+            }
+            Some(PermitAnswer::Granted {
+                wait_ms,
+                next_wait_ms,
+            }) => {
+                self.entry.record_next_permit(picked.key, next_wait_ms);
+                sleep(Duration::from_millis(wait_ms)).await;
+                return Ok(self.entry.takes_work(picked.key));
+            }
+            Some(PermitAnswer::Refused { wait_ms }) => wait_ms,
+            None => NO_PERMIT_MS,
+        };
+        self.refused_permits += 1;
+        self.entry.record_next_permit(picked.key, wait_ms);
+        Ok(false)
+    }
+
+    fn max_permit_wait_ms(&self) -> u64 {
+        let left = self.plan.deadline.saturating_duration_since(Instant::now());
+        whole_millis((left / PERMIT_WAIT_DIVISOR).min(MAX_PERMIT_WAIT))
+    }
+
+    fn limit_reached(&self, expected_ms: u64) -> CallError {
+        let error = self.give_up("every backend server that could take the request has reached its limit");
+        if error.run != RunState::NotRun {
+            return error;
+        }
+        // Callers that were refused together do not return together.
+        let expected_ms = expected_ms.max(NO_PERMIT_MS);
+        let retry_after_ms = expected_ms + rand::random_range(0..=expected_ms);
+        CallError::not_run(ResultCode::ServerLimited, error.message).with_retry_after_ms(retry_after_ms)
+    }
+
+    fn log_permit(&self, server: &BackendServer, request: PermitRequest, answer: Option<PermitAnswer>) {
+        let (label, wait_ms) = match answer {
+            Some(PermitAnswer::Granted { wait_ms, .. }) => ("granted", wait_ms),
+            Some(PermitAnswer::Refused { wait_ms }) => ("refused", wait_ms),
+            Some(PermitAnswer::Lifted) => ("lifted", 0),
+            None => ("unanswered", NO_PERMIT_MS),
+        };
+        self.entry.metrics.permits.with_label_values(&[label]).inc();
+        if self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "permit for a limited backend server"; "request" => &self.plan.attempt_id,
+                "server" => &server.name, "outcome" => label, "wait_ms" => wait_ms, "max_wait_ms" => request.max_wait_ms,
+                "per_second_thousandths" => request.rate.0, "heard_ms_ago" => request.heard_ms_ago);
+        }
+    }
+
     /// Reserves a slot at a model server that may have none. A request that waits in a server's queue cannot be
     /// moved, while others may be idle.
     async fn reserve_slot(&mut self, key: ServerKey, server: &BackendServer) -> SlotAnswer {
         let may_ask = self.plan.prompt.is_some() && self.asks_slots && self.full.len() < MAX_FULL_SERVERS;
+        // A limited server gets fewer requests than it has slots.
+        let may_ask = may_ask && self.entry.limit(key).is_none();
         if !may_ask || !self.entry.may_be_full(&self.plan.service, server.capacity) {
             return SlotAnswer::NotAsked;
         }
@@ -387,6 +480,7 @@
             prompt: self.plan.prompt,
             tried: &excluded,
             build: self.plan.bond.required(),
+            max_wait_ms: (self.refused_permits < MAX_REFUSED_PERMITS).then(|| self.max_permit_wait_ms()),
         })
     }
 
@@ -451,6 +545,7 @@
             server,
             load,
             view,
+            ..
         } = picked;
         let sent_at = Instant::now();
         let sent_at_ms = self.entry.now_ms();
@@ -478,7 +573,7 @@
                 request: &self.plan.attempt_id,
                 sent_at_ms,
             };
-            self.entry.record_limit(key, &server.name, notice, trace);
+            self.entry.record_limit(key, &server, notice, trace);
         }
         match kind {
             AnswerKind::Answered => {}
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -38,7 +38,8 @@
         Ok(response) => response,
         Err(error) => {
             log_error(&entry, &head, &error, arrived);
-            error_answer(&error, entry.retry_after_ms(error.code))
+            let usual_ms = || entry.retry_after_ms(error.code);
+            error_answer(&error, error.retry_after_ms.unwrap_or_else(usual_ms))
         }
     }
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) requests: IntCounterVec,
     /// Attempts at backend servers by their outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Permits for limited backend servers by outcome.
+    pub(crate) permits: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from the end of a turn's stream until the ledger hosts have stored the turn, in seconds.
@@ -49,6 +51,7 @@
         Self {
             requests: counters("requests_total", "Requests by outcome"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
+            permits: counters("permits_total", "Permits for limited backend servers by outcome"),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
             keep: histogram("keep_seconds", "Time until a turn was kept"),
             reserve: histogram("reserve_seconds", "Time until a reservation was answered"),
--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -38,6 +38,11 @@
         self.paces.record(key, sample, now_ms);
     }
 
+    /// Returns the expected time of a whole stream of a server in microseconds.
+    pub(crate) fn stream_us(&self, key: ServerKey, now_ms: u64) -> u64 {
+        self.paces.stream_us(key, None, now_ms)
+    }
+
     /// Returns the sorted servers on which the prefix of a turn is placed, or `None` if every server can hold it.
     pub(crate) fn prefix_servers(
         &self,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,8 +11,8 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, EngineLoad, LimitTracker, LoadTracker, PaceSample, RouteTable, ServerDirectory, ServerKey,
-    ServerQuery, choose_backend, may_be_full,
+    BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample, RouteTable,
+    ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
@@ -22,7 +22,7 @@
 use crate::dialect::{LimitNotice, WireDialect};
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
-use crate::models::{ModelObservations, TurnPrompt};
+use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
 
 /// Capacity of each of the two maps of an [`AffinityMap`], in sessions and programs.
@@ -120,6 +120,9 @@
     pub(crate) tried: &'a [ServerKey],
     /// Software that the server must run; `None` if any will do.
     pub(crate) build: Option<BuildKey>,
+    /// Longest time for which the request can wait for a limited server, in milliseconds; `None` if such servers are
+    /// the last choice.
+    pub(crate) max_wait_ms: Option<u64>,
 }
 
 /// The answer from which the entry learns something about a backend server.
@@ -138,6 +141,10 @@
     pub(crate) server: Arc<BackendServer>,
     pub(crate) load: LoadGuard,
     pub(crate) view: DirectoryView,
+    /// Time until the server is expected to take the request, in milliseconds.
+    pub(crate) wait_ms: u64,
+    /// Time in milliseconds by which it may take the request later and stay the best choice; `None` without another.
+    pub(crate) spare_ms: Option<u64>,
 }
 
 /// State of the directory when a server was chosen. The log shows it, so that a request at a server that had left
@@ -273,10 +280,11 @@
         let placed = request
             .prompt
             .and_then(|prompt| model.prefix_servers(&directory, request.service, prompt));
-        let load_permille = self.load_permille(&directory, request.service);
+        let load_permille = self.load_permille(&directory, model, request.service);
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
+        let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
             service: request.service,
@@ -285,6 +293,10 @@
             tried: request.tried,
             build: request.build,
             prompt,
+            limits: (!limits.is_empty()).then_some(LimitQuery {
+                limits: &limits,
+                max_wait_ms: request.max_wait_ms,
+            }),
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
@@ -302,6 +314,8 @@
                 revision: directory.revision(),
                 is_registered: directory.is_registered(&pick.server.name),
             },
+            wait_ms: pick.wait_ms,
+            spare_ms: pick.spare_ms,
         })
     }
 
@@ -320,20 +334,39 @@
 
     /// Returns whether a server with this capacity may have no free slot at the present load of its service.
     pub(crate) fn may_be_full(&self, service: &str, capacity: u32) -> bool {
-        let load_permille = self.load_permille(&lock(&self.directory), service);
-        may_be_full(load_permille, capacity)
+        let directory = lock(&self.directory);
+        let mut models = lock(&self.models);
+        may_be_full(
+            self.load_permille(&directory, models.of_service(service), service),
+            capacity,
+        )
     }
 
     /// Returns the share of the slots of a service that are in use, in thousandths.
-    fn load_permille(&self, directory: &ServerDirectory, service: &str) -> u64 {
-        let slots = directory
-            .ready(service)
-            .map(|(_, server)| u64::from(server.capacity))
-            .sum::<u64>();
-        (self.open_turns.load(Ordering::Relaxed) * 1_000)
-            .checked_div(slots)
-            .unwrap_or_default()
-            .min(MAX_LOAD_PERMILLE)
+    fn load_permille(&self, directory: &ServerDirectory, model: &ModelObservation, service: &str) -> u64 {
+        let engines = self.engine_slots(directory, model, service);
+        let load = EngineLoad::of_engines(self.open_turns.load(Ordering::Relaxed), &engines);
+        load.slots_permille().min(MAX_LOAD_PERMILLE)
+    }
+
+    /// Returns the slots of the servers of a service.
+    fn engine_slots(
+        &self,
+        directory: &ServerDirectory,
+        model: &ModelObservation,
+        service: &str,
+    ) -> Vec<EngineSlots> {
+        let limits = lock(&self.limits);
+        let now_ms = self.now_ms();
+        let servers = directory.ready(service).map(|(key, server)| {
+            let slots_of =
+                |limit: ServerLimit| limited_slots(server.capacity, limit.rate, model.stream_us(key, now_ms));
+            EngineSlots {
+                capacity: server.capacity,
+                limited: limits.limit(key).map(slots_of),
+            }
+        });
+        servers.collect()
     }
 
     /// Records the pace of a stream that a backend server has sent.
@@ -364,15 +397,12 @@
         open_turns: u64,
     ) -> EngineLoad {
         let directory = lock(&self.directory);
-        let servers = services.flat_map(|service| directory.ready(service));
-        let (slots, engines) = servers.fold((0, 0), |(slots, engines), (_, server)| {
-            (slots + u64::from(server.capacity), engines + 1)
+        let mut models = lock(&self.models);
+        let engines = services.flat_map(|service| {
+            let model = models.of_service(service);
+            self.engine_slots(&directory, model, service)
         });
-        EngineLoad {
-            open_turns,
-            slots,
-            engines,
-        }
+        EngineLoad::of_engines(open_turns, &engines.collect::<Vec<_>>())
     }
 
     /// Records that a backend server has said in its answer to a request that it leaves. The answer is known before
@@ -389,7 +419,7 @@
     pub(crate) fn record_limit(
         &self,
         key: ServerKey,
-        server: &str,
+        server: &BackendServer,
         notice: LimitNotice,
         answer: AnswerTrace<'_>,
     ) {
@@ -398,26 +428,45 @@
             LimitNotice::Limited(rate) => {
                 let before = limits.limit(key).map(|limit| limit.rate.0);
                 if limits.record_limited(key, rate, self.now_ms()) {
-                    info!(self.log, "backend server limits its requests"; "server" => server,
+                    info!(self.log, "backend server limits its requests"; "server" => &server.name,
                         "per_second_thousandths" => rate.0, "before" => before, "request" => answer.request);
                 }
             }
             LimitNotice::Unlimited => {
                 if let Some(lifted) = limits.record_unlimited(key, answer.sent_at_ms) {
-                    info!(self.log, "backend server lifts its limit"; "server" => server,
+                    info!(self.log, "backend server lifts its limit"; "server" => &server.name,
                         "before" => lifted.rate.0, "heard_ms_ago" => self.now_ms() - lifted.heard_at_ms,
                         "request" => answer.request);
+                    let ledger = self.ledger.clone();
+                    let instance = server.instance();
+                    tokio::spawn(async move { ledger.report_lifted(instance, 0).await });
                 }
             }
             LimitNotice::Malformed => {
                 if self.line_limiter.try_acquire() {
-                    info!(self.log, "limit of a backend server cannot be read, ignored"; "server" => server,
+                    info!(self.log, "limit of a backend server cannot be read, ignored"; "server" => &server.name,
                         "request" => answer.request);
                 }
             }
         }
     }
 
+    /// Returns the limit of a server, as an answer to this entry named it last.
+    pub(crate) fn limit(&self, key: ServerKey) -> Option<ServerLimit> {
+        lock(&self.limits).limit(key)
+    }
+
+    /// Records that a limited server takes the next request after `wait_ms` milliseconds.
+    pub(crate) fn record_next_permit(&self, key: ServerKey, wait_ms: u64) {
+        lock(&self.limits).record_next(key, self.now_ms() + wait_ms);
+    }
+
+    /// Forgets the limit of a server, which has lifted it in an answer to another entry.
+    pub(crate) fn forget_limit(&self, key: ServerKey, server: &str) {
+        lock(&self.limits).remove(key);
+        info!(self.log, "backend server has lifted its limit towards another entry"; "server" => server);
+    }
+
     /// Records a refusal or a failure of a backend server, so that other servers are preferred for a while.
     pub(crate) fn avoid(&self, key: ServerKey) {
         lock(&self.loads).avoid(key, self.now_ms());
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -213,6 +213,7 @@
             preferred: state.server.map(|(key, _)| key),
             tried: &[],
             build: None,
+            limits: None,
             draw: self.rng.random(),
             now_ms: self.now_us / 1_000,
         };
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -610,7 +610,7 @@
         self.shared.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn links(&self) -> MutexGuard<'_, Vec<Arc<HostLink>>> {
+    pub(crate) fn links(&self) -> MutexGuard<'_, Vec<Arc<HostLink>>> {
         self.shared.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -3,12 +3,15 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
+use domain::InstanceKey;
 use slog::{Logger, error, info};
 use tarpc::context::Context;
 
 use crate::digest::BucketDigests;
 use crate::log::{DiskLog, LogError};
+use crate::permit::{PermitAnswer, PermitRequest, PermitTable};
 use crate::port::{
     ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
 };
@@ -57,6 +60,8 @@
     is_copying: AtomicBool,
     readers: Mutex<Vec<ReaderPosition>>,
     snapshots: Mutex<SnapshotSet>,
+    permits: Mutex<PermitTable>,
+    started: Instant,
     folder: PathBuf,
     log: Logger,
 }
@@ -82,6 +87,8 @@
                 is_copying: AtomicBool::new(true),
                 readers: Mutex::default(),
                 snapshots: Mutex::new(SnapshotSet::open(&options.folder)),
+                permits: Mutex::default(),
+                started: Instant::now(),
                 folder: options.folder,
                 log: options.log,
             }),
@@ -127,9 +134,10 @@
         self.table().digests().differing(digests)
     }
 
-    /// Removes the records whose retention has expired.
+    /// Removes the records whose retention has expired, and the backend servers that no entry has asked for.
     pub fn prune(&self, now_ms: u64) {
         self.table().prune(now_ms);
+        self.permits().prune(self.uptime_us());
     }
 
     /// Sets the locations of the turns that the log has written since the last call and evicts payloads from
@@ -188,6 +196,15 @@
         self.shared.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn permits(&self) -> MutexGuard<'_, PermitTable> {
+        self.shared.permits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time since the start of the host in microseconds.
+    fn uptime_us(&self) -> u64 {
+        u64::try_from(self.shared.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
     fn snapshot_set(&self) -> MutexGuard<'_, SnapshotSet> {
         self.shared
             .snapshots
@@ -324,6 +341,16 @@
         Ok(found)
     }
 
+    async fn permit(self, _: Context, request: PermitRequest) -> PermitAnswer {
+        let now_us = self.uptime_us();
+        self.permits().decide(request, now_us)
+    }
+
+    async fn lift_limit(self, _: Context, instance: InstanceKey, heard_ms_ago: u64) {
+        let now_us = self.uptime_us();
+        self.permits().lift(instance, heard_ms_ago, now_us);
+    }
+
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
         let mut found = Vec::new();
         let mut bytes = 0;
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -10,6 +10,8 @@
 mod index;
 mod link;
 mod log;
+mod permit;
+mod permit_client;
 mod port;
 mod record;
 mod relay;
@@ -24,6 +26,7 @@
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
 pub use log::{DiskLog, LogError};
+pub use permit::{PermitAnswer, PermitRequest, PermitTable};
 pub use port::{
     ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild,
     connect_host, serve_port, wall_clock_ms,
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
+use domain::InstanceKey;
 use futures::future::{Either, select, select_ok};
 use slog::{Logger, info, warn};
 use tarpc::client::RpcError;
@@ -14,6 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
+use crate::permit::{PermitAnswer, PermitRequest};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
     context_with_timeout, open_stream,
@@ -33,6 +35,10 @@
 const UNSYNCED_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a call that waits for a disk sync.
 const SYNCED_CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Timeout of a call about the permits of a backend server; many times the duration of a call between failure domains.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a host is not asked for permits after it has not answered.
+const PERMIT_PAUSE: Duration = Duration::from_secs(1);
 /// Longest delay of a record without a waiting caller. It is sent with the next batch or after this delay,
 /// well within the second after which the platform expects a turn's tokens to be settled.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
@@ -105,6 +111,8 @@
     connection: tokio::sync::Mutex<Option<LinkConnection>>,
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     is_up: AtomicBool,
+    /// When a call about permits has failed last.
+    permit_failed_at: Mutex<Option<Instant>>,
     /// Wakes the callers that wait for a connection to any host.
     connected: Arc<Notify>,
     log: Logger,
@@ -124,6 +132,7 @@
             connection: tokio::sync::Mutex::new(None),
             relays,
             is_up: AtomicBool::new(false),
+            permit_failed_at: Mutex::default(),
             connected,
             log,
         }
@@ -183,6 +192,46 @@
         self.call(1, request).await?.ok()
     }
 
+    /// Asks the host for a permit. Returns `None` at once if it is not connected or has not answered lately, and after
+    /// a timeout if it does not answer.
+    pub(crate) async fn request_permit(&self, request: PermitRequest) -> Option<PermitAnswer> {
+        let client = self.permit_client().await?;
+        let asking = client.permit(context_with_timeout(PERMIT_TIMEOUT), request);
+        let answer = timeout(PERMIT_TIMEOUT, asking).await;
+        let answer = answer.ok().and_then(Result::ok);
+        if answer.is_none() {
+            *self.permit_failure() = Some(Instant::now());
+        }
+        answer
+    }
+
+    /// Reports to the host that a backend server has lifted its limit.
+    pub(crate) async fn report_lifted(&self, instance: InstanceKey, heard_ms_ago: u64) -> bool {
+        let Some(client) = self.permit_client().await else {
+            return false;
+        };
+        let context = context_with_timeout(PERMIT_TIMEOUT);
+        client.lift_limit(context, instance, heard_ms_ago).await.is_ok()
+    }
+
+    /// Returns a client on the open connection if the host has answered the latest call about permits. A slow host may
+    /// still answer the other calls on the connection, so that it stays open.
+    async fn permit_client(&self) -> Option<LedgerPortClient> {
+        let failed_at = *self.permit_failure();
+        let is_paused = failed_at.is_some_and(|failed_at| failed_at.elapsed() < PERMIT_PAUSE);
+        if is_paused || !self.is_up() {
+            return None;
+        }
+        let connection = self.connection.lock().await;
+        connection.as_ref().map(|connection| connection.client.clone())
+    }
+
+    fn permit_failure(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.permit_failed_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     const fn queue(&self, mode: SyncMode) -> &RecordQueue {
         match mode {
             SyncMode::Unsynced => &self.unsynced,
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use domain::BuildKey;
+use domain::{BuildKey, InstanceKey};
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::digest::BucketDigests;
+use crate::permit::{PermitAnswer, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
@@ -114,6 +115,12 @@
 
     /// Returns the software that produces the events of a turn's stream; `None` if the host has no record of it.
     async fn stream_build(program: ProgramKey, turn: TurnKey) -> PortResult<Option<StreamBuild>>;
+
+    /// Decides on the permit to send one request to a backend server that limits them.
+    async fn permit(request: PermitRequest) -> PermitAnswer;
+
+    /// Reports that a backend server has lifted its limit some milliseconds ago.
+    async fn lift_limit(instance: InstanceKey, heard_ms_ago: u64);
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -35,7 +35,51 @@
     pub engines: u64,
 }
 
+/// Requests that one engine can run at the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineSlots {
+    /// Slots of the engine.
+    pub capacity: u32,
+    /// Slots that the requests occupy that the engine's limit allows; `None` if it has no limit.
+    pub limited: Option<u32>,
+}
+
 impl EngineLoad {
+    /// Returns the load of the engines without a limit, of which those with a limit have taken the turns that they
+    /// allow. If every engine has a limit, returns their load.
+    pub fn of_engines(open_turns: u64, engines: &[EngineSlots]) -> Self {
+        let is_free = |engine: &&EngineSlots| engine.limited.is_none();
+        let free = engines.iter().filter(is_free);
+        let (slots, count) = free.fold((0, 0), |(slots, count), engine| {
+            (slots + u64::from(engine.capacity), count + 1)
+        });
+        let limited: u64 = engines
+            .iter()
+            .filter_map(|engine| engine.limited)
+            .map(u64::from)
+            .sum();
+        if count == 0 {
+            return Self {
+                open_turns,
+                slots: limited,
+                engines: engines.len() as u64,
+            };
+        }
+        Self {
+            open_turns: open_turns.saturating_sub(limited),
+            slots,
+            engines: count,
+        }
+    }
+
+    /// Returns the share of the slots that are in use, in thousandths; more than 1,000 if turns wait.
+    pub const fn slots_permille(self) -> u64 {
+        if self.slots == 0 {
+            return 0;
+        }
+        self.open_turns.saturating_mul(1_000) / self.slots
+    }
+
     /// Returns the predicted duration of a turn in thousandths of its duration on an idle engine. Running
     /// requests make the steps longer; turns beyond the slots wait until others have ended.
     pub fn turn_permille(self) -> u64 {
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -12,6 +12,7 @@
 use domain::BuildKey;
 
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
+use crate::limit::LimitQuery;
 use crate::pace::{PaceTracker, STEP_GROWTH_PERMILLE};
 
 /// Requests by which a server may exceed the least loaded one before a session of unknown size moves to another
@@ -142,6 +143,8 @@
     pub build: Option<BuildKey>,
     /// Prompt of the request; `None` for services without a model.
     pub prompt: Option<PromptQuery<'a>>,
+    /// Limits of the servers; `None` if no server has one.
+    pub limits: Option<LimitQuery<'a>>,
     /// Random number that breaks ties between servers of equal cost.
     pub draw: u64,
     /// Current time in milliseconds of a monotonic clock.
@@ -188,15 +191,39 @@
     pub key: ServerKey,
     /// The chosen incarnation.
     pub server: &'a Arc<BackendServer>,
+    /// Time until the server is expected to take the request, in milliseconds.
+    pub wait_ms: u64,
+    /// Time in milliseconds by which the request may wait longer until another server is the better choice; `None` if
+    /// there is no other one.
+    pub spare_ms: Option<u64>,
 }
 
-/// Chooses the server for a request, or `None` when the service has no untried server that takes new work.
+/// Cost of a server for a request. Servers that are the last choice come after all others, then those that failed
+/// lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ServerCost {
+    is_last_choice: bool,
+    is_avoided: bool,
+    cost_us: u64,
+}
+
+impl ServerCost {
+    /// Returns by how much a later choice costs more, in milliseconds; `None` if it costs more than time.
+    fn spare_ms(self, later: Self) -> Option<u64> {
+        let is_same_kind = (self.is_last_choice, self.is_avoided) == (later.is_last_choice, later.is_avoided);
+        is_same_kind.then(|| later.cost_us.saturating_sub(self.cost_us) / 1_000)
+    }
+}
+
+/// Chooses the server for a request, or `None` when the service has no untried server that takes new work. The time
+/// until a limited server takes the request is part of its cost.
 pub fn choose_backend<'a>(
     directory: &'a ServerDirectory,
     tracker: &LoadTracker,
     query: &ServerQuery<'_>,
 ) -> Option<ServerPick<'a>> {
-    let mut best: Option<((bool, u64), ServerPick<'a>)> = None;
+    let mut best: Option<(ServerCost, ServerPick<'a>)> = None;
+    let mut second: Option<ServerCost> = None;
     let mut random_state = query.draw;
     for (key, server) in directory.ready(query.service) {
         let is_other_build = query.build.is_some_and(|build| build != server.build());
@@ -216,12 +243,38 @@
         } else {
             ((random_state >> 32) * equal_us) >> 32
         };
-        let cost = (is_avoided, cost_us.saturating_add(random_us));
-        if best.is_none_or(|(lowest, _)| cost < lowest) {
-            best = Some((cost, ServerPick { key, server }));
+        let limits = query.limits.as_ref();
+        let wait_ms = limits.map_or(0, |limits| limits.wait_ms(key, query.now_ms));
+        let cost = ServerCost {
+            is_last_choice: limits.is_some_and(|limits| limits.is_last_choice(key, query.now_ms)),
+            is_avoided,
+            cost_us: cost_us
+                .saturating_add(random_us)
+                .saturating_add(wait_ms.saturating_mul(1_000)),
+        };
+        let Some((lowest, _)) = best else {
+            best = Some((cost, pick_of(key, server, wait_ms)));
+            continue;
+        };
+        if cost < lowest {
+            second = Some(lowest);
+            best = Some((cost, pick_of(key, server, wait_ms)));
+        } else if second.is_none_or(|second| cost < second) {
+            second = Some(cost);
         }
     }
-    best.map(|(_, pick)| pick)
+    let (lowest, pick) = best?;
+    let spare_ms = second.and_then(|second| lowest.spare_ms(second));
+    Some(ServerPick { spare_ms, ..pick })
+}
+
+const fn pick_of(key: ServerKey, server: &Arc<BackendServer>, wait_ms: u64) -> ServerPick<'_> {
+    ServerPick {
+        key,
+        server,
+        wait_ms,
+        spare_ms: None,
+    }
 }
 
 /// Returns whether a server may have no free slot while the servers of its service have `load_permille` thousandths
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use domain::BuildKey;
+use domain::{BuildKey, InstanceKey};
 use serde::{Deserialize, Serialize};
 
 use crate::departure::{DepartureList, DepartureNotice};
@@ -58,6 +58,11 @@
     pub fn build(&self) -> BuildKey {
         BuildKey::from_names(&self.service, &self.software_version)
     }
+
+    /// Returns the key of this start of the server, which is the same in every process.
+    pub fn instance(&self) -> InstanceKey {
+        InstanceKey::from_start(&self.name, self.started_at_ms)
+    }
 }
 
 /// A listed incarnation with its key.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -14,11 +14,11 @@
 mod route;
 mod stream;
 
-pub use admission::{EngineLoad, admits_program};
+pub use admission::{EngineLoad, EngineSlots, admits_program};
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use expiry::{ExpiryEvidence, expiry_grace_ms};
-pub use limit::{LimitTracker, ServerLimit};
+pub use limit::{LimitQuery, LimitTracker, ServerLimit, limited_slots};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
 pub use pace::{PaceSample, PaceTracker};
 pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -28,6 +28,7 @@
         preferred: None,
         tried,
         build: None,
+        limits: None,
         draw: 7,
         now_ms: 0,
     }
