Log the content of lost requests, and the servers that crash under them

Cause: not fixed yet. Change: a key of method, host, path and body in the lines about attempts and streams. After the loss of a run that had just begun the entry connects to the server once, and logs the crash when that is refused.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -3,6 +3,7 @@
 mod build;
 mod call;
 mod configuration;
+mod content;
 mod host;
 mod key;
 mod name;
@@ -19,6 +20,7 @@
     AppliedConfiguration, CallLimits, ClusterConfiguration, PolicyWeights, ServiceConfig, ServiceKind,
     ServicePrices, TeamConfig,
 };
+pub use content::ContentKey;
 pub use host::{
     Heartbeat, HostRole, HostState, ListedHost, LoadDigest, MemberRecord, MemberState, MemberTable,
     ModelState, successor_of,
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use domain::BuildKey;
+use domain::{BuildKey, ContentKey};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::answer::{AnswerBody, full_body};
+use crate::crash::{LostRun, investigate};
 use crate::dialect::{AnswerKind, AttemptContext};
 use crate::long_answer::LongAnswer;
 use crate::models::TurnPrompt;
@@ -96,6 +97,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) attempt_id: String,
+    pub(crate) content: ContentKey,
     pub(crate) route: String,
     pub(crate) service: String,
     pub(crate) run_policy: RunPolicy,
@@ -124,12 +126,10 @@
     pub(crate) load: LoadGuard,
 }
 
-/// The attempt that a server answered, as the log shows it.
+/// The attempt that a server answered.
 #[derive(Debug, Clone)]
 pub(crate) struct SentAttempt {
-    pub(crate) server_name: String,
-    /// Version of the server's software.
-    pub(crate) server_version: String,
+    pub(crate) server: Arc<BackendServer>,
     pub(crate) view: DirectoryView,
     /// When the attempt was handed to a connection.
     pub(crate) sent_at: Instant,
@@ -270,13 +270,17 @@
                         read.extend_from_slice(&bytes);
                     }
                 }
-                Ok(Some(Err(_))) | Err(_) => return Err(self.lose_answer(server)),
+                Ok(Some(Err(_))) => {
+                    self.investigate_loss(&attempt.server);
+                    return Err(self.lose_answer(server));
+                }
+                Err(_) => return Err(self.lose_answer(server)),
             }
         }
         let long = LongAnswer {
             entry: Arc::clone(&self.entry),
             attempt_id: self.plan.attempt_id.clone(),
-            server_name: attempt.server_name,
+            server_name: attempt.server.name.clone(),
             bytes: read.len(),
             read,
             body,
@@ -287,6 +291,17 @@
         Ok((head, long.into_body()))
     }
 
+    /// Finds out in the background whether a server has crashed under the request.
+    pub(crate) fn investigate_loss(&self, server: &BackendServer) {
+        let run = LostRun {
+            request: self.plan.attempt_id.clone(),
+            content: self.plan.content,
+            server_name: server.name.clone(),
+            address: server.address,
+        };
+        investigate(&self.entry, run);
+    }
+
     fn lose_answer(&mut self, server: ServerKey) -> CallError {
         self.was_lost = true;
         self.entry.avoid(server);
@@ -531,7 +546,7 @@
         if self.entry.line_limiter.try_acquire() {
             info!(self.entry.log, "attempt failed"; "request" => &self.plan.attempt_id, "server" => &server.name,
                 "address" => %server.address, "outcome" => label, "sent" => self.sent,
-                "directory" => view.revision, "registered" => view.is_registered);
+                "content" => %self.plan.content, "directory" => view.revision, "registered" => view.is_registered);
         }
     }
 
@@ -555,7 +570,11 @@
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(_))) => return Err(AttemptOutcome::NotSent),
-            Ok(Err(SendError::Lost(_))) | Err(_) => return Err(AttemptOutcome::Lost),
+            Ok(Err(SendError::Lost(_))) => {
+                self.investigate_loss(&server);
+                return Err(AttemptOutcome::Lost);
+            }
+            Err(_) => return Err(AttemptOutcome::Lost),
         };
         let status = answer.response.status();
         let headers = answer.response.headers();
@@ -602,8 +621,7 @@
             head,
             server: key,
             attempt: SentAttempt {
-                server_name: server.name.clone(),
-                server_version: server.software_version.clone(),
+                server,
                 view,
                 sent_at,
             },
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use domain::BuildKey;
+use domain::{BuildKey, ContentKey};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -79,11 +79,18 @@
             .caller_timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
     let input = read_body(body, table.limits().max_body_bytes, deadline).await?;
+    let content = ContentKey::from_request(
+        head.method.as_str(),
+        named_host(head),
+        head.uri.path_and_query().map_or("/", PathAndQuery::as_str),
+        &input,
+    );
     let request = RoutedRequest {
         entry,
         table: &table,
         route,
         facts,
+        content,
         deadline,
     };
     if route.streaming {
@@ -92,10 +99,14 @@
     request.serve_buffered(head, input, arrived).await
 }
 
-fn find_route<'a>(table: &'a RouteTable, head: &request::Parts) -> Result<&'a ServiceRoute, CallError> {
+/// Returns the host that the caller has named.
+fn named_host(head: &request::Parts) -> &str {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = head.uri.host().or(named).unwrap_or_default();
-    match table.find(host, head.uri.path()) {
+    head.uri.host().or(named).unwrap_or_default()
+}
+
+fn find_route<'a>(table: &'a RouteTable, head: &request::Parts) -> Result<&'a ServiceRoute, CallError> {
+    match table.find(named_host(head), head.uri.path()) {
         RouteMatch::Found(route) => Ok(route),
         RouteMatch::Unknown => {
             let message = format!(
@@ -131,6 +142,7 @@
     table: &'a RouteTable,
     route: &'a ServiceRoute,
     facts: RequestFacts,
+    content: ContentKey,
     deadline: Instant,
 }
 
@@ -217,6 +229,7 @@
             headers,
             body,
             attempt_id: self.facts.attempt_id.clone(),
+            content: self.content,
             route: self.route.name.clone(),
             service: service.to_owned(),
             run_policy: self.route.run_policy,
@@ -448,7 +461,7 @@
             return;
         }
         info!(self.entry.log, "request answered"; "request" => &self.facts.attempt_id, "route" => &self.route.name,
-            "configuration" => self.table.version(), "server" => &attempt.server_name, "status" => status,
+            "configuration" => self.table.version(), "server" => &attempt.server.name, "status" => status,
             "ms" => arrived.elapsed().as_millis(), "sent" => dispatcher.sent(),
             "sent_ms" => whole_millis(attempt.sent_at - arrived), "directory" => attempt.view.revision,
             "registered" => attempt.view.is_registered);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod chains;
+mod crash;
 mod dialect;
 mod dispatch;
 mod exchange;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -16,6 +16,9 @@
 use crate::pool::ConnectionLease;
 use crate::state::{LoadGuard, whole_millis};
 
+/// Time from its first event for which a run may still have just begun: a server that a request crashes does so at the
+/// beginning.
+const RUN_START_PERIOD: Duration = Duration::from_millis(200);
 /// Smallest number of events from which the pace of a stream is taken.
 const MIN_PACE_EVENTS: u64 = 3;
 
@@ -116,6 +119,12 @@
         self.events += 1;
     }
 
+    /// Returns whether the run has brought no event yet, or its first one a short time ago.
+    fn has_just_begun(&self) -> bool {
+        self.span
+            .is_none_or(|(first, _)| first.elapsed() < RUN_START_PERIOD)
+    }
+
     /// Returns the pace, or `None` for a stream of fewer than three events.
     fn sample(&self) -> Option<PaceSample> {
         let (first, latest) = self.span.filter(|_| self.events >= MIN_PACE_EVENTS)?;
@@ -226,7 +235,12 @@
                     self.finish().await?;
                     return Ok(None);
                 }
-                StreamRead::End | StreamRead::Broken => self.resume().await?,
+                StreamRead::End | StreamRead::Broken => {
+                    if self.pace.has_just_begun() {
+                        self.dispatcher.investigate_loss(&self.attempt.server);
+                    }
+                    self.resume().await?;
+                }
                 StreamRead::TimedOut => return Err(StreamBroken("the deadline of the request has passed")),
             }
         }
@@ -322,9 +336,9 @@
             return;
         }
         info!(entry.log, "stream resumed"; "request" => &self.dispatcher.plan.attempt_id, "after" => self.last_event,
-            "events" => self.events, "server" => &self.attempt.server_name, "version" => &self.attempt.server_version,
-            "next_server" => &next.server_name, "next_version" => &next.server_version,
-            "directory" => next.view.revision, "ms" => self.arrived.elapsed().as_millis());
+            "events" => self.events, "server" => &self.attempt.server.name, "version" => &self.attempt.server.software_version,
+            "next_server" => &next.server.name, "next_version" => &next.server.software_version,
+            "content" => %self.dispatcher.plan.content, "directory" => next.view.revision, "ms" => self.arrived.elapsed().as_millis());
     }
 
     fn log_end(&self, outcome: &'static str) {
@@ -343,10 +357,10 @@
             return;
         }
         info!(entry.log, "stream ended"; "request" => &self.dispatcher.plan.attempt_id,
-            "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.attempt.server_name, "events" => self.events,
+            "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.attempt.server.name, "events" => self.events,
             "ms" => self.arrived.elapsed().as_millis(), "first_ms" => self.first_event.map(whole_millis), "sent" => self.dispatcher.sent(),
-            "version" => &self.attempt.server_version, "resumes" => &self.dispatcher.plan.resumes,
-            "sent_ms" => whole_millis(self.attempt.sent_at - self.arrived),
+            "version" => &self.attempt.server.software_version, "resumes" => &self.dispatcher.plan.resumes,
+            "content" => %self.dispatcher.plan.content, "sent_ms" => whole_millis(self.attempt.sent_at - self.arrived),
             "directory" => self.attempt.view.revision, "registered" => self.attempt.view.is_registered);
     }
 }
