--- a/components/domain/src/content.rs
+++ b/components/domain/src/content.rs
@@ -26,7 +26,7 @@
 }
 
 impl fmt::Display for ContentKey {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}", self.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
     }
 }
