Refuse requests under which backend servers crash

Cause: each entry judges a lost attempt by itself and tries another server; nothing ties the attempts with one content together. Change: entries report the runs that were lost with a crashed server to t + 1 ledger hosts; a request that was lost with three for which no other one accounts is refused by all entries at once (3026), until ten minutes after its last crash. A run to the end withdraws the reports. A start of an entry is not ready before it knows the verdicts. Why it works: the verdict needs what no single entry has, the losses of all; it reaches each of them 10 ms after the third crash.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -20,7 +20,7 @@
     AppliedConfiguration, CallLimits, ClusterConfiguration, PolicyWeights, ServiceConfig, ServiceKind,
     ServicePrices, TeamConfig,
 };
-pub use content::ContentKey;
+pub use content::{ContentKey, RequestContent};
 pub use host::{
     Heartbeat, HostRole, HostState, ListedHost, LoadDigest, MemberRecord, MemberState, MemberTable,
     ModelState, successor_of,
--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -118,6 +118,8 @@
     StreamNotFound = 3024, 503;
     /// Every backend server that could take the request has reached the limit that it has named.
     ServerLimited = 3025, 503;
+    /// Several backend servers have crashed under the request.
+    ServersCrash = 3026, 503;
     /// The call may have run; its outcome is unknown.
     OutcomeUnknown = 4001, 504;
     /// The stream was interrupted and cannot be resumed without mixing two answers.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use domain::{BuildKey, ContentKey};
+use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -12,7 +12,7 @@
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use ledger::{PermitAnswer, PermitRequest, ProgramKey, TurnKey};
+use ledger::{CRASH_RETENTION_MS, PermitAnswer, PermitRequest, ProgramKey, TurnKey};
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
 use tokio::time::{sleep, timeout, timeout_at};
@@ -97,7 +97,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) attempt_id: String,
-    pub(crate) content: ContentKey,
+    pub(crate) content: RequestContent,
     pub(crate) route: String,
     pub(crate) service: String,
     pub(crate) run_policy: RunPolicy,
@@ -212,6 +212,9 @@
                 }
                 return Err(self.give_up("no further backend server is available for the request"));
             };
+            if self.entry.is_convicted(self.plan.content) {
+                return Err(self.refuse_convicted());
+            }
             let (key, server) = (picked.key, Arc::clone(&picked.server));
             if !self.obtain_permit(&picked).await? {
                 continue;
@@ -263,6 +266,7 @@
             match timeout_at(self.plan.deadline.into(), body.frame()).await {
                 Ok(None) => {
                     lease.finish();
+                    self.entry.record_success(self.plan.content);
                     return Ok((head, full_body(read.freeze())));
                 }
                 Ok(Some(Ok(frame))) => {
@@ -296,10 +300,8 @@
         let run = LostRun {
             request: self.plan.attempt_id.clone(),
             content: self.plan.content,
-            server_name: server.name.clone(),
-            address: server.address,
         };
-        investigate(&self.entry, run);
+        investigate(&self.entry, server, run);
     }
 
     fn lose_answer(&mut self, server: ServerKey) -> CallError {
@@ -358,6 +360,13 @@
         Ok(false)
     }
 
+    fn refuse_convicted(&self) -> CallError {
+        if self.was_lost {
+            return CallError::unknown("backend servers crash under the request");
+        }
+        convicted_error()
+    }
+
     fn max_permit_wait_ms(&self) -> u64 {
         let left = self.plan.deadline.saturating_duration_since(Instant::now());
         whole_millis((left / PERMIT_WAIT_DIVISOR).min(MAX_PERMIT_WAIT))
@@ -546,7 +555,7 @@
         if self.entry.line_limiter.try_acquire() {
             info!(self.entry.log, "attempt failed"; "request" => &self.plan.attempt_id, "server" => &server.name,
                 "address" => %server.address, "outcome" => label, "sent" => self.sent,
-                "content" => %self.plan.content, "directory" => view.revision, "registered" => view.is_registered);
+                "content" => %self.plan.content.whole, "directory" => view.revision, "registered" => view.is_registered);
         }
     }
 
@@ -648,6 +657,13 @@
     }
 }
 
+/// Returns the error of a request that is sent to no server because servers crash under it. It may be tried again when
+/// the crashes are forgotten.
+pub(crate) fn convicted_error() -> CallError {
+    let message = "backend servers crash under the request";
+    CallError::not_run(ResultCode::ServersCrash, message).with_retry_after_ms(CRASH_RETENTION_MS)
+}
+
 /// Reads the short body of a refusal in the background, so that its connection can be reused.
 fn finish_refusal(answer: ServerAnswer) {
     tokio::spawn(async move {
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use domain::{BuildKey, ContentKey};
+use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -20,7 +20,7 @@
 use crate::answer::{AnswerBody, error_answer};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
-use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond};
+use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond, convicted_error};
 use crate::models::TurnPrompt;
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, whole_millis};
@@ -79,12 +79,15 @@
             .caller_timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
     let input = read_body(body, table.limits().max_body_bytes, deadline).await?;
-    let content = ContentKey::from_request(
+    let content = RequestContent::new(
         head.method.as_str(),
         named_host(head),
         head.uri.path_and_query().map_or("/", PathAndQuery::as_str),
         &input,
     );
+    if entry.is_convicted(content) {
+        return Err(convicted_error());
+    }
     let request = RoutedRequest {
         entry,
         table: &table,
@@ -142,7 +145,7 @@
     table: &'a RouteTable,
     route: &'a ServiceRoute,
     facts: RequestFacts,
-    content: ContentKey,
+    content: RequestContent,
     deadline: Instant,
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -280,6 +280,7 @@
                 entry.record_pace(&self.dispatcher.plan.service, source.server, sample);
             }
             source.lease.finish();
+            self.dispatcher.entry.record_success(self.dispatcher.plan.content);
         }
         self.reservation = None;
         let Some(turn) = self.pending_turn.take() else {
@@ -338,7 +339,7 @@
         info!(entry.log, "stream resumed"; "request" => &self.dispatcher.plan.attempt_id, "after" => self.last_event,
             "events" => self.events, "server" => &self.attempt.server.name, "version" => &self.attempt.server.software_version,
             "next_server" => &next.server.name, "next_version" => &next.server.software_version,
-            "content" => %self.dispatcher.plan.content, "directory" => next.view.revision, "ms" => self.arrived.elapsed().as_millis());
+            "content" => %self.dispatcher.plan.content.whole, "directory" => next.view.revision, "ms" => self.arrived.elapsed().as_millis());
     }
 
     fn log_end(&self, outcome: &'static str) {
@@ -360,7 +361,7 @@
             "route" => &self.dispatcher.plan.route, "outcome" => outcome, "server" => &self.attempt.server.name, "events" => self.events,
             "ms" => self.arrived.elapsed().as_millis(), "first_ms" => self.first_event.map(whole_millis), "sent" => self.dispatcher.sent(),
             "version" => &self.attempt.server.software_version, "resumes" => &self.dispatcher.plan.resumes,
-            "content" => %self.dispatcher.plan.content, "sent_ms" => whole_millis(self.attempt.sent_at - self.arrived),
+            "content" => %self.dispatcher.plan.content.whole, "sent_ms" => whole_millis(self.attempt.sent_at - self.arrived),
             "directory" => self.attempt.view.revision, "registered" => self.attempt.view.is_registered);
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use domain::BuildKey;
+use domain::{BuildKey, ContentKey, RequestContent};
 use errors::ResultCode;
-use ledger::{LedgerClient, ProgramKey};
+use ledger::{LedgerClient, ProgramKey, SuspectNotice};
 use routing::{
     BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample, RouteTable,
     ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::chains::ChainCache;
+use crate::crash::CrashRegister;
 use crate::dialect::{LimitNotice, WireDialect};
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
@@ -95,6 +96,7 @@
     pub(crate) pool: ServerPool,
     pub(crate) ledger: LedgerClient,
     pub(crate) chains: ChainCache,
+    pub(crate) crashes: CrashRegister,
     pub(crate) metrics: ProcessMetrics,
     pub(crate) line_limiter: LineLimiter,
     pub(crate) log: Logger,
@@ -186,6 +188,7 @@
             pool: ServerPool::default(),
             ledger,
             chains: ChainCache::default(),
+            crashes: CrashRegister::default(),
             metrics: ProcessMetrics::new(),
             line_limiter: LineLimiter::new(),
             log,
@@ -244,11 +247,14 @@
         self.pool.close_expired_connections();
     }
 
-    /// Returns whether the entry is ready: no stop has started, a configuration and at least one backend
-    /// server are known, and enough ledger hosts are reachable.
+    /// Returns whether the entry is ready: no stop has started, a configuration and at least one backend server are known,
+    /// and enough ledger hosts are reachable. Soon after a start, also whether one of them has told which requests crash
+    /// servers.
     pub fn is_ready(&self) -> bool {
         let is_serving = *self.phase.borrow() == StopPhase::Serving;
+        let knows_crashes = self.crashes.is_informed() || self.started.elapsed() >= RECOVERY_PERIOD;
         is_serving
+            && knows_crashes
             && self.table.load().is_some()
             && !lock(&self.directory).is_empty()
             && self.ledger.is_reachable()
@@ -467,6 +473,42 @@
         info!(self.log, "backend server has lifted its limit towards another entry"; "server" => server);
     }
 
+    /// Returns whether servers crash under a request, so that no other one may get it.
+    pub(crate) fn is_convicted(&self, content: RequestContent) -> bool {
+        self.crashes.is_convicted(content, self.now_ms())
+    }
+
+    /// Records that a server has run a request to its end.
+    pub(crate) fn record_success(&self, content: RequestContent) {
+        let acquitted = self.crashes.record_success(content, self.now_ms());
+        self.acquit(acquitted);
+    }
+
+    /// Reports requests that servers have run to their end, although others have crashed under them.
+    fn acquit(&self, contents: Vec<ContentKey>) {
+        if contents.is_empty() {
+            return;
+        }
+        for content in &contents {
+            info!(self.log, "request under which servers crashed has been run to its end"; "content" => %content);
+        }
+        let ledger = self.ledger.clone();
+        tokio::spawn(async move { ledger.acquit(contents).await });
+    }
+
+    /// Follows the notices of the ledger hosts about requests under which backend servers crash; never returns.
+    pub async fn follow_crashes(&self) {
+        let apply = |notices: &[SuspectNotice]| {
+            for notice in self.crashes.changed_verdicts(notices) {
+                info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
+                    "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
+            }
+            let acquitted = self.crashes.set_notices(notices, self.now_ms());
+            self.acquit(acquitted);
+        };
+        self.ledger.follow_crashes(apply).await;
+    }
+
     /// Records a refusal or a failure of a backend server, so that other servers are preferred for a while.
     pub(crate) fn avoid(&self, key: ServerKey) {
         lock(&self.loads).avoid(key, self.now_ms());
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -589,6 +589,10 @@
         })
     }
 
+    pub(crate) fn tolerated_failures(&self) -> usize {
+        self.shared.tolerated_failures
+    }
+
     fn group_size(&self) -> usize {
         2 * self.shared.tolerated_failures + 1
     }
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -3,12 +3,15 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use domain::InstanceKey;
+use domain::{ContentKey, InstanceKey};
 use slog::{Logger, error, info};
 use tarpc::context::Context;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
+use crate::crash::{CrashReport, CrashTable, NoticePage, NoticeVersion};
 use crate::digest::BucketDigests;
 use crate::log::{DiskLog, LogError};
 use crate::permit::{PermitAnswer, PermitRequest, PermitTable};
@@ -24,6 +27,10 @@
 /// Size at which a response with records ends; the reader requests the remaining records in another call.
 const RESPONSE_LIMIT_BYTES: usize = 1024 * 1024;
 
+/// Time after a change of the notices in which further ones go out with it: a server that crashes is reported by many
+/// entries.
+const NOTICE_DELAY: Duration = Duration::from_millis(10);
+
 /// Options of a ledger host.
 #[derive(Debug, Clone)]
 pub struct HostOptions {
@@ -61,6 +68,9 @@
     readers: Mutex<Vec<ReaderPosition>>,
     snapshots: Mutex<SnapshotSet>,
     permits: Mutex<PermitTable>,
+    crashes: Mutex<CrashTable>,
+    /// Number of changes of the notices about crashes.
+    notice_changes: watch::Sender<u64>,
     started: Instant,
     folder: PathBuf,
     log: Logger,
@@ -88,6 +98,8 @@
                 readers: Mutex::default(),
                 snapshots: Mutex::new(SnapshotSet::open(&options.folder)),
                 permits: Mutex::default(),
+                crashes: Mutex::default(),
+                notice_changes: watch::Sender::new(0),
                 started: Instant::now(),
                 folder: options.folder,
                 log: options.log,
@@ -134,10 +146,13 @@
         self.table().digests().differing(digests)
     }
 
-    /// Removes the records whose retention has expired, and the backend servers that no entry has asked for.
+    /// Removes the records whose retention has expired, the backend servers that no entry has asked for and the requests
+    /// under which none has crashed lately.
     pub fn prune(&self, now_ms: u64) {
         self.table().prune(now_ms);
         self.permits().prune(self.uptime_us());
+        let uptime_ms = self.uptime_us() / 1_000;
+        self.change_crashes(|crashes| crashes.prune(uptime_ms));
     }
 
     /// Sets the locations of the turns that the log has written since the last call and evicts payloads from
@@ -200,6 +215,29 @@
         self.shared.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Changes what is known of crashes, and wakes the entries that wait for a change of the notices.
+    fn change_crashes(&self, change: impl FnOnce(&mut CrashTable)) {
+        let changes = {
+            let mut crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+            change(&mut crashes);
+            crashes.changes()
+        };
+        self.shared
+            .notice_changes
+            .send_if_modified(|known| std::mem::replace(known, changes) != changes);
+    }
+
+    fn notice_page(&self) -> NoticePage {
+        let crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+        NoticePage {
+            version: NoticeVersion {
+                epoch: self.shared.epoch,
+                changes: crashes.changes(),
+            },
+            notices: crashes.notices().to_vec(),
+        }
+    }
+
     /// Returns the time since the start of the host in microseconds.
     fn uptime_us(&self) -> u64 {
         u64::try_from(self.shared.started.elapsed().as_micros()).unwrap_or(u64::MAX)
@@ -351,6 +389,40 @@
         self.permits().lift(instance, heard_ms_ago, now_us);
     }
 
+    async fn report_crashes(self, _: Context, reports: Vec<CrashReport>) {
+        let now_ms = self.uptime_us() / 1_000;
+        self.change_crashes(|crashes| crashes.record(&reports, now_ms));
+    }
+
+    async fn acquit(self, _: Context, contents: Vec<ContentKey>) {
+        self.change_crashes(|crashes| crashes.acquit(&contents));
+    }
+
+    async fn crash_notices(
+        self,
+        _: Context,
+        known: Option<NoticeVersion>,
+        wait_ms: u64,
+    ) -> Option<NoticePage> {
+        let is_known = |changes: u64| {
+            known
+                == Some(NoticeVersion {
+                    epoch: self.shared.epoch,
+                    changes,
+                })
+        };
+        let mut changes = self.shared.notice_changes.subscribe();
+        if is_known(*changes.borrow_and_update()) {
+            let waiting = changes.wait_for(|changes| !is_known(*changes));
+            timeout(Duration::from_millis(wait_ms), waiting)
+                .await
+                .ok()?
+                .ok()?;
+            sleep(NOTICE_DELAY).await;
+        }
+        Some(self.notice_page())
+    }
+
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
         let mut found = Vec::new();
         let mut bytes = 0;
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -5,6 +5,8 @@
 //! host makes decisions for the others, so no leader is elected.
 
 mod client;
+mod crash;
+mod crash_client;
 mod digest;
 mod host;
 mod index;
@@ -22,6 +24,9 @@
 pub use client::{
     LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, TurnClaim, polled_host,
 };
+pub use crash::{
+    CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, NoticePage, NoticeVersion, SuspectNotice,
+};
 pub use digest::BucketDigests;
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use domain::InstanceKey;
+use domain::{ContentKey, InstanceKey};
 use futures::future::{Either, select, select_ok};
 use slog::{Logger, info, warn};
 use tarpc::client::RpcError;
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
+use crate::crash::{CrashReport, NoticePage, NoticeVersion};
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
@@ -214,16 +215,56 @@
         client.lift_limit(context, instance, heard_ms_ago).await.is_ok()
     }
 
+    /// Reports backend servers that have crashed under requests. Returns whether the host has them.
+    pub(crate) async fn report_crashes(&self, reports: Vec<CrashReport>) -> bool {
+        let Some(client) = self.open_client().await else {
+            return false;
+        };
+        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
+        client.report_crashes(context, reports).await.is_ok()
+    }
+
+    /// Reports requests that backend servers have run to their end, although others have crashed under them.
+    pub(crate) async fn acquit(&self, contents: Vec<ContentKey>) -> bool {
+        let Some(client) = self.open_client().await else {
+            return false;
+        };
+        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
+        client.acquit(context, contents).await.is_ok()
+    }
+
+    /// Waits for a change of the notices about crashes. Returns `None` if the host does not answer, and `Some(None)` if
+    /// nothing changes within `wait`.
+    pub(crate) async fn wait_for_notices(
+        &self,
+        known: Option<NoticeVersion>,
+        wait: Duration,
+    ) -> Option<Option<NoticePage>> {
+        let client = self.open_client().await?;
+        let limit = wait + UNSYNCED_CALL_TIMEOUT;
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let waiting = client.crash_notices(context_with_timeout(limit), known, wait_ms);
+        waiting.await.ok()
+    }
+
+    /// Returns a client on the open connection; `None` if there is none.
+    async fn open_client(&self) -> Option<LedgerPortClient> {
+        if !self.is_up() {
+            return None;
+        }
+        let connection = self.connection.lock().await;
+        connection.as_ref().map(|connection| connection.client.clone())
+    }
+
     /// Returns a client on the open connection if the host has answered the latest call about permits. A slow host may
     /// still answer the other calls on the connection, so that it stays open.
     async fn permit_client(&self) -> Option<LedgerPortClient> {
         let failed_at = *self.permit_failure();
         let is_paused = failed_at.is_some_and(|failed_at| failed_at.elapsed() < PERMIT_PAUSE);
-        if is_paused || !self.is_up() {
+        if is_paused {
             return None;
         }
-        let connection = self.connection.lock().await;
-        connection.as_ref().map(|connection| connection.client.clone())
+        self.open_client().await
     }
 
     fn permit_failure(&self) -> MutexGuard<'_, Option<Instant>> {
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use domain::{BuildKey, InstanceKey};
+use domain::{BuildKey, ContentKey, InstanceKey};
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::crash::{CrashReport, NoticePage, NoticeVersion};
 use crate::digest::BucketDigests;
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
@@ -121,6 +122,16 @@
 
     /// Reports that a backend server has lifted its limit some milliseconds ago.
     async fn lift_limit(instance: InstanceKey, heard_ms_ago: u64);
+
+    /// Reports backend servers that have crashed under requests.
+    async fn report_crashes(reports: Vec<CrashReport>);
+
+    /// Reports requests that backend servers have run to their end, although others have crashed under them.
+    async fn acquit(contents: Vec<ContentKey>);
+
+    /// Returns the requests under which backend servers have crashed once they differ from the known ones; `None` if
+    /// they do not within `wait_ms`.
+    async fn crash_notices(known: Option<NoticeVersion>, wait_ms: u64) -> Option<NoticePage>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
