Tell all entries of the limits that backend servers name

What servers saw: among many entries, a server that names a limit went on getting requests from those that had no answer of it yet. The rule does not count such entries; the server's limit is for all of them. Cause: an entry learned a limit from the server's answers only. The more entries, the longer that takes. Change: an entry that hears of a limit, or that it is lifted, tells t + 1 ledger hosts, at most once a minute for a limit that stands; each entry has a call waiting at one of them.

--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use domain::{BuildKey, ContentKey, RequestContent};
+use domain::{BuildKey, ContentKey, InstanceKey, RequestContent, RequestRate};
 use errors::ResultCode;
-use ledger::{LedgerClient, ProgramKey, SuspectNotice};
+use ledger::{LedgerClient, LimitReport, ProgramKey, SuspectNotice};
 use routing::{
     BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample, RouteTable,
     ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
@@ -430,6 +430,7 @@
         answer: AnswerTrace<'_>,
     ) {
         let mut limits = lock(&self.limits);
+        let instance = server.instance();
         match notice {
             LimitNotice::Limited(rate) => {
                 let before = limits.limit(key).map(|limit| limit.rate.0);
@@ -437,6 +438,9 @@
                     info!(self.log, "backend server limits its requests"; "server" => &server.name,
                         "per_second_thousandths" => rate.0, "before" => before, "request" => answer.request);
                 }
+                if limits.must_report(key, self.now_ms()) {
+                    self.report_limit(instance, Some(rate));
+                }
             }
             LimitNotice::Unlimited => {
                 if let Some(lifted) = limits.record_unlimited(key, answer.sent_at_ms) {
@@ -444,8 +448,8 @@
                         "before" => lifted.rate.0, "heard_ms_ago" => self.now_ms() - lifted.heard_at_ms,
                         "request" => answer.request);
                     let ledger = self.ledger.clone();
-                    let instance = server.instance();
                     tokio::spawn(async move { ledger.report_lifted(instance, 0).await });
+                    self.report_limit(instance, None);
                 }
             }
             LimitNotice::Malformed => {
@@ -457,7 +461,45 @@
         }
     }
 
-    /// Returns the limit of a server, as an answer to this entry named it last.
+    /// Tells the other entries that a server has just named a limit, or lifted it.
+    fn report_limit(&self, instance: InstanceKey, rate: Option<RequestRate>) {
+        let ledger = self.ledger.clone();
+        let report = LimitReport {
+            instance,
+            rate,
+            heard_ms_ago: 0,
+        };
+        tokio::spawn(async move { ledger.report_limits(vec![report]).await });
+    }
+
+    /// Follows the limits of backend servers that other entries report; never returns.
+    pub async fn follow_limits(&self) {
+        self.ledger
+            .follow_limits(|reports| self.apply_limits(reports))
+            .await;
+    }
+
+    fn apply_limits(&self, reports: &[LimitReport]) {
+        let now_ms = self.now_ms();
+        let directory = lock(&self.directory);
+        let mut limits = lock(&self.limits);
+        for (key, server) in directory.all() {
+            let found = reports.binary_search_by_key(&server.instance(), |report| report.instance);
+            let Ok(index) = found else { continue };
+            let report = reports[index];
+            let heard_at_ms = now_ms.saturating_sub(report.heard_ms_ago);
+            let is_changed = match report.rate {
+                Some(rate) => limits.adopt(key, rate, heard_at_ms),
+                None => limits.record_unlimited(key, heard_at_ms).is_some(),
+            };
+            if is_changed {
+                info!(self.log, "limit of a backend server learned from another entry"; "server" => &server.name,
+                    "per_second_thousandths" => report.rate.map(|rate| rate.0), "heard_ms_ago" => report.heard_ms_ago);
+            }
+        }
+    }
+
+    /// Returns the limit of a server, as an answer named it last.
     pub(crate) fn limit(&self, key: ServerKey) -> Option<ServerLimit> {
         lock(&self.limits).limit(key)
     }
--- a/components/ledger/src/crash_client.rs
+++ b/components/ledger/src/crash_client.rs
@@ -23,13 +23,13 @@
 impl LedgerClient {
     /// Reports backend servers that have crashed under requests to the hosts that keep such reports.
     pub async fn report_crashes(&self, reports: Vec<CrashReport>) {
-        let hosts = self.crash_hosts();
+        let hosts = self.notice_hosts();
         join_all(hosts.iter().map(|host| host.report_crashes(reports.clone()))).await;
     }
 
     /// Reports requests that backend servers have run to their end, although others have crashed under them.
     pub async fn acquit(&self, contents: Vec<ContentKey>) {
-        let hosts = self.crash_hosts();
+        let hosts = self.notice_hosts();
         join_all(hosts.iter().map(|host| host.acquit(contents.clone()))).await;
     }
 
@@ -46,7 +46,7 @@
                 followed_since = Instant::now();
                 turn = turn.wrapping_add(1);
             }
-            let hosts = self.crash_hosts();
+            let hosts = self.notice_hosts();
             let host = hosts.get(turn % hosts.len().max(1));
             let name = host.map(|host| host.peer.name.clone());
             if name != followed {
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Returns the hosts that keep the reports: the first ones by name, one more than may be lost at the same time.
-    fn crash_hosts(&self) -> Vec<Arc<HostLink>> {
+    /// Returns the hosts that keep what entries tell one another: the first ones by name, one more than may be lost at the same time.
+    pub(crate) fn notice_hosts(&self) -> Vec<Arc<HostLink>> {
         let mut hosts = self.links().clone();
         hosts.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
         hosts.truncate(self.tolerated_failures() + 1);
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -13,6 +13,7 @@
 
 use crate::crash::{CrashReport, CrashTable, NoticePage, NoticeVersion};
 use crate::digest::BucketDigests;
+use crate::limit::{LimitReport, LimitTable};
 use crate::log::{DiskLog, LogError};
 use crate::permit::{PermitAnswer, PermitRequest, PermitTable};
 use crate::port::{
@@ -31,6 +32,9 @@
 /// entries.
 const NOTICE_DELAY: Duration = Duration::from_millis(10);
 
+/// The same for limits: many servers name theirs at the same time.
+const LIMIT_DELAY: Duration = Duration::from_millis(250);
+
 /// Options of a ledger host.
 #[derive(Debug, Clone)]
 pub struct HostOptions {
@@ -71,6 +75,9 @@
     crashes: Mutex<CrashTable>,
     /// Number of changes of the notices about crashes.
     notice_changes: watch::Sender<u64>,
+    limits: Mutex<LimitTable>,
+    /// Number of changes of the limits.
+    limit_changes: watch::Sender<u64>,
     started: Instant,
     folder: PathBuf,
     log: Logger,
@@ -100,6 +107,8 @@
                 permits: Mutex::default(),
                 crashes: Mutex::default(),
                 notice_changes: watch::Sender::new(0),
+                limits: Mutex::default(),
+                limit_changes: watch::Sender::new(0),
                 started: Instant::now(),
                 folder: options.folder,
                 log: options.log,
@@ -153,6 +162,7 @@
         self.permits().prune(self.uptime_us());
         let uptime_ms = self.uptime_us() / 1_000;
         self.change_crashes(|crashes| crashes.prune(uptime_ms));
+        self.limits().prune(uptime_ms);
     }
 
     /// Sets the locations of the turns that the log has written since the last call and evicts payloads from
@@ -215,6 +225,16 @@
         self.shared.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn limits(&self) -> MutexGuard<'_, LimitTable> {
+        self.shared.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether an entry knows the state after so many changes.
+    fn is_known(&self, known: Option<NoticeVersion>, changes: u64) -> bool {
+        let epoch = self.shared.epoch;
+        known == Some(NoticeVersion { epoch, changes })
+    }
+
     /// Changes what is known of crashes, and wakes the entries that wait for a change of the notices.
     fn change_crashes(&self, change: impl FnOnce(&mut CrashTable)) {
         let changes = {
@@ -404,16 +424,9 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<NoticePage> {
-        let is_known = |changes: u64| {
-            known
-                == Some(NoticeVersion {
-                    epoch: self.shared.epoch,
-                    changes,
-                })
-        };
         let mut changes = self.shared.notice_changes.subscribe();
-        if is_known(*changes.borrow_and_update()) {
-            let waiting = changes.wait_for(|changes| !is_known(*changes));
+        if self.is_known(known, *changes.borrow_and_update()) {
+            let waiting = changes.wait_for(|changes| !self.is_known(known, *changes));
             timeout(Duration::from_millis(wait_ms), waiting)
                 .await
                 .ok()?
@@ -423,6 +436,41 @@
         Some(self.notice_page())
     }
 
+    async fn report_limits(self, _: Context, reports: Vec<LimitReport>) {
+        let now_ms = self.uptime_us() / 1_000;
+        let changes = {
+            let mut limits = self.limits();
+            limits.record(&reports, now_ms);
+            limits.changes()
+        };
+        self.shared
+            .limit_changes
+            .send_if_modified(|known| std::mem::replace(known, changes) != changes);
+    }
+
+    async fn limit_reports(
+        self,
+        _: Context,
+        known: Option<NoticeVersion>,
+        wait_ms: u64,
+    ) -> Option<(NoticeVersion, Vec<LimitReport>)> {
+        let mut changes = self.shared.limit_changes.subscribe();
+        if self.is_known(known, *changes.borrow_and_update()) {
+            let waiting = changes.wait_for(|changes| !self.is_known(known, *changes));
+            timeout(Duration::from_millis(wait_ms), waiting)
+                .await
+                .ok()?
+                .ok()?;
+            sleep(LIMIT_DELAY).await;
+        }
+        let limits = self.limits();
+        let version = NoticeVersion {
+            epoch: self.shared.epoch,
+            changes: limits.changes(),
+        };
+        Some((version, limits.reports(self.uptime_us() / 1_000)))
+    }
+
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
         let mut found = Vec::new();
         let mut bytes = 0;
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -10,6 +10,8 @@
 mod digest;
 mod host;
 mod index;
+mod limit;
+mod limit_client;
 mod link;
 mod log;
 mod permit;
@@ -30,6 +32,7 @@
 pub use digest::BucketDigests;
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
+pub use limit::{LimitReport, LimitTable};
 pub use log::{DiskLog, LogError};
 pub use permit::{PermitAnswer, PermitRequest, PermitTable};
 pub use port::{
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -16,6 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::crash::{CrashReport, NoticePage, NoticeVersion};
+use crate::limit::LimitReport;
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
@@ -247,6 +248,29 @@
         waiting.await.ok()
     }
 
+    /// Reports limits of backend servers.
+    pub(crate) async fn report_limits(&self, reports: Vec<LimitReport>) -> bool {
+        let Some(client) = self.open_client().await else {
+            return false;
+        };
+        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
+        client.report_limits(context, reports).await.is_ok()
+    }
+
+    /// Waits for a change of the limits of backend servers. Returns `None` if the host does not answer, and `Some(None)`
+    /// if nothing changes within `wait`.
+    pub(crate) async fn wait_for_limits(
+        &self,
+        known: Option<NoticeVersion>,
+        wait: Duration,
+    ) -> Option<Option<(NoticeVersion, Vec<LimitReport>)>> {
+        let client = self.open_client().await?;
+        let limit = wait + UNSYNCED_CALL_TIMEOUT;
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let waiting = client.limit_reports(context_with_timeout(limit), known, wait_ms);
+        waiting.await.ok()
+    }
+
     /// Returns a client on the open connection; `None` if there is none.
     async fn open_client(&self) -> Option<LedgerPortClient> {
         if !self.is_up() {
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -17,6 +17,7 @@
 
 use crate::crash::{CrashReport, NoticePage, NoticeVersion};
 use crate::digest::BucketDigests;
+use crate::limit::LimitReport;
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
@@ -132,6 +133,16 @@
     /// Returns the requests under which backend servers have crashed once they differ from the known ones; `None` if
     /// they do not within `wait_ms`.
     async fn crash_notices(known: Option<NoticeVersion>, wait_ms: u64) -> Option<NoticePage>;
+
+    /// Reports limits that backend servers have named or lifted.
+    async fn report_limits(reports: Vec<LimitReport>);
+
+    /// Returns the limits of backend servers once some were named first or lifted since the known state; `None` if none
+    /// were within `wait_ms`.
+    async fn limit_reports(
+        known: Option<NoticeVersion>,
+        wait_ms: u64,
+    ) -> Option<(NoticeVersion, Vec<LimitReport>)>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/routing/src/limit.rs
+++ b/components/routing/src/limit.rs
@@ -8,7 +8,10 @@
 
 use crate::directory::{ServerDirectory, ServerKey};
 
-/// Limit of a backend server, as an answer to this entry named it last.
+/// Interval at which the other entries are told of a limit that stands, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 60_000;
+
+/// Limit of a backend server, as an answer named it last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLimit {
     /// Rate that the server takes from all entries together.
@@ -17,6 +20,8 @@
     pub heard_at_ms: u64,
     /// When the next permit for a request is expected, in milliseconds of the same clock.
     pub next_at_ms: u64,
+    /// When the other entries were told last.
+    reported_at_ms: u64,
 }
 
 /// The limits that the choice of a server for one request takes into account.
@@ -60,6 +65,44 @@
 }
 
 impl LimitTracker {
+    /// Adopts a limit that another entry has reported, unless this one knows something later. Returns whether the server
+    /// had no limit before.
+    pub fn adopt(&mut self, key: ServerKey, rate: RequestRate, heard_at_ms: u64) -> bool {
+        match self.position_of(key) {
+            Ok(index) => {
+                let limit = &mut self.limits[index].1;
+                if heard_at_ms > limit.heard_at_ms {
+                    limit.rate = rate;
+                    limit.heard_at_ms = heard_at_ms;
+                }
+                false
+            }
+            Err(index) => {
+                let limit = ServerLimit {
+                    rate,
+                    heard_at_ms,
+                    next_at_ms: 0,
+                    reported_at_ms: heard_at_ms,
+                };
+                self.limits.insert(index, (key, limit));
+                true
+            }
+        }
+    }
+
+    /// Returns whether the other entries are to be told of a server's limit, and records that they are.
+    pub fn must_report(&mut self, key: ServerKey, now_ms: u64) -> bool {
+        let Ok(index) = self.position_of(key) else {
+            return false;
+        };
+        let limit = &mut self.limits[index].1;
+        let is_due = limit.reported_at_ms == 0 || now_ms >= limit.reported_at_ms + REPORT_INTERVAL_MS;
+        if is_due {
+            limit.reported_at_ms = now_ms;
+        }
+        is_due
+    }
+
     /// Records that an answer has named a limit. Returns whether the rate is new or changed.
     pub fn record_limited(&mut self, key: ServerKey, rate: RequestRate, now_ms: u64) -> bool {
         let index = match self.position_of(key) {
@@ -69,6 +112,7 @@
                     rate,
                     heard_at_ms: now_ms,
                     next_at_ms: 0,
+                    reported_at_ms: 0,
                 };
                 self.limits.insert(index, (key, limit));
                 return true;
