Move limits, permits and crashes out of the entry's state and the dispatcher

Change: limits.rs, permits.rs and crash.rs have them; the outcome of asking for a permit is an enum. No behaviour changes. Measured: the tests of limits, crashes and slots pass.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -4,7 +4,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::state::EntryState;
+use crate::state::{EntryState, lock};
 
 /// Timeout for finding out whether a server still accepts connections. One that is only cut off does not refuse them.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -178,8 +178,42 @@
     found.ok().map(|index| &notices[index])
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+impl EntryState {
+    /// Returns whether servers crash under a request, so that no other one may get it.
+    pub(crate) fn is_convicted(&self, content: RequestContent) -> bool {
+        self.crashes.is_convicted(content, self.now_ms())
+    }
+
+    /// Records that a server has run a request to its end.
+    pub(crate) fn record_success(&self, content: RequestContent) {
+        let acquitted = self.crashes.record_success(content, self.now_ms());
+        self.acquit(acquitted);
+    }
+
+    /// Reports requests that servers have run to their end, although others have crashed under them.
+    fn acquit(&self, contents: Vec<ContentKey>) {
+        if contents.is_empty() {
+            return;
+        }
+        for content in &contents {
+            info!(self.log, "request under which servers crashed has been run to its end"; "content" => %content);
+        }
+        let ledger = self.ledger.clone();
+        tokio::spawn(async move { ledger.acquit(contents).await });
+    }
+
+    /// Follows the notices of the ledger hosts about requests under which backend servers crash; never returns.
+    pub async fn follow_crashes(&self) {
+        let apply = |notices: &[SuspectNotice]| {
+            for notice in self.crashes.changed_verdicts(notices) {
+                info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
+                    "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
+            }
+            let acquitted = self.crashes.set_notices(notices, self.now_ms());
+            self.acquit(acquitted);
+        };
+        self.ledger.follow_crashes(apply).await;
+    }
 }
 
 /// Finds out in the background whether a server has crashed, and reports the runs that were lost with it.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -5,27 +5,27 @@
 
 use bytes::{Bytes, BytesMut};
 use domain::{BuildKey, RequestContent};
-use errors::{CallError, ResultCode, RunState};
+use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request;
 use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use ledger::{CRASH_RETENTION_MS, PermitAnswer, PermitRequest, ProgramKey, TurnKey};
+use ledger::{CRASH_RETENTION_MS, ProgramKey, TurnKey};
 use routing::{AttemptLimits, AttemptOutcome, BackendServer, NextStep, RunPolicy, ServerKey, next_step};
 use slog::info;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 
 use crate::answer::{AnswerBody, full_body};
 use crate::crash::{LostRun, investigate};
 use crate::dialect::{AnswerKind, AttemptContext};
+use crate::limits::AnswerTrace;
 use crate::long_answer::LongAnswer;
 use crate::models::TurnPrompt;
+use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
-use crate::state::{
-    AnswerTrace, DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis,
-};
+use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -43,16 +43,6 @@
 /// Timeout for the answer of a server that is asked for a free slot; it takes no slot to answer.
 const SLOT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Part of the time until the deadline for which a request waits at most for a limited server, as a divisor. The rest is
-/// left for the request itself.
-const PERMIT_WAIT_DIVISOR: u32 = 4;
-/// Longest time for which a request waits for a limited server.
-const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
-/// Limit on the refused permits of one request. More servers are not asked, as they are likely to refuse it too.
-const MAX_REFUSED_PERMITS: u32 = 4;
-/// Time in milliseconds for which a limited server is passed over while no ledger host answers.
-const NO_PERMIT_MS: u64 = 200;
-
 /// Answer of a server that may have been asked for a free slot.
 enum SlotAnswer {
     /// The server has reserved a slot.
@@ -147,8 +137,7 @@
     full: Vec<ServerKey>,
     /// Whether servers are still asked for a free slot.
     asks_slots: bool,
-    /// Permits that limited servers have refused the request.
-    refused_permits: u32,
+    pub(crate) permits: PermitAttempts,
     sent: u32,
     unsent: u32,
     was_lost: bool,
@@ -163,7 +152,7 @@
             tried: Vec::new(),
             full: Vec::new(),
             asks_slots: true,
-            refused_permits: 0,
+            permits: PermitAttempts::new(),
             sent: 0,
             unsent: 0,
             was_lost: false,
@@ -204,10 +193,8 @@
             let chosen = self.first.take();
             let chosen = chosen.filter(|picked| self.entry.takes_work(picked.key));
             let Some(picked) = chosen.or_else(|| self.pick()) else {
-                // Every other server has been tried or is full, so that the request waits at one of the full ones.
                 if !self.full.is_empty() {
-                    self.full.clear();
-                    self.asks_slots = false;
+                    self.wait_at_full_server();
                     continue;
                 }
                 return Err(self.give_up("no further backend server is available for the request"));
@@ -216,8 +203,10 @@
                 return Err(self.refuse_convicted());
             }
             let (key, server) = (picked.key, Arc::clone(&picked.server));
-            if !self.obtain_permit(&picked).await? {
-                continue;
+            match self.obtain_permit(&picked).await {
+                PermitOutcome::Ready => {}
+                PermitOutcome::TryAnother => continue,
+                PermitOutcome::LimitReached { expected_ms } => return Err(self.limit_reached(expected_ms)),
             }
             let slot = match self.reserve_slot(key, &server).await {
                 SlotAnswer::Full | SlotAnswer::Leaving | SlotAnswer::Silent => {
@@ -295,6 +284,13 @@
         Ok((head, long.into_body()))
     }
 
+    /// Lets the request wait at one of the full servers: every other one has been tried, is full or has reached its
+    /// limit.
+    fn wait_at_full_server(&mut self) {
+        self.full.clear();
+        self.asks_slots = false;
+    }
+
     /// Finds out in the background whether a server has crashed under the request.
     pub(crate) fn investigate_loss(&self, server: &BackendServer) {
         let run = LostRun {
@@ -316,50 +312,6 @@
         step == NextStep::TryAnother
     }
 
-    /// Obtains the permit to send the request to a server that limits its requests, and waits until it is due. Returns
-    /// `false` when another server is to be chosen.
-    ///
-    /// # Errors
-    ///
-    /// Fails when every server that could take the request has reached its limit.
-    async fn obtain_permit(&mut self, picked: &PickedServer) -> Result<bool, CallError> {
-        let Some(limit) = self.entry.limit(picked.key) else {
-            return Ok(true);
-        };
-        let longest_ms = self.max_permit_wait_ms();
-        if picked.wait_ms > longest_ms || self.refused_permits >= MAX_REFUSED_PERMITS {
-            return Err(self.limit_reached(picked.wait_ms));
-        }
-        let best_ms = picked.spare_ms.map(|spare_ms| picked.wait_ms + spare_ms);
-        let request = PermitRequest {
-            instance: picked.server.instance(),
-            rate: limit.rate,
-            heard_ms_ago: self.entry.now_ms().saturating_sub(limit.heard_at_ms),
-            max_wait_ms: best_ms.map_or(longest_ms, |best_ms| best_ms.min(longest_ms)),
-        };
-        let answer = self.entry.ledger.request_permit(request).await;
-        self.log_permit(&picked.server, request, answer);
-        let wait_ms = match answer {
-            Some(PermitAnswer::Lifted) => {
-                self.entry.forget_limit(picked.key, &picked.server.name);
-                return Ok(true);
-            }
-            Some(PermitAnswer::Granted {
-                wait_ms,
-                next_wait_ms,
-            }) => {
-                self.entry.record_next_permit(picked.key, next_wait_ms);
-                sleep(Duration::from_millis(wait_ms)).await;
-                return Ok(self.entry.takes_work(picked.key));
-            }
-            Some(PermitAnswer::Refused { wait_ms }) => wait_ms,
-            None => NO_PERMIT_MS,
-        };
-        self.refused_permits += 1;
-        self.entry.record_next_permit(picked.key, wait_ms);
-        Ok(false)
-    }
-
     fn refuse_convicted(&self) -> CallError {
         if self.was_lost {
             return CallError::unknown("backend servers crash under the request");
@@ -367,37 +319,6 @@
         convicted_error()
     }
 
-    fn max_permit_wait_ms(&self) -> u64 {
-        let left = self.plan.deadline.saturating_duration_since(Instant::now());
-        whole_millis((left / PERMIT_WAIT_DIVISOR).min(MAX_PERMIT_WAIT))
-    }
-
-    fn limit_reached(&self, expected_ms: u64) -> CallError {
-        let error = self.give_up("every backend server that could take the request has reached its limit");
-        if error.run != RunState::NotRun {
-            return error;
-        }
-        // Callers that were refused together do not return together.
-        let expected_ms = expected_ms.max(NO_PERMIT_MS);
-        let retry_after_ms = expected_ms + rand::random_range(0..=expected_ms);
-        CallError::not_run(ResultCode::ServerLimited, error.message).with_retry_after_ms(retry_after_ms)
-    }
-
-    fn log_permit(&self, server: &BackendServer, request: PermitRequest, answer: Option<PermitAnswer>) {
-        let (label, wait_ms) = match answer {
-            Some(PermitAnswer::Granted { wait_ms, .. }) => ("granted", wait_ms),
-            Some(PermitAnswer::Refused { wait_ms }) => ("refused", wait_ms),
-            Some(PermitAnswer::Lifted) => ("lifted", 0),
-            None => ("unanswered", NO_PERMIT_MS),
-        };
-        self.entry.metrics.permits.with_label_values(&[label]).inc();
-        if self.entry.line_limiter.try_acquire() {
-            info!(self.entry.log, "permit for a limited backend server"; "request" => &self.plan.attempt_id,
-                "server" => &server.name, "outcome" => label, "wait_ms" => wait_ms, "max_wait_ms" => request.max_wait_ms,
-                "per_second_thousandths" => request.rate.0, "heard_ms_ago" => request.heard_ms_ago);
-        }
-    }
-
     /// Reserves a slot at a model server that may have none. A request that waits in a server's queue cannot be
     /// moved, while others may be idle.
     async fn reserve_slot(&mut self, key: ServerKey, server: &BackendServer) -> SlotAnswer {
@@ -504,7 +425,7 @@
             prompt: self.plan.prompt,
             tried: &excluded,
             build: self.plan.bond.required(),
-            max_wait_ms: (self.refused_permits < MAX_REFUSED_PERMITS).then(|| self.max_permit_wait_ms()),
+            max_wait_ms: self.permits.may_ask().then(|| self.max_permit_wait_ms()),
         })
     }
 
@@ -519,7 +440,7 @@
         }
     }
 
-    fn give_up(&self, cause: &str) -> CallError {
+    pub(crate) fn give_up(&self, cause: &str) -> CallError {
         let is_late = self.plan.deadline <= Instant::now();
         match (self.was_lost, is_late) {
             (true, false) => CallError::unknown(cause),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
-use domain::{BuildKey, ContentKey, InstanceKey, RequestContent, RequestRate};
+use domain::BuildKey;
 use errors::ResultCode;
-use ledger::{LedgerClient, LimitReport, ProgramKey, SuspectNotice};
+use ledger::{LedgerClient, ProgramKey};
 use routing::{
     BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample, RouteTable,
     ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
@@ -20,7 +20,7 @@
 
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
-use crate::dialect::{LimitNotice, WireDialect};
+use crate::dialect::WireDialect;
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
 use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
@@ -101,9 +101,9 @@
     pub(crate) line_limiter: LineLimiter,
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<StopPhase>,
-    directory: Mutex<ServerDirectory>,
+    pub(crate) directory: Mutex<ServerDirectory>,
     loads: Mutex<LoadTracker>,
-    limits: Mutex<LimitTracker>,
+    pub(crate) limits: Mutex<LimitTracker>,
     affinity: Mutex<AffinityMap>,
     models: Mutex<ModelObservations>,
     /// Open turns of all entries at the last reservation.
@@ -127,15 +127,6 @@
     pub(crate) max_wait_ms: Option<u64>,
 }
 
-/// The answer from which the entry learns something about a backend server.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct AnswerTrace<'a> {
-    /// Id of the request that was answered.
-    pub(crate) request: &'a str,
-    /// When the request was sent, in milliseconds since the start of the entry.
-    pub(crate) sent_at_ms: u64,
-}
-
 /// The server that was chosen for a request, and what the directory showed then.
 #[derive(Debug)]
 pub(crate) struct PickedServer {
@@ -421,136 +412,6 @@
         }
     }
 
-    /// Records what an answer of a backend server says of the requests that it takes.
-    pub(crate) fn record_limit(
-        &self,
-        key: ServerKey,
-        server: &BackendServer,
-        notice: LimitNotice,
-        answer: AnswerTrace<'_>,
-    ) {
-        let mut limits = lock(&self.limits);
-        let instance = server.instance();
-        match notice {
-            LimitNotice::Limited(rate) => {
-                let before = limits.limit(key).map(|limit| limit.rate.0);
-                if limits.record_limited(key, rate, self.now_ms()) {
-                    info!(self.log, "backend server limits its requests"; "server" => &server.name,
-                        "per_second_thousandths" => rate.0, "before" => before, "request" => answer.request);
-                }
-                if limits.must_report(key, self.now_ms()) {
-                    self.report_limit(instance, Some(rate));
-                }
-            }
-            LimitNotice::Unlimited => {
-                if let Some(lifted) = limits.record_unlimited(key, answer.sent_at_ms) {
-                    info!(self.log, "backend server lifts its limit"; "server" => &server.name,
-                        "before" => lifted.rate.0, "heard_ms_ago" => self.now_ms() - lifted.heard_at_ms,
-                        "request" => answer.request);
-                    let ledger = self.ledger.clone();
-                    tokio::spawn(async move { ledger.report_lifted(instance, 0).await });
-                    self.report_limit(instance, None);
-                }
-            }
-            LimitNotice::Malformed => {
-                if self.line_limiter.try_acquire() {
-                    info!(self.log, "limit of a backend server cannot be read, ignored"; "server" => &server.name,
-                        "request" => answer.request);
-                }
-            }
-        }
-    }
-
-    /// Tells the other entries that a server has just named a limit, or lifted it.
-    fn report_limit(&self, instance: InstanceKey, rate: Option<RequestRate>) {
-        let ledger = self.ledger.clone();
-        let report = LimitReport {
-            instance,
-            rate,
-            heard_ms_ago: 0,
-        };
-        tokio::spawn(async move { ledger.report_limits(vec![report]).await });
-    }
-
-    /// Follows the limits of backend servers that other entries report; never returns.
-    pub async fn follow_limits(&self) {
-        self.ledger
-            .follow_limits(|reports| self.apply_limits(reports))
-            .await;
-    }
-
-    fn apply_limits(&self, reports: &[LimitReport]) {
-        let now_ms = self.now_ms();
-        let directory = lock(&self.directory);
-        let mut limits = lock(&self.limits);
-        for (key, server) in directory.all() {
-            let found = reports.binary_search_by_key(&server.instance(), |report| report.instance);
-            let Ok(index) = found else { continue };
-            let report = reports[index];
-            let heard_at_ms = now_ms.saturating_sub(report.heard_ms_ago);
-            let is_changed = match report.rate {
-                Some(rate) => limits.adopt(key, rate, heard_at_ms),
-                None => limits.record_unlimited(key, heard_at_ms).is_some(),
-            };
-            if is_changed {
-                info!(self.log, "limit of a backend server learned from another entry"; "server" => &server.name,
-                    "per_second_thousandths" => report.rate.map(|rate| rate.0), "heard_ms_ago" => report.heard_ms_ago);
-            }
-        }
-    }
-
-    /// Returns the limit of a server, as an answer named it last.
-    pub(crate) fn limit(&self, key: ServerKey) -> Option<ServerLimit> {
-        lock(&self.limits).limit(key)
-    }
-
-    /// Records that a limited server takes the next request after `wait_ms` milliseconds.
-    pub(crate) fn record_next_permit(&self, key: ServerKey, wait_ms: u64) {
-        lock(&self.limits).record_next(key, self.now_ms() + wait_ms);
-    }
-
-    /// Forgets the limit of a server, which has lifted it in an answer to another entry.
-    pub(crate) fn forget_limit(&self, key: ServerKey, server: &str) {
-        lock(&self.limits).remove(key);
-        info!(self.log, "backend server has lifted its limit towards another entry"; "server" => server);
-    }
-
-    /// Returns whether servers crash under a request, so that no other one may get it.
-    pub(crate) fn is_convicted(&self, content: RequestContent) -> bool {
-        self.crashes.is_convicted(content, self.now_ms())
-    }
-
-    /// Records that a server has run a request to its end.
-    pub(crate) fn record_success(&self, content: RequestContent) {
-        let acquitted = self.crashes.record_success(content, self.now_ms());
-        self.acquit(acquitted);
-    }
-
-    /// Reports requests that servers have run to their end, although others have crashed under them.
-    fn acquit(&self, contents: Vec<ContentKey>) {
-        if contents.is_empty() {
-            return;
-        }
-        for content in &contents {
-            info!(self.log, "request under which servers crashed has been run to its end"; "content" => %content);
-        }
-        let ledger = self.ledger.clone();
-        tokio::spawn(async move { ledger.acquit(contents).await });
-    }
-
-    /// Follows the notices of the ledger hosts about requests under which backend servers crash; never returns.
-    pub async fn follow_crashes(&self) {
-        let apply = |notices: &[SuspectNotice]| {
-            for notice in self.crashes.changed_verdicts(notices) {
-                info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
-                    "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
-            }
-            let acquitted = self.crashes.set_notices(notices, self.now_ms());
-            self.acquit(acquitted);
-        };
-        self.ledger.follow_crashes(apply).await;
-    }
-
     /// Records a refusal or a failure of a backend server, so that other servers are preferred for a while.
     pub(crate) fn avoid(&self, key: ServerKey) {
         lock(&self.loads).avoid(key, self.now_ms());
@@ -628,6 +489,7 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks a mutex, also after a panic of a task that held it.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
