Let a turn wait at a full server when the others have reached their limits

What callers saw: a refusal (3025) although a server without a limit was there, which had only said that it had no free slot. Cause: a full server is left out of the choice for the same request; the fallback to it was reached only when no server at all was left, and the limited ones are never left out. Found on reading the change. Change: when the limit is reached, the request goes to one of the full servers, as it does when every other one was tried.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -206,6 +206,10 @@
             match self.obtain_permit(&picked).await {
                 PermitOutcome::Ready => {}
                 PermitOutcome::TryAnother => continue,
+                PermitOutcome::LimitReached { .. } if !self.full.is_empty() => {
+                    self.wait_at_full_server();
+                    continue;
+                }
                 PermitOutcome::LimitReached { expected_ms } => return Err(self.limit_reached(expected_ms)),
             }
             let slot = match self.reserve_slot(key, &server).await {
@@ -289,6 +293,7 @@
     fn wait_at_full_server(&mut self) {
         self.full.clear();
         self.asks_slots = false;
+        self.permits.stop_asking();
     }
 
     /// Finds out in the background whether a server has crashed under the request.
--- a/components/gateway/src/permits.rs
+++ b/components/gateway/src/permits.rs
@@ -37,6 +37,11 @@
     pub(crate) const fn may_ask(&self) -> bool {
         self.refused < MAX_REFUSED_PERMITS
     }
+
+    /// Makes limited servers the last choice.
+    pub(crate) const fn stop_asking(&mut self) {
+        self.refused = MAX_REFUSED_PERMITS;
+    }
 }
 
 /// Whether a request may be sent to the chosen server.
