--- a/components/ledger/tests/limit.rs
+++ b/components/ledger/tests/limit.rs
@@ -15,17 +15,24 @@
     }
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KnownLimit {
+    Nothing,
+    Lifted,
+    Rate(u64),
+}
+
 /// Reports with the times at which they arrive, in milliseconds, and what is known a second after the last one.
 struct ReportCase {
     name: &'static str,
     reports: Vec<(u64, LimitReport)>,
-    /// The rate and whether it has been lifted; `None` if nothing is known.
-    known: Option<Option<u64>>,
+    known: KnownLimit,
     changes: u64,
 }
 
 #[gtest]
 fn the_latest_statement_of_a_server_counts_in_whatever_order_entries_report_it() {
+    use KnownLimit::{Lifted, Nothing, Rate};
     let case = |name, reports, known, changes| ReportCase {
         name,
         reports,
@@ -34,41 +41,41 @@
     };
     let named = report(Some(4_000), 0);
     let cases = [
-        case("named", vec![(5_000, named)], Some(Some(4_000)), 1),
+        case("named", vec![(5_000, named)], Rate(4_000), 1),
         case(
             "named twice",
             vec![(5_000, named), (6_000, named)],
-            Some(Some(4_000)),
+            Rate(4_000),
             1,
         ),
         case(
             "another rate",
             vec![(5_000, named), (6_000, report(Some(9_000), 0))],
-            Some(Some(9_000)),
+            Rate(9_000),
             1,
         ),
         case(
             "lifted",
             vec![(5_000, named), (6_000, report(None, 0))],
-            Some(None),
+            Lifted,
             2,
         ),
         case(
             "an old report of the limit",
             vec![(5_000, report(None, 0)), (6_000, report(Some(4_000), 2_000))],
-            Some(None),
+            Lifted,
             1,
         ),
         case(
             "an old report of its end",
             vec![(5_000, named), (6_000, report(None, 2_000))],
-            Some(Some(4_000)),
+            Rate(4_000),
             1,
         ),
         case(
             "forgotten",
             vec![(5_000, report(None, 0)), (90_000, report(None, 85_000))],
-            None,
+            Nothing,
             1,
         ),
     ];
@@ -79,7 +86,10 @@
             table.record(&[report], at_ms);
         }
         let reports = table.reports(last + 1_000);
-        let known = reports.first().map(|report| report.rate.map(|rate| rate.0));
+        let known = match reports.first() {
+            None => Nothing,
+            Some(report) => report.rate.map_or(Lifted, |rate| Rate(rate.0)),
+        };
         expect_that!(known, eq(case.known), "{}", case.name);
         expect_that!(table.changes(), eq(case.changes), "{}", case.name);
     }
