--- a/components/ledger/src/crash_client.rs
+++ b/components/ledger/src/crash_client.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Returns the hosts that keep what entries tell one another: the first ones by name, one more than may be lost at the same time.
+    /// Returns the hosts that keep what entries tell one another: the first ones by name, one more than may be lost at
+    /// the same time.
     pub(crate) fn notice_hosts(&self) -> Vec<Arc<HostLink>> {
         let mut hosts = self.links().clone();
         hosts.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
