Give starts of servers and versions of notices files of their own

Cause: a newcomer would look for the key of a server's start in vain beside a rate, and for what limits and crashes share in the file of crashes; a host waited for changes of both by the same lines twice. Change: domain/src/instance.rs, ledger/src/notice.rs, notice_hosts in the client, one wait for both in the host. No behaviour changes. Measured: linter clean; the tests of ledger and domain and those of limits, crashes and slots pass.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod content;
 mod host;
+mod instance;
 mod key;
 mod name;
 mod program;
@@ -25,8 +26,9 @@
     Heartbeat, HostRole, HostState, ListedHost, LoadDigest, MemberRecord, MemberState, MemberTable,
     ModelState, successor_of,
 };
+pub use instance::InstanceKey;
 pub use key::{AttemptKey, AttemptNumber, CallKey, Generation, IncarnationId, ProgramKey, TenureNumber};
 pub use name::{FailureDomain, HostName, ServiceName, TeamName};
 pub use program::{FinishedCall, IntentRecord, ProgramPhase, ProgramState, UnsettledAttempt, UrgencyClass};
 pub use quantity::{MicroUnits, TimeMillis, TokenCount};
-pub use rate::{InstanceKey, RequestRate};
+pub use rate::RequestRate;
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -589,8 +589,13 @@
         })
     }
 
-    pub(crate) fn tolerated_failures(&self) -> usize {
-        self.shared.tolerated_failures
+    /// Returns the hosts that keep what entries tell one another: the first ones by name, one more than may be lost at
+    /// the same time.
+    pub(crate) fn notice_hosts(&self) -> Vec<Arc<HostLink>> {
+        let mut hosts = self.links().clone();
+        hosts.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
+        hosts.truncate(self.shared.tolerated_failures + 1);
+        hosts
     }
 
     fn group_size(&self) -> usize {
--- a/components/ledger/src/crash.rs
+++ b/components/ledger/src/crash.rs
@@ -8,6 +8,8 @@
 use domain::{ContentKey, InstanceKey};
 use serde::{Deserialize, Serialize};
 
+use crate::notice::NoticeVersion;
+
 /// Servers that must crash under a request before it is convicted.
 const CONVICTION_CRASHES: usize = 3;
 /// Servers that must crash under a request before entries report its success.
@@ -112,16 +114,6 @@
     pub is_convicted: bool,
 }
 
-/// State of a host's notices that an entry knows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct NoticeVersion {
-    /// Identifies the start of the host.
-    pub epoch: u64,
-    /// Number of changes since then.
-    pub changes: u64,
-}
-
 /// All notices of a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/ledger/src/crash_client.rs
+++ b/components/ledger/src/crash_client.rs
@@ -1,6 +1,5 @@
 //! What entries tell one another about requests under which backend servers crash.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use domain::ContentKey;
@@ -8,8 +7,8 @@
 use tokio::time::sleep;
 
 use crate::client::LedgerClient;
-use crate::crash::{CrashReport, NoticeVersion, SuspectNotice};
-use crate::link::HostLink;
+use crate::crash::{CrashReport, SuspectNotice};
+use crate::notice::NoticeVersion;
 
 /// Longest time for which a host waits for a change before it answers. A connection that has gone silent is noticed
 /// only after it.
@@ -74,15 +73,6 @@
             apply(&notices);
         }
     }
-
-    /// Returns the hosts that keep what entries tell one another: the first ones by name, one more than may be lost at
-    /// the same time.
-    pub(crate) fn notice_hosts(&self) -> Vec<Arc<HostLink>> {
-        let mut hosts = self.links().clone();
-        hosts.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
-        hosts.truncate(self.tolerated_failures() + 1);
-        hosts
-    }
 }
 
 /// Returns the reports in the notices of one host that those of another one lack.
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -11,10 +11,11 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::crash::{CrashReport, CrashTable, NoticePage, NoticeVersion};
+use crate::crash::{CrashReport, CrashTable, NoticePage};
 use crate::digest::BucketDigests;
 use crate::limit::{LimitReport, LimitTable};
 use crate::log::{DiskLog, LogError};
+use crate::notice::NoticeVersion;
 use crate::permit::{PermitAnswer, PermitRequest, PermitTable};
 use crate::port::{
     ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
@@ -229,10 +230,27 @@
         self.shared.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether an entry knows the state after so many changes.
-    fn is_known(&self, known: Option<NoticeVersion>, changes: u64) -> bool {
+    /// Waits until an entry does not know the state of some notices, and for `delay` after a change. Returns `None` when
+    /// nothing changes within `wait_ms`.
+    async fn wait_for_change(
+        &self,
+        changes: &watch::Sender<u64>,
+        known: Option<NoticeVersion>,
+        wait_ms: u64,
+        delay: Duration,
+    ) -> Option<()> {
         let epoch = self.shared.epoch;
-        known == Some(NoticeVersion { epoch, changes })
+        let is_known = |changes: u64| known == Some(NoticeVersion { epoch, changes });
+        let mut changes = changes.subscribe();
+        if is_known(*changes.borrow_and_update()) {
+            let waiting = changes.wait_for(|changes| !is_known(*changes));
+            timeout(Duration::from_millis(wait_ms), waiting)
+                .await
+                .ok()?
+                .ok()?;
+            sleep(delay).await;
+        }
+        Some(())
     }
 
     /// Changes what is known of crashes, and wakes the entries that wait for a change of the notices.
@@ -424,15 +442,8 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<NoticePage> {
-        let mut changes = self.shared.notice_changes.subscribe();
-        if self.is_known(known, *changes.borrow_and_update()) {
-            let waiting = changes.wait_for(|changes| !self.is_known(known, *changes));
-            timeout(Duration::from_millis(wait_ms), waiting)
-                .await
-                .ok()?
-                .ok()?;
-            sleep(NOTICE_DELAY).await;
-        }
+        self.wait_for_change(&self.shared.notice_changes, known, wait_ms, NOTICE_DELAY)
+            .await?;
         Some(self.notice_page())
     }
 
@@ -454,15 +465,8 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<(NoticeVersion, Vec<LimitReport>)> {
-        let mut changes = self.shared.limit_changes.subscribe();
-        if self.is_known(known, *changes.borrow_and_update()) {
-            let waiting = changes.wait_for(|changes| !self.is_known(known, *changes));
-            timeout(Duration::from_millis(wait_ms), waiting)
-                .await
-                .ok()?
-                .ok()?;
-            sleep(LIMIT_DELAY).await;
-        }
+        self.wait_for_change(&self.shared.limit_changes, known, wait_ms, LIMIT_DELAY)
+            .await?;
         let limits = self.limits();
         let version = NoticeVersion {
             epoch: self.shared.epoch,
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -14,6 +14,7 @@
 mod limit_client;
 mod link;
 mod log;
+mod notice;
 mod permit;
 mod permit_client;
 mod port;
@@ -26,14 +27,13 @@
 pub use client::{
     LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, TurnClaim, polled_host,
 };
-pub use crash::{
-    CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, NoticePage, NoticeVersion, SuspectNotice,
-};
+pub use crash::{CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, NoticePage, SuspectNotice};
 pub use digest::BucketDigests;
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
 pub use limit::{LimitReport, LimitTable};
 pub use log::{DiskLog, LogError};
+pub use notice::NoticeVersion;
 pub use permit::{PermitAnswer, PermitRequest, PermitTable};
 pub use port::{
     ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild,
--- a/components/ledger/src/limit_client.rs
+++ b/components/ledger/src/limit_client.rs
@@ -6,8 +6,8 @@
 use tokio::time::sleep;
 
 use crate::client::LedgerClient;
-use crate::crash::NoticeVersion;
 use crate::limit::LimitReport;
+use crate::notice::NoticeVersion;
 
 /// Longest time for which a host waits for a change before it answers.
 const LIMIT_WAIT: Duration = Duration::from_secs(1);
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -15,8 +15,9 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::crash::{CrashReport, NoticePage, NoticeVersion};
+use crate::crash::{CrashReport, NoticePage};
 use crate::limit::LimitReport;
+use crate::notice::NoticeVersion;
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -15,9 +15,10 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::crash::{CrashReport, NoticePage, NoticeVersion};
+use crate::crash::{CrashReport, NoticePage};
 use crate::digest::BucketDigests;
 use crate::limit::LimitReport;
+use crate::notice::NoticeVersion;
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
