Identify callers by the API keys of their workspace

Change: the configuration's workspaces are decoded into a table of key digests; a request on a route that is not public is answered 401 (2004) unless it has exactly one key of a workspace; backend servers get the workspace's name in place of the key. Without workspaces in the configuration nothing changes. Result codes 3027 to 3029 are reserved for quotas, stale configurations and memory.

--- a/components/domain/src/lib.rs
+++ b/components/domain/src/lib.rs
@@ -11,6 +11,7 @@
 mod program;
 mod quantity;
 mod rate;
+mod workspace;
 
 pub use build::BuildKey;
 pub use call::{
@@ -32,3 +33,4 @@
 pub use program::{FinishedCall, IntentRecord, ProgramPhase, ProgramState, UnsettledAttempt, UrgencyClass};
 pub use quantity::{MicroUnits, TimeMillis, TokenCount};
 pub use rate::RequestRate;
+pub use workspace::{RequestQuota, WorkspaceKey};
--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -68,6 +68,8 @@
     Forbidden = 2002, 404;
     /// A peer failed the shared-key handshake.
     PeerRefused = 2003, 403;
+    /// The request has no API key, or one that belongs to no workspace.
+    UnknownApiKey = 2004, 401;
     /// The queue of the service is full.
     QueueFull = 3001, 503;
     /// The budget of the team does not cover the highest possible price of the call.
@@ -120,6 +122,12 @@
     ServerLimited = 3025, 503;
     /// Several backend servers have crashed under the request.
     ServersCrash = 3026, 503;
+    /// The workspace has used its quota of requests.
+    QuotaExceeded = 3027, 429;
+    /// The configuration may be out of date, so that the entry cannot tell whether the API key is valid.
+    ConfigurationStale = 3028, 503;
+    /// The answers that the entry holds for slow readers have used up its memory for them.
+    MemoryExhausted = 3029, 503;
     /// The call may have run; its outcome is unknown.
     OutcomeUnknown = 4001, 504;
     /// The stream was interrupted and cannot be resumed without mixing two answers.
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -64,6 +64,17 @@
 #[error("the value of the header {0} is invalid")]
 pub struct HeaderFault(pub HeaderName);
 
+/// What backend servers are told of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerIdentity<'a> {
+    /// The configuration does not tell callers apart; their headers are passed on as they are.
+    Untold,
+    /// The caller belongs to no workspace.
+    Anonymous,
+    /// Name of the caller's workspace.
+    Workspace(&'a str),
+}
+
 /// Values of the headers that the scheduler adds for one attempt at a backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptContext<'a> {
@@ -113,8 +124,12 @@
     /// Returns the id of a caller's request for logs, or an empty string when it has none.
     fn request_id<'a>(&self, headers: &'a HeaderMap) -> &'a str;
 
-    /// Returns the headers of a caller's request that are forwarded to a backend server.
-    fn forwarded_headers(&self, headers: &HeaderMap) -> HeaderMap;
+    /// Returns the API key of a caller's request; `None` unless it has exactly one.
+    fn api_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
+
+    /// Returns the headers of a caller's request that are forwarded to a backend server, with the caller's identity in
+    /// place of its API key.
+    fn forwarded_headers(&self, headers: &HeaderMap, identity: CallerIdentity<'_>) -> HeaderMap;
 
     /// Adds the scheduler's own headers for one attempt at a backend server.
     fn add_attempt_headers(&self, headers: &mut HeaderMap, context: AttemptContext<'_>);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
+use crate::access::{Caller, identify};
 use crate::answer::{AnswerBody, error_answer};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
@@ -73,6 +74,7 @@
         ));
     }
     let route = find_route(&table, head)?;
+    let caller = identify(&table, route, entry.dialect.api_key(&head.headers))?;
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived
         + facts
@@ -92,6 +94,7 @@
         entry,
         table: &table,
         route,
+        caller,
         facts,
         content,
         deadline,
@@ -144,6 +147,7 @@
     entry: &'a Arc<EntryState>,
     table: &'a RouteTable,
     route: &'a ServiceRoute,
+    caller: Caller,
     facts: RequestFacts,
     content: RequestContent,
     deadline: Instant,
@@ -224,7 +228,10 @@
             None => self.new_service()?,
             Some(build) => self.service_of(build)?,
         };
-        let headers = self.entry.dialect.forwarded_headers(&head.headers);
+        let headers = self
+            .entry
+            .dialect
+            .forwarded_headers(&head.headers, self.caller.identity());
         let target = head.uri.path_and_query().cloned();
         Ok(RequestPlan {
             method: head.method.clone(),
@@ -464,7 +471,8 @@
             return;
         }
         info!(self.entry.log, "request answered"; "request" => &self.facts.attempt_id, "route" => &self.route.name,
-            "configuration" => self.table.version(), "server" => &attempt.server.name, "status" => status,
+            "configuration" => self.table.version(), "workspace" => self.caller.workspace().map(|workspace| &workspace.name),
+            "server" => &attempt.server.name, "status" => status,
             "ms" => arrived.elapsed().as_millis(), "sent" => dispatcher.sent(),
             "sent_ms" => whole_millis(attempt.sent_at - arrived), "directory" => attempt.view.revision,
             "registered" => attempt.view.is_registered);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The names of the headers on both sides are defined by a [`WireDialect`].
 
+mod access;
 mod answer;
 mod chains;
 mod crash;
@@ -21,7 +22,7 @@
 mod state;
 
 pub use dialect::{
-    AnswerKind, AttemptContext, HeaderFault, LimitNotice, RequestFacts, WireDialect,
+    AnswerKind, AttemptContext, CallerIdentity, HeaderFault, LimitNotice, RequestFacts, WireDialect,
     remove_connection_headers,
 };
 pub use front::{PageHandler, serve_callers, serve_pages};
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod prefix;
 mod route;
 mod stream;
+mod workspace;
 
 pub use admission::{EngineLoad, EngineSlots, admits_program};
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
@@ -23,6 +24,8 @@
 pub use pace::{PaceSample, PaceTracker};
 pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
 pub use route::{
-    RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute, WeightedService,
+    RequestLimits, RouteAccess, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute,
+    WeightedService,
 };
 pub use stream::{EventAssembler, StreamEvent};
+pub use workspace::{KeyDigest, KeyedWorkspace, Workspace, WorkspaceTable};
--- a/components/routing/src/route.rs
+++ b/components/routing/src/route.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::workspace::WorkspaceTable;
+
 /// What may be repeated for a request whose outcome is unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -16,6 +18,16 @@
     Resumable,
 }
 
+/// Who may send requests on a route of a configuration with workspaces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RouteAccess {
+    /// Callers with an API key of a workspace.
+    Workspaces,
+    /// Everyone.
+    Public,
+}
+
 /// One service of a route with its share of the requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -55,6 +67,8 @@
     pub priority: u32,
     /// Largest number of backend servers to which one request may be sent.
     pub max_attempts: u32,
+    /// Who may send requests, if the configuration has workspaces.
+    pub access: RouteAccess,
     /// Services with their shares.
     pub services: Vec<WeightedService>,
 }
@@ -123,6 +137,8 @@
     routes: Vec<ServiceRoute>,
     services: Vec<ServiceProfile>,
     limits: RequestLimits,
+    /// `None` if callers are not told apart.
+    workspaces: Option<WorkspaceTable>,
     #[serde(skip)]
     by_host: HashMap<String, Vec<usize>>,
 }
@@ -148,10 +164,23 @@
             routes,
             services,
             limits,
+            workspaces: None,
             by_host,
         }
     }
 
+    /// Returns the table with workspaces, whose callers identify themselves by API keys.
+    #[must_use]
+    pub fn with_workspaces(mut self, workspaces: WorkspaceTable) -> Self {
+        self.workspaces = Some(workspaces);
+        self
+    }
+
+    /// Returns the workspaces; `None` if callers are not told apart.
+    pub const fn workspaces(&self) -> Option<&WorkspaceTable> {
+        self.workspaces.as_ref()
+    }
+
     /// Returns the configuration's version.
     pub const fn version(&self) -> u64 {
         self.version
--- a/components/routing/tests/route.rs
+++ b/components/routing/tests/route.rs
@@ -1,7 +1,7 @@
 //! Lookups in the routing table.
 
 use googletest::prelude::*;
-use routing::{RequestLimits, RouteMatch, RouteTable, RunPolicy, ServiceRoute, WeightedService};
+use routing::{RequestLimits, RouteAccess, RouteMatch, RouteTable, RunPolicy, ServiceRoute, WeightedService};
 
 fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, u32)]) -> ServiceRoute {
     let service = |&(service, weight): &(&str, u32)| WeightedService {
@@ -21,6 +21,7 @@
         target_latency_ms: 100,
         priority: 0,
         max_attempts: 2,
+        access: RouteAccess::Workspaces,
         services: shares.iter().map(service).collect(),
     }
 }
