--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -365,7 +365,7 @@
             headers.insert(HOST, host);
         }
         let limit = self.plan.deadline.min(Instant::now() + SLOT_TIMEOUT);
-        let sending = self.entry.pool.send(server.address, request);
+        let sending = self.entry.pool.send(server, request);
         let answer = match timeout_at(limit.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return SlotAnswer::NotAsked,
@@ -501,7 +501,7 @@
         let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
-        let sending = self.entry.pool.send(server.address, request);
+        let sending = self.entry.pool.send(&server, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(_))) => return Err(AttemptOutcome::NotSent),
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) configuration_version: IntGauge,
     /// Backend servers in the directory.
     pub(crate) backend_servers: IntGauge,
+    /// Objects of the platform's store that cannot be decoded, by kind.
+    pub(crate) unreadable_objects: IntCounterVec,
     /// Turns stored on this ledger host.
     pub(crate) kept_turns: IntGauge,
 }
@@ -70,6 +72,16 @@
                 &registry,
                 IntGauge::new("backend_servers", "Listed backend servers"),
             ),
+            unreadable_objects: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "unreadable_objects_total",
+                        "Objects of the store that cannot be decoded, by kind",
+                    ),
+                    &["kind"],
+                ),
+            ),
             kept_turns: register(
                 &registry,
                 IntGauge::new("kept_turns", "Turns kept by this ledger host"),
@@ -85,6 +97,11 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Counts an object of the platform's store that cannot be decoded.
+    pub fn count_unreadable(&self, kind: &str) {
+        self.unreadable_objects.with_label_values(&[kind]).inc();
+    }
+
     /// Sets the number of turns that this ledger host stores.
     pub fn set_kept_turns(&self, turns: usize) {
         self.kept_turns.set(i64::try_from(turns).unwrap_or(i64::MAX));
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use domain::InstanceKey;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use routing::BackendServer;
 
 use crate::net;
 
@@ -28,6 +30,22 @@
 
 type ServerConnection = SendRequest<Full<Bytes>>;
 
+/// One start of a server at one of its addresses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct PoolKey {
+    address: SocketAddr,
+    instance: InstanceKey,
+}
+
+impl PoolKey {
+    fn of(server: &BackendServer) -> Self {
+        Self {
+            address: server.address,
+            instance: server.instance(),
+        }
+    }
+}
+
 /// A connection without a request, which may be reused until `expires_at`.
 #[derive(Debug)]
 struct IdleConnection {
@@ -35,10 +53,11 @@
     expires_at: Instant,
 }
 
-/// Connections to the backend servers by address; clones share them.
+/// Connections to the starts of backend servers; clones share them. A connection to an earlier start may look open
+/// after its host was cut off, and a request on it would get no answer.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ServerPool {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    idle: Arc<Mutex<HashMap<PoolKey, Vec<IdleConnection>>>>,
 }
 
 /// Failure of a request before the head of its answer arrived.
@@ -65,7 +84,7 @@
 /// the connection is closed.
 #[derive(Debug)]
 pub(crate) struct ConnectionLease {
-    address: SocketAddr,
+    key: PoolKey,
     connection: ServerConnection,
     idle_timeout: Option<Duration>,
     pool: ServerPool,
@@ -80,21 +99,22 @@
     /// [`SendError::Lost`].
     pub(crate) async fn send(
         &self,
-        address: SocketAddr,
+        server: &BackendServer,
         request: Request<Full<Bytes>>,
     ) -> Result<ServerAnswer, SendError> {
+        let key = PoolKey::of(server);
         let mut request = request;
         // If the server has closed the idle connection, the unsent request is returned and can be sent on
         // another one.
-        while let Some(connection) = self.take_idle(address) {
-            match self.exchange(address, connection, request).await {
+        while let Some(connection) = self.take_idle(key) {
+            match self.exchange(key, connection, request).await {
                 Ok(answer) => return Ok(answer),
                 Err((_, Some(returned))) => request = returned,
                 Err((failure, None)) => return Err(SendError::Lost(failure)),
             }
         }
-        let connection = open_connection(address).await.map_err(SendError::NotSent)?;
-        let sent = self.exchange(address, connection, request).await;
+        let connection = open_connection(key.address).await.map_err(SendError::NotSent)?;
+        let sent = self.exchange(key, connection, request).await;
         sent.map_err(|(failure, returned)| match returned {
             Some(_) => SendError::NotSent(failure),
             None => SendError::Lost(failure),
@@ -112,7 +132,7 @@
 
     async fn exchange(
         &self,
-        address: SocketAddr,
+        key: PoolKey,
         mut connection: ServerConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<ServerAnswer, (String, Option<Request<Full<Bytes>>>)> {
@@ -120,7 +140,7 @@
             Ok(response) => {
                 let idle_timeout = idle_timeout(response.headers());
                 let lease = ConnectionLease {
-                    address,
+                    key,
                     connection,
                     idle_timeout,
                     pool: self.clone(),
@@ -134,10 +154,10 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<ServerConnection> {
+    fn take_idle(&self, key: PoolKey) -> Option<ServerConnection> {
         let now = Instant::now();
         let mut idle = self.lock_idle();
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.get_mut(&key)?;
         while let Some(idle) = connections.pop() {
             if idle.expires_at > now && idle.connection.is_ready() {
                 return Some(idle.connection);
@@ -146,7 +166,7 @@
         None
     }
 
-    fn lock_idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
+    fn lock_idle(&self) -> MutexGuard<'_, HashMap<PoolKey, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -159,7 +179,7 @@
             return;
         }
         let mut idle = self.pool.lock_idle();
-        let connections = idle.entry(self.address).or_default();
+        let connections = idle.entry(self.key).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(IdleConnection {
                 connection: self.connection,
--- a/components/routing/src/departure.rs
+++ b/components/routing/src/departure.rs
@@ -65,9 +65,13 @@
     }
 
     /// Returns how this start of a server has said that it leaves; `None` if it has not. A server without a start time
-    /// counts as the same start: only a stated one shows that it has restarted.
+    /// counts as the same start: only a stated one shows that it has restarted. A start before the one that leaves has
+    /// ended, whatever its registration says.
     pub(crate) fn notice(&self, server: &BackendServer) -> Option<DepartureNotice> {
         let departure = &self.departures[self.position_of(&server.name).ok()?];
+        if server.is_earlier_start(departure.started_at_ms) {
+            return Some(DepartureNotice::Answer);
+        }
         let has_restarted = server.started_at_ms.is_some() && server.started_at_ms != departure.started_at_ms;
         let is_same_start = departure.address == server.address && !has_restarted;
         is_same_start.then_some(departure.notice)
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -63,6 +63,12 @@
     pub fn instance(&self) -> InstanceKey {
         InstanceKey::from_start(&self.name, self.started_at_ms)
     }
+
+    /// Returns whether this start of the server came before the one at `started_at_ms`, as far as both are known.
+    pub(crate) fn is_earlier_start(&self, started_at_ms: Option<u64>) -> bool {
+        let both = self.started_at_ms.zip(started_at_ms);
+        both.is_some_and(|(own_ms, other_ms)| own_ms < other_ms)
+    }
 }
 
 /// A listed incarnation with its key.
@@ -187,7 +193,8 @@
     }
 
     /// Adds an incarnation or updates the one that is listed under its name. Returns the server if its
-    /// registration is new or changed.
+    /// registration is new or changed. A registration of an earlier start than the listed one arrives late and is
+    /// ignored.
     pub fn upsert(&mut self, mut server: BackendServer) -> Option<Arc<BackendServer>> {
         if self.departures.notice(&server) == Some(DepartureNotice::Answer) {
             server.state = ServerState::Leaving;
@@ -195,6 +202,9 @@
         match self.position_of(&server.name) {
             Ok(index) => {
                 let listed = &mut self.servers[index];
+                if server.is_earlier_start(listed.server.started_at_ms) {
+                    return None;
+                }
                 listed.expires_at_ms = None;
                 if *listed.server == server {
                     return None;
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -439,6 +439,66 @@
     }
 }
 
+/// A registration that arrives while the start at 5 ms is listed, or after it has left.
+struct StartCase {
+    name: &'static str,
+    server: BackendServer,
+    sequence: u64,
+    /// Start that is listed in the end, and whether it is ready.
+    listed: (Option<u64>, bool),
+}
+
+/// Load pattern: servers start again under their old names while heartbeats of their earlier starts are still on the way.
+#[gtest]
+fn a_late_registration_of_an_earlier_start_changes_nothing() {
+    let start = |started_at_ms, state| BackendServer {
+        started_at_ms,
+        state,
+        ..server("a", 1, "one", 8)
+    };
+    let (ready, leaving) = (ServerState::Ready, ServerState::Leaving);
+    let case = |name, started_at_ms, state, sequence, listed| StartCase {
+        name,
+        server: start(started_at_ms, state),
+        sequence,
+        listed,
+    };
+    let cases = [
+        case("earlier", Some(4), ready, 90, (Some(5), true)),
+        case("earlier and leaving", Some(4), leaving, 91, (Some(5), true)),
+        case("the same", Some(5), ready, 2, (Some(5), true)),
+        case("later", Some(6), ready, 1, (Some(6), true)),
+        case("later and leaving", Some(6), leaving, 1, (Some(6), false)),
+    ];
+    for case in cases {
+        let mut directory = directory(&[start(Some(4), leaving)]);
+        directory.is_superseded(&start(Some(4), leaving), 89);
+        directory.upsert(start(Some(5), ready));
+        let key = key_of(&directory, "a");
+        directory.is_superseded(&case.server, case.sequence);
+        directory.upsert(case.server.clone());
+        let listed = directory
+            .all()
+            .map(|(key, server)| (server.started_at_ms, directory.is_ready(key)));
+        expect_that!(
+            listed.collect::<Vec<_>>(),
+            eq(&vec![case.listed]),
+            "{}",
+            case.name
+        );
+        let is_same = case.listed.0 == Some(5);
+        expect_that!(key_of(&directory, "a") == key, eq(is_same), "{}", case.name);
+        // The start at 5 ms is superseded by no number of the one before.
+        let is_superseded = directory.is_superseded(&start(Some(5), ready), 1);
+        expect_that!(is_superseded, eq(false), "{}", case.name);
+    }
+    let mut directory = directory(&[start(Some(5), ready)]);
+    directory.record_departure(key_of(&directory, "a"));
+    directory.remove("a");
+    directory.upsert(start(Some(4), ready));
+    expect_that!(directory.ready("models").count(), eq(0));
+}
+
 /// Servers by service and version, and the one that is chosen for the software of the first.
 struct BuildCase {
     name: &'static str,
