Decide on API keys in a module of its own, with tests over real entries

Change: who holds a key and what the age of the configuration allows are pure (routing/src/access.rs). A counter of requests by what their key showed; a refusal names three bytes of the key's digest in its log line, never the key. Ruled out: refusing on the digest's first eight bytes in the log, which would confirm a guessed key.

--- a/components/gateway/src/access.rs
+++ b/components/gateway/src/access.rs
@@ -3,65 +3,82 @@
 use std::sync::Arc;
 
 use errors::{CallError, ResultCode};
-use routing::{RouteAccess, RouteTable, ServiceRoute, Workspace};
+use hyper::http::request;
+use routing::{AccessDecision, KeyDigest, KeyHolder, RouteTable};
 
 use crate::dialect::CallerIdentity;
+use crate::exchange::find_route;
+use crate::state::EntryState;
 
-/// The caller of a request that may be served.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Caller {
-    /// The configuration does not tell callers apart.
-    Untold,
-    /// The route is public; the caller's API key, if any, does not matter.
-    Anonymous,
-    /// The caller belongs to a workspace.
-    Member(Arc<Workspace>),
-}
-
-impl Caller {
-    /// Returns the caller's workspace; `None` if the caller belongs to none.
-    pub(crate) fn workspace(&self) -> Option<&Workspace> {
-        match self {
-            Self::Untold | Self::Anonymous => None,
-            Self::Member(workspace) => Some(workspace),
-        }
-    }
-
-    /// Returns what backend servers are told of the caller.
-    pub(crate) fn identity(&self) -> CallerIdentity<'_> {
-        match self {
-            Self::Untold => CallerIdentity::Untold,
-            Self::Anonymous => CallerIdentity::Anonymous,
-            Self::Member(workspace) => CallerIdentity::Workspace(&workspace.name),
-        }
+/// Returns what backend servers are told of a caller.
+pub(crate) fn caller_identity(holder: &KeyHolder) -> CallerIdentity<'_> {
+    match holder {
+        KeyHolder::Untold => CallerIdentity::Untold,
+        KeyHolder::Anonymous | KeyHolder::Unknown | KeyHolder::Missing => CallerIdentity::Anonymous,
+        KeyHolder::Member(workspace) => CallerIdentity::Workspace(&workspace.name),
     }
 }
 
-/// Returns the caller of a request on a route, by its API key.
+/// Returns the caller of a request that may be served, and the configuration that says so. An unknown API key makes the
+/// entry ask for a newer configuration first.
 ///
 /// # Errors
 ///
-/// Fails when the route needs an API key and the request has none or an unknown one.
-pub(crate) fn identify(
-    table: &RouteTable,
-    route: &ServiceRoute,
-    api_key: Option<&[u8]>,
-) -> Result<Caller, CallError> {
-    let Some(workspaces) = table.workspaces() else {
-        return Ok(Caller::Untold);
-    };
-    if route.access == RouteAccess::Public {
-        return Ok(Caller::Anonymous);
+/// Fails when no route matches, when the route needs an API key and the request has none or an unknown one, or when the
+/// known configuration is too old to tell.
+pub(crate) async fn identify(
+    entry: &EntryState,
+    mut table: Arc<RouteTable>,
+    head: &request::Parts,
+) -> Result<(Arc<RouteTable>, KeyHolder), CallError> {
+    let api_key = entry.dialect.api_key(&head.headers);
+    let mut holder = KeyHolder::of_request(&table, find_route(&table, head)?, api_key);
+    if holder == KeyHolder::Unknown
+        && let Some(newer) = entry.refreshed_configuration().await
+    {
+        table = newer;
+        holder = KeyHolder::of_request(&table, find_route(&table, head)?, api_key);
     }
-    let found = api_key.and_then(|api_key| workspaces.find(api_key));
-    if let Some(workspace) = found {
-        return Ok(Caller::Member(Arc::clone(workspace)));
+    let age_ms = entry.configuration_age_ms();
+    let decision = entry.access_bounds().decide(&holder, age_ms);
+    let label = outcome_label(&holder, decision);
+    entry.metrics.access.with_label_values(&[label]).inc();
+    match decision {
+        AccessDecision::Granted => Ok((table, holder)),
+        AccessDecision::Refused => Err(unknown_key_error(&table, api_key)),
+        AccessDecision::Undecided => Err(stale_error(&table, age_ms)),
     }
-    let cause = if api_key.is_some() {
-        "the API key is unknown"
-    } else {
-        "the request has no API key"
-    };
+}
+
+fn unknown_key_error(table: &RouteTable, api_key: Option<&[u8]>) -> CallError {
+    let cause = api_key.map_or_else(
+        || "the request does not have exactly one API key".to_owned(),
+        |api_key| {
+            let digest = KeyDigest::of_key(api_key).short();
+            format!("the API key with the digest {digest}.. is unknown")
+        },
+    );
     let message = format!("{cause} in configuration {}", table.version());
-    Err(CallError::not_run(ResultCode::UnknownApiKey, message))
+    CallError::not_run(ResultCode::UnknownApiKey, message)
+}
+
+fn stale_error(table: &RouteTable, age_ms: Option<u64>) -> CallError {
+    let version = table.version();
+    let known = age_ms.map_or_else(
+        || "has not been confirmed yet".to_owned(),
+        |age_ms| format!("was last confirmed {age_ms} ms ago"),
+    );
+    let message = format!("the API key cannot be checked: configuration {version} {known}");
+    CallError::not_run(ResultCode::ConfigurationStale, message)
+}
+
+const fn outcome_label(holder: &KeyHolder, decision: AccessDecision) -> &'static str {
+    match (decision, holder) {
+        (AccessDecision::Undecided, _) => "stale",
+        (_, KeyHolder::Untold) => "untold",
+        (_, KeyHolder::Anonymous) => "anonymous",
+        (_, KeyHolder::Member(_)) => "member",
+        (_, KeyHolder::Unknown) => "unknown",
+        (_, KeyHolder::Missing) => "missing",
+    }
 }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -13,11 +13,11 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response};
 use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord};
-use routing::{EngineLoad, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
+use routing::{EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
-use crate::access::{Caller, identify};
+use crate::access::{caller_identity, identify};
 use crate::answer::{AnswerBody, error_answer};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
@@ -73,8 +73,8 @@
             "the request has no attempt id",
         ));
     }
+    let (table, caller) = identify(entry, table, head).await?;
     let route = find_route(&table, head)?;
-    let caller = identify(&table, route, entry.dialect.api_key(&head.headers))?;
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived
         + facts
@@ -111,7 +111,15 @@
     head.uri.host().or(named).unwrap_or_default()
 }
 
-fn find_route<'a>(table: &'a RouteTable, head: &request::Parts) -> Result<&'a ServiceRoute, CallError> {
+/// Returns the route that serves a request.
+///
+/// # Errors
+///
+/// Fails when no route matches.
+pub(crate) fn find_route<'a>(
+    table: &'a RouteTable,
+    head: &request::Parts,
+) -> Result<&'a ServiceRoute, CallError> {
     match table.find(named_host(head), head.uri.path()) {
         RouteMatch::Found(route) => Ok(route),
         RouteMatch::Unknown => {
@@ -147,7 +155,7 @@
     entry: &'a Arc<EntryState>,
     table: &'a RouteTable,
     route: &'a ServiceRoute,
-    caller: Caller,
+    caller: KeyHolder,
     facts: RequestFacts,
     content: RequestContent,
     deadline: Instant,
@@ -231,7 +239,7 @@
         let headers = self
             .entry
             .dialect
-            .forwarded_headers(&head.headers, self.caller.identity());
+            .forwarded_headers(&head.headers, caller_identity(&self.caller));
         let target = head.uri.path_and_query().cloned();
         Ok(RequestPlan {
             method: head.method.clone(),
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -13,6 +13,8 @@
     registry: Registry,
     /// Requests by their outcome.
     pub(crate) requests: IntCounterVec,
+    /// Requests by what their API key showed.
+    pub(crate) access: IntCounterVec,
     /// Attempts at backend servers by their outcome.
     pub(crate) attempts: IntCounterVec,
     /// Permits for limited backend servers by outcome.
@@ -50,6 +52,7 @@
         };
         Self {
             requests: counters("requests_total", "Requests by outcome"),
+            access: counters("access_total", "Requests by what their API key showed"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
             permits: counters("permits_total", "Permits for limited backend servers by outcome"),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,8 +11,9 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample, RouteTable,
-    ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
+    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample,
+    RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots,
+    may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
@@ -21,6 +22,7 @@
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
 use crate::dialect::WireDialect;
+use crate::knowledge::ConfigurationKnowledge;
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
 use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
@@ -93,6 +95,7 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     /// Wakes the requests that wait for the first configuration.
     configured: Notify,
+    knowledge: ConfigurationKnowledge,
     pub(crate) pool: ServerPool,
     pub(crate) ledger: LedgerClient,
     pub(crate) chains: ChainCache,
@@ -176,6 +179,7 @@
             failure_domain,
             table: ArcSwapOption::empty(),
             configured: Notify::new(),
+            knowledge: ConfigurationKnowledge::default(),
             pool: ServerPool::default(),
             ledger,
             chains: ChainCache::default(),
@@ -228,6 +232,48 @@
         Ok(current)
     }
 
+    /// Returns the state with bounds for the age of the configuration by which it decides on API keys.
+    #[must_use]
+    pub const fn with_access_bounds(mut self, bounds: AccessBounds) -> Self {
+        self.knowledge.bounds = bounds;
+        self
+    }
+
+    /// Records that the configuration that has been received was the newest one at a time.
+    pub fn confirm_configuration(&self, at: Instant) {
+        self.knowledge.confirm(at);
+    }
+
+    /// Waits until a request needs a newer configuration.
+    pub async fn refresh_requested(&self) {
+        self.knowledge.requested().await;
+    }
+
+    /// Records that a newer configuration has been asked for and has been received, if there is one.
+    pub fn finish_refresh(&self) {
+        self.knowledge.finish_refresh();
+    }
+
+    /// Asks for a newer configuration, and returns the one in force then; `None` if it has not been asked for or has not
+    /// arrived in a short time.
+    pub(crate) async fn refreshed_configuration(&self) -> Option<Arc<RouteTable>> {
+        if !self.knowledge.refresh(self.now_ms()).await {
+            return None;
+        }
+        self.table.load_full()
+    }
+
+    /// Returns the time since the configuration was last known to be the newest one, in milliseconds; `None` if it never
+    /// was.
+    pub(crate) fn configuration_age_ms(&self) -> Option<u64> {
+        self.knowledge.age_ms()
+    }
+
+    /// Returns the bounds for the age of the configuration by which the entry decides on API keys.
+    pub(crate) const fn access_bounds(&self) -> AccessBounds {
+        self.knowledge.bounds
+    }
+
     /// Enters a phase of the planned stop.
     pub fn enter_phase(&self, phase: StopPhase) {
         self.phase.send_replace(phase);
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The crate does no input or output; times are passed in.
 
+mod access;
 mod admission;
 mod balance;
 mod departure;
@@ -15,6 +16,7 @@
 mod stream;
 mod workspace;
 
+pub use access::{AccessBounds, AccessDecision, KeyHolder, RefreshGate, RefreshStep};
 pub use admission::{EngineLoad, EngineSlots, admits_program};
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
--- a/components/routing/src/workspace.rs
+++ b/components/routing/src/workspace.rs
@@ -14,6 +14,8 @@
 const DIGEST_BYTES: usize = 32;
 /// Leading bytes of a digest by which the table is searched. The rest is compared in constant time.
 const INDEX_BYTES: usize = 8;
+/// Leading bytes of a digest that may be logged: too few to confirm a guessed key.
+const LOGGED_BYTES: usize = 3;
 
 /// SHA-256 digest of an API key.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -26,6 +28,11 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// Returns the start of the digest, by which logs tell API keys apart.
+    pub fn short(&self) -> String {
+        hex::encode(&self.0[..LOGGED_BYTES])
+    }
+
     fn index(&self) -> &[u8] {
         &self.0[..INDEX_BYTES]
     }
@@ -33,7 +40,7 @@
 
 impl fmt::Debug for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "KeyDigest({}..)", hex::encode(self.index()))
+        write!(f, "KeyDigest({}..)", self.short())
     }
 }
 
