Keep turns, streams and token budgets within their workspace

Change: with workspaces the keys of programs, sessions and turns depend on the workspace; stored records and messages keep their form. The upper half of a turn's key depends on its id alone: a ledger host can tell a turn of another workspace (404, 1012, asked only when all hosts have answered that they lack the turn) from one that nobody knows (503, 3022). The table of turns is sorted for that, and `rustc-hash` is not needed any more. Ruled out: the workspace as a field of the records, which changes the disk format and every message; a scan of all turns. Before: not tested. After: `turns_streams_and_budgets_belong_to_their_workspace`, ledger/tests/workspace.rs and the existing tests of the ledger's client and table, of programs, versions and entries pass. A stream of another workspace is refused with 503 (3024), as one that nobody knows.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::RequestRate;
+use domain::{RequestRate, WorkspaceKey};
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, StatusCode};
 use ledger::{ProgramKey, TurnKey};
 use routing::PromptPrefix;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Headers that apply to a single connection and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
@@ -50,12 +51,36 @@
     pub expected_tokens: Option<u64>,
     /// Leading part of the prompt, if other programs share it.
     pub prefix: Option<PromptPrefix>,
+    /// Workspace in which the names of programs, sessions and turns are valid; `None` if callers are not told apart.
+    pub workspace: Option<WorkspaceKey>,
 }
 
 impl RequestFacts {
+    /// Returns the facts of a request of a workspace: its names of programs, sessions and turns are valid in the workspace
+    /// only.
+    #[must_use]
+    pub fn in_workspace(self, workspace: WorkspaceKey) -> Self {
+        Self {
+            program: self.program.map(|program| program.in_workspace(workspace)),
+            affinity: self
+                .affinity
+                .map(|affinity| xxh3_64_with_seed(&affinity.to_le_bytes(), workspace.0)),
+            previous_turn: self.previous_turn.map(|turn| turn.in_workspace(workspace)),
+            workspace: Some(workspace),
+            ..self
+        }
+    }
+
     /// Returns the key of the turn that the request runs, which is derived from the attempt id.
     pub fn turn(&self) -> TurnKey {
-        TurnKey::from_id(self.attempt_id.as_bytes())
+        self.turn_of(&self.attempt_id)
+    }
+
+    /// Returns the key of the turn that the caller's attempt with this id ran.
+    pub fn turn_of(&self, attempt_id: &str) -> TurnKey {
+        let turn = TurnKey::from_id(attempt_id.as_bytes());
+        self.workspace
+            .map_or(turn, |workspace| turn.in_workspace(workspace))
     }
 }
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -75,6 +75,10 @@
     }
     let (table, caller) = identify(entry, table, head).await?;
     let route = find_route(&table, head)?;
+    let facts = match caller.workspace() {
+        None => facts,
+        Some(workspace) => facts.in_workspace(workspace.key),
+    };
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived
         + facts
@@ -311,7 +315,7 @@
             )
         };
         let first = self.facts.resumes.as_ref().ok_or_else(unknown)?;
-        let turn = TurnKey::from_id(first.as_bytes());
+        let turn = self.facts.turn_of(first);
         let program = self.facts.program.unwrap_or(ProgramKey(turn.0));
         let ask_until = Instant::now() + patience;
         let fetching = async {
@@ -369,21 +373,35 @@
             }
         };
         let chain = timeout_at(self.deadline.into(), fetching).await;
-        let chain = chain.map_err(|_elapsed| ledger_timeout())?.map_err(|failure| {
-            let code = match failure {
-                // The caller may retry: even if every host answered, a host that is being replaced may have
-                // the turn.
-                LedgerError::UnknownTurn => ResultCode::TurnNotFound,
-                LedgerError::TooFewHosts { .. } => ResultCode::LedgerUnavailable,
-            };
-            CallError::not_run(code, failure.to_string())
-        })?;
+        let chain = match chain.map_err(|_elapsed| ledger_timeout())? {
+            Ok(chain) => chain,
+            Err(LedgerError::UnknownTurn) => return Err(self.unknown_turn_error(previous).await),
+            Err(failure @ LedgerError::TooFewHosts { .. }) => {
+                return Err(CallError::not_run(
+                    ResultCode::LedgerUnavailable,
+                    failure.to_string(),
+                ));
+            }
+        };
         for record in &chain {
             self.entry.chains.insert(record.clone());
         }
         Ok(chain)
     }
 
+    /// Returns the error for a turn that no ledger host knows in the caller's workspace.
+    async fn unknown_turn_error(&self, turn: TurnKey) -> CallError {
+        let is_foreign = self.table.workspaces().is_some() && self.entry.ledger.has_foreign_turn(turn).await;
+        if is_foreign {
+            return CallError::not_run(
+                ResultCode::UnknownTurn,
+                "no such turn exists in the caller's workspace",
+            );
+        }
+        // The caller may retry: even if every host answered, a host that is being replaced may have the turn.
+        CallError::not_run(ResultCode::TurnNotFound, LedgerError::UnknownTurn.to_string())
+    }
+
     /// Reserves the largest number of tokens that the turn can spend, and has the ledger name the software `build` at
     /// which its stream begins. Returns `None` when the request states no program or no token budget, and has no such
     /// stream. Repeats the reservation for up to `patience`.
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -479,6 +479,20 @@
         Ok(chain)
     }
 
+    /// Returns whether a host stores a turn with the same id that belongs to another workspace; `false` also when none
+    /// responds.
+    pub async fn has_foreign_turn(&self, turn: TurnKey) -> bool {
+        let hosts = self.links().clone();
+        let mut responses: FuturesUnordered<_> =
+            hosts.iter().map(|host| host.has_foreign_turn(turn)).collect();
+        while let Some(response) = responses.next().await {
+            if response == Some(true) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Fetches the longest part of a chain that one host holds. Returns a complete chain as soon as one
     /// arrives.
     ///
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -490,4 +490,8 @@
         }
         self.read_records(found).await
     }
+
+    async fn has_foreign_turn(self, _: Context, turn: TurnKey) -> PortResult<bool> {
+        Ok(self.table().has_foreign_turn(turn))
+    }
 }
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -170,6 +170,17 @@
         self.call(MAX_CALL_ATTEMPTS, request).await?.ok()
     }
 
+    /// Fetches whether the host stores a turn with the same id that belongs to another workspace. Returns `None` if the host
+    /// does not respond.
+    pub(crate) async fn has_foreign_turn(&self, turn: TurnKey) -> Option<bool> {
+        let request = |client: LedgerPortClient| async move {
+            client
+                .has_foreign_turn(context_with_timeout(UNSYNCED_CALL_TIMEOUT), turn)
+                .await
+        };
+        self.call(1, request).await?.ok()
+    }
+
     /// Fetches the software of a turn's stream. Returns `None` if the host does not respond or may lack records.
     pub(crate) async fn fetch_build(
         &self,
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -144,6 +144,9 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<(NoticeVersion, Vec<LimitReport>)>;
+
+    /// Returns whether the host stores a turn with the same id that belongs to another workspace.
+    async fn has_foreign_turn(turn: TurnKey) -> PortResult<bool>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -1,9 +1,14 @@
 //! Records of the ledger and their keys.
 
+use std::ops::RangeInclusive;
+
 use bytes::Bytes;
-use domain::BuildKey;
+use domain::{BuildKey, WorkspaceKey};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_128;
+use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128, xxh3_128_with_seed};
+
+/// Bits of a turn's key that depend on its id alone.
+const TURN_ID_BITS: u32 = 64;
 
 /// Identifies a program by the 128-bit XXH3 hash of the name that its caller chose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -21,6 +26,12 @@
         Self(xxh3_128(name))
     }
 
+    /// Returns the key of the program with the same name in a workspace.
+    #[must_use]
+    pub fn in_workspace(self, workspace: WorkspaceKey) -> Self {
+        Self(xxh3_128_with_seed(&self.0.to_le_bytes(), workspace.0))
+    }
+
     /// Returns the upper 32 bits of the key: uniformly distributed, and the same for every turn of the
     /// program.
     pub const fn uniform_hash(self) -> u32 {
@@ -33,6 +44,20 @@
     pub fn from_id(id: &[u8]) -> Self {
         Self(xxh3_128(id))
     }
+
+    /// Returns the key of the turn with the same id in a workspace. Its upper half depends on the id alone, so that a host
+    /// can tell a turn of another workspace from one that nobody knows.
+    #[must_use]
+    pub fn in_workspace(self, workspace: WorkspaceKey) -> Self {
+        let lower = u128::from(xxh3_64_with_seed(&self.0.to_le_bytes(), workspace.0));
+        Self(self.same_id().start().0 | lower)
+    }
+
+    /// Returns the range of the keys of all turns with the same id, whichever workspace they belong to.
+    pub const fn same_id(self) -> RangeInclusive<Self> {
+        let lower_mask = u128::MAX >> TURN_ID_BITS;
+        Self(self.0 & !lower_mask)..=Self(self.0 | lower_mask)
+    }
 }
 
 /// A completed turn. Its input and output are its payload.
--- a/components/ledger/src/table.rs
+++ b/components/ledger/src/table.rs
@@ -1,10 +1,9 @@
 //! In-memory table of the records of one host, indexed for counting tokens and for reading.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
 use domain::BuildKey;
-use rustc_hash::FxBuildHasher;
 
 use crate::digest::{BucketDigests, bucket_range};
 use crate::index::{IndexedRecord, RecordPlace};
@@ -120,7 +119,7 @@
 #[derive(Debug)]
 pub struct RecordTable {
     accounts: BTreeMap<ProgramKey, ProgramAccount>,
-    turns: HashMap<TurnKey, StoredTurn, FxBuildHasher>,
+    turns: BTreeMap<TurnKey, StoredTurn>,
     digests: BucketDigests,
     /// Turns whose payloads are in memory, the oldest first.
     cached: VecDeque<TurnKey>,
@@ -141,7 +140,7 @@
     pub fn new(payload_cache_limit_bytes: usize) -> Self {
         Self {
             accounts: BTreeMap::new(),
-            turns: HashMap::default(),
+            turns: BTreeMap::new(),
             digests: BucketDigests::default(),
             cached: VecDeque::new(),
             started: VecDeque::new(),
@@ -234,6 +233,12 @@
         chain
     }
 
+    /// Returns whether a turn with the same id is stored here that belongs to another workspace.
+    pub fn has_foreign_turn(&self, turn: TurnKey) -> bool {
+        let mut same_id = self.turns.range(turn.same_id());
+        same_id.any(|(stored, _)| *stored != turn)
+    }
+
     /// Returns whether the record with this key is stored here.
     pub fn contains(&self, key: &RecordKey) -> bool {
         let entry = self.entry(key);
@@ -314,7 +319,9 @@
 
     /// Removes the records whose retention has expired.
     pub fn prune(&mut self, now_ms: u64) {
-        let expired = self.turns.extract_if(|_, stored| stored.expires_at_ms <= now_ms);
+        let expired = self
+            .turns
+            .extract_if(.., |_, stored| stored.expires_at_ms <= now_ms);
         for (turn, stored) in expired {
             let program = stored.record.program;
             if let Some(account) = self.accounts.get_mut(&program) {
