--- a/components/ledger/src/snapshot.rs
+++ b/components/ledger/src/snapshot.rs
@@ -33,14 +33,15 @@
         Self { snapshots }
     }
 
-    /// Adds a snapshot unless an equally new or newer one of its kind is present; returns whether it was
-    /// added.
+    /// Adds a snapshot unless a newer one of its kind is present, or an equal one; returns whether it was added. One of
+    /// the same revision differs where its publisher encodes the objects in another way than before.
     pub(crate) fn put(&mut self, snapshot: KindSnapshot) -> bool {
         match self
             .snapshots
             .binary_search_by(|present| present.kind.cmp(&snapshot.kind))
         {
-            Ok(index) if self.snapshots[index].revision >= snapshot.revision => return false,
+            Ok(index) if self.snapshots[index].revision > snapshot.revision => return false,
+            Ok(index) if self.snapshots[index] == snapshot => return false,
             Ok(index) => self.snapshots[index] = snapshot,
             Err(index) => self.snapshots.insert(index, snapshot),
         }
