Hand out the quotas of workspaces by permits of ledger hosts

Cause: a quota of a configuration was read and bound nothing; each entry would have to know what the others send. Ruled out: a share for each entry (their demand is uneven and changes), one host for each workspace (with it away, a large workspace gets the tolerance only). Change: each of the first t + 1 hosts by rendezvous hashing hands out a part of the quota; while an entry cannot reach one of them, it asks the others for the largest part with which all of them stay within the tolerance. A permit that is not used goes back. A workspace known to be out of permits is refused before any other work (429, 3027, Retry-After).

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -37,7 +37,10 @@
     let mut response = Response::new(full_body(Bytes::from(body.to_string())));
     *response.status_mut() =
         StatusCode::from_u16(error.code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let may_retry = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let may_retry = matches!(
+        response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if may_retry {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::models::TurnPrompt;
 use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
+use crate::quota::QuotaTicket;
 use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
@@ -100,6 +101,8 @@
     pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) max_attempts: u32,
     pub(crate) deadline: Instant,
+    /// Set if the request's workspace has a quota.
+    pub(crate) quota: Option<QuotaTicket>,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that the caller takes up again.
@@ -203,6 +206,7 @@
                 return Err(self.refuse_convicted());
             }
             let (key, server) = (picked.key, Arc::clone(&picked.server));
+            self.obtain_quota().await?;
             match self.obtain_permit(&picked).await {
                 PermitOutcome::Ready => {}
                 PermitOutcome::TryAnother => continue,
@@ -221,12 +225,17 @@
                 SlotAnswer::NotAsked => None,
             };
             self.claim_version(&server).await?;
+            // The permit may have expired while the request waited for the server.
+            self.obtain_quota().await?;
             self.tried.push(key);
             let view = picked.view;
             let outcome = match self.attempt(picked, slot.as_deref()).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(outcome) => outcome,
             };
+            if outcome == AttemptOutcome::Lost {
+                self.use_quota();
+            }
             self.record_failure(key, &server, view, outcome);
             match next_step(self.plan.run_policy, outcome, self.was_lost, self.limits()) {
                 NextStep::TryAnother => {}
@@ -543,6 +552,7 @@
             }
         }
         self.sent += 1;
+        self.use_quota();
         if let VersionBond::Claimed(build) = self.plan.bond {
             self.plan.bond = VersionBond::Bound(build);
         }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -12,7 +12,9 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
 use hyper::{Request, Response};
-use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord};
+use ledger::{
+    LedgerError, ProgramKey, QuotaClass, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord,
+};
 use routing::{EngineLoad, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
@@ -23,6 +25,7 @@
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond, convicted_error};
 use crate::models::TurnPrompt;
+use crate::quota::{QuotaTicket, max_quota_wait_ms};
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, whole_millis};
 
@@ -75,6 +78,8 @@
     }
     let route = find_route(&table, head)?;
     let caller = identify(&table, route, entry.dialect.api_key(&head.headers))?;
+    let quota = quota_ticket(&caller, route, &facts, table.version());
+    entry.check_quota(quota.as_ref(), &facts.attempt_id)?;
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived
         + facts
@@ -105,6 +110,18 @@
     request.serve_buffered(head, input, arrived).await
 }
 
+/// Returns what a request needs of its workspace's quota; `None` if it has none. Whether the request begins a program is
+/// known only after its reservation.
+fn quota_ticket(
+    caller: &Caller,
+    route: &ServiceRoute,
+    facts: &RequestFacts,
+    version: u64,
+) -> Option<QuotaTicket> {
+    let max_wait_ms = facts.program.map_or(0, |_| max_quota_wait_ms(route));
+    QuotaTicket::new(caller.workspace()?, version, QuotaClass::UnderWay, max_wait_ms)
+}
+
 /// Returns the host that the caller has named.
 fn named_host(head: &request::Parts) -> &str {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
@@ -194,6 +211,12 @@
             RunPolicy::Idempotent | RunPolicy::AtMostOnce => None,
         };
         let reservation = self.reserve(patience, build).await?;
+        if reservation.as_ref().is_some_and(TurnReservation::begins_program) {
+            dispatcher.plan.quota = self
+                .caller
+                .workspace()
+                .and_then(|workspace| QuotaTicket::new(workspace, self.table.version(), QuotaClass::New, 0));
+        }
         let mut accepted = dispatcher.dispatch().await?;
         if !accepted.head.status.is_success() {
             let attempt = accepted.attempt.clone();
@@ -250,6 +273,7 @@
             prompt: self.prompt(service),
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
+            quota: quota_ticket(&self.caller, self.route, &self.facts, self.table.version()),
             last_event: self.facts.last_event,
             resumes: self.facts.resumes.clone(),
         })
@@ -413,10 +437,11 @@
         {
             ReserveOutcome::Reserved { is_first, open_turns } => {
                 self.entry.record_open_turns(open_turns);
-                let reservation = TurnReservation::new(ledger.clone(), program, turn);
                 // A turn that continues a stored turn does not count as the start of a program, whichever
                 // program it belongs to.
-                if is_first && limit.is_some() && self.facts.previous_turn.is_none() {
+                let begins_program = is_first && limit.is_some() && self.facts.previous_turn.is_none();
+                let reservation = TurnReservation::new(ledger.clone(), program, turn, begins_program);
+                if begins_program {
                     self.admit(program, open_turns)?;
                 }
                 Ok(Some(reservation))
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod net;
 mod permits;
 mod pool;
+mod quota;
 mod relay;
 mod state;
 
@@ -29,4 +30,5 @@
 pub use log::{LogGuard, open_log};
 pub use metrics::ProcessMetrics;
 pub use net::{connect, set_connection_timeouts};
+pub use quota::quota_retry_after_ms;
 pub use state::{EntryState, StopPhase, whole_millis};
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Permits for limited backend servers by outcome.
     pub(crate) permits: IntCounterVec,
+    /// Permits within the quotas of workspaces by outcome.
+    pub(crate) quota_permits: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from the end of a turn's stream until the ledger hosts have stored the turn, in seconds.
@@ -52,6 +54,10 @@
             requests: counters("requests_total", "Requests by outcome"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
             permits: counters("permits_total", "Permits for limited backend servers by outcome"),
+            quota_permits: counters(
+                "quota_permits_total",
+                "Permits within the quotas of workspaces by outcome",
+            ),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
             keep: histogram("keep_seconds", "Time until a turn was kept"),
             reserve: histogram("reserve_seconds", "Time until a reservation was answered"),
--- a/components/gateway/src/permits.rs
+++ b/components/gateway/src/permits.rs
@@ -99,7 +99,7 @@
                 return PermitOutcome::TryAnother;
             }
             Some(PermitAnswer::Refused { wait_ms }) => wait_ms,
-            None => NO_PERMIT_MS,
+            Some(PermitAnswer::Unavailable) | None => NO_PERMIT_MS,
         };
         self.permits.refused += 1;
         self.entry.record_next_permit(picked.key, wait_ms);
@@ -129,7 +129,7 @@
             Some(PermitAnswer::Granted { wait_ms, .. }) => ("granted", wait_ms),
             Some(PermitAnswer::Refused { wait_ms }) => ("refused", wait_ms),
             Some(PermitAnswer::Lifted) => ("lifted", 0),
-            None => ("unanswered", NO_PERMIT_MS),
+            Some(PermitAnswer::Unavailable) | None => ("unanswered", NO_PERMIT_MS),
         };
         self.entry.metrics.permits.with_label_values(&[label]).inc();
         if self.entry.line_limiter.try_acquire() {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -35,17 +35,29 @@
     program: ProgramKey,
     turn: TurnKey,
     spent: u64,
+    begins_program: bool,
 }
 
 impl TurnReservation {
-    pub(crate) const fn new(ledger: LedgerClient, program: ProgramKey, turn: TurnKey) -> Self {
+    pub(crate) const fn new(
+        ledger: LedgerClient,
+        program: ProgramKey,
+        turn: TurnKey,
+        begins_program: bool,
+    ) -> Self {
         Self {
             ledger,
             program,
             turn,
             spent: 0,
+            begins_program,
         }
     }
+
+    /// Returns whether the turn is the first one of its program.
+    pub(crate) const fn begins_program(&self) -> bool {
+        self.begins_program
+    }
 }
 
 impl Drop for TurnReservation {
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -19,6 +19,8 @@
 
 use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
 use crate::port::{HostAddress, RecordReceipt, StreamBuild};
+use crate::quota::QuotaBounds;
+use crate::quota_client::QuotaBook;
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
@@ -153,6 +155,10 @@
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     connected: Arc<Notify>,
     tolerated_failures: usize,
+    /// What is tolerated beyond the quotas of workspaces.
+    quota_bounds: QuotaBounds,
+    /// What ledger hosts have said of the next permits of workspaces.
+    quota_book: Mutex<QuotaBook>,
     /// Number of polls for snapshots; it selects the host of the next one.
     polls: AtomicUsize,
     log: Logger,
@@ -208,12 +214,19 @@
 impl LedgerClient {
     /// Creates a client that works while up to `tolerated_failures` hosts are unavailable.
     pub fn new(tolerated_failures: usize, log: Logger) -> Self {
+        Self::with_quota_bounds(tolerated_failures, QuotaBounds::default(), log)
+    }
+
+    /// Creates a client as [`Self::new`] does, for a platform that tolerates some excess over the quotas of workspaces.
+    pub fn with_quota_bounds(tolerated_failures: usize, quota_bounds: QuotaBounds, log: Logger) -> Self {
         Self {
             shared: Arc::new(ClientState {
                 links: Mutex::default(),
                 relays: Arc::default(),
                 connected: Arc::default(),
                 tolerated_failures,
+                quota_bounds,
+                quota_book: Mutex::default(),
                 polls: AtomicUsize::new(0),
                 log,
             }),
@@ -598,6 +611,22 @@
         hosts
     }
 
+    /// Returns the number of hosts that hand out the permits of a workspace: more than may fail.
+    pub(crate) fn quota_host_count(&self) -> usize {
+        self.shared.tolerated_failures + 1
+    }
+
+    pub(crate) fn quota_bounds(&self) -> QuotaBounds {
+        self.shared.quota_bounds
+    }
+
+    pub(crate) fn quota_book(&self) -> MutexGuard<'_, QuotaBook> {
+        self.shared
+            .quota_book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn group_size(&self) -> usize {
         2 * self.shared.tolerated_failures + 1
     }
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -16,7 +16,7 @@
 use crate::limit::{LimitReport, LimitTable};
 use crate::log::{DiskLog, LogError};
 use crate::notice::NoticeVersion;
-use crate::permit::{PermitAnswer, PermitRequest, PermitTable};
+use crate::permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest, PermitTable};
 use crate::port::{
     ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
 };
@@ -73,6 +73,8 @@
     readers: Mutex<Vec<ReaderPosition>>,
     snapshots: Mutex<SnapshotSet>,
     permits: Mutex<PermitTable>,
+    /// Until when the host hands out permits of workspaces; `None` without an end.
+    permit_lease: Mutex<Option<Instant>>,
     crashes: Mutex<CrashTable>,
     /// Number of changes of the notices about crashes.
     notice_changes: watch::Sender<u64>,
@@ -106,6 +108,7 @@
                 readers: Mutex::default(),
                 snapshots: Mutex::new(SnapshotSet::open(&options.folder)),
                 permits: Mutex::default(),
+                permit_lease: Mutex::default(),
                 crashes: Mutex::default(),
                 notice_changes: watch::Sender::new(0),
                 limits: Mutex::default(),
@@ -160,7 +163,7 @@
     /// under which none has crashed lately.
     pub fn prune(&self, now_ms: u64) {
         self.table().prune(now_ms);
-        self.permits().prune(self.uptime_us());
+        self.permit_table().prune(self.uptime_us());
         let uptime_ms = self.uptime_us() / 1_000;
         self.change_crashes(|crashes| crashes.prune(uptime_ms));
         self.limits().prune(uptime_ms);
@@ -222,10 +225,32 @@
         self.shared.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn permits(&self) -> MutexGuard<'_, PermitTable> {
+    fn permit_table(&self) -> MutexGuard<'_, PermitTable> {
         self.shared.permits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lets the host hand out permits of workspaces until `end`. Another host may hand them out in its place afterwards.
+    pub fn lease_permits_until(&self, end: Instant) {
+        *self.permit_lease() = Some(end);
+    }
+
+    fn permit_lease(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.shared
+            .permit_lease
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn decide_permit(&self, ask: PermitAsk) -> PermitAnswer {
+        let lease = *self.permit_lease();
+        let is_expired = lease.is_some_and(|end| end <= Instant::now());
+        if is_expired && matches!(ask, PermitAsk::Workspace(_)) {
+            return PermitAnswer::Unavailable;
+        }
+        let now_us = self.uptime_us();
+        self.permit_table().decide_ask(ask, now_us)
+    }
+
     fn limits(&self) -> MutexGuard<'_, LimitTable> {
         self.shared.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -418,13 +443,20 @@
     }
 
     async fn permit(self, _: Context, request: PermitRequest) -> PermitAnswer {
-        let now_us = self.uptime_us();
-        self.permits().decide(request, now_us)
+        self.decide_permit(PermitAsk::Server(request))
+    }
+
+    async fn permits(self, _: Context, asks: Vec<PermitAsk>) -> Vec<PermitAnswer> {
+        asks.into_iter().map(|ask| self.decide_permit(ask)).collect()
+    }
+
+    async fn give_back(self, _: Context, key: PermitKey) {
+        self.permit_table().give_back(key);
     }
 
     async fn lift_limit(self, _: Context, instance: InstanceKey, heard_ms_ago: u64) {
         let now_us = self.uptime_us();
-        self.permits().lift(instance, heard_ms_ago, now_us);
+        self.permit_table().lift(instance, heard_ms_ago, now_us);
     }
 
     async fn report_crashes(self, _: Context, reports: Vec<CrashReport>) {
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -18,6 +18,8 @@
 mod permit;
 mod permit_client;
 mod port;
+mod quota;
+mod quota_client;
 mod record;
 mod relay;
 mod repair;
@@ -34,11 +36,13 @@
 pub use limit::{LimitReport, LimitTable};
 pub use log::{DiskLog, LogError};
 pub use notice::NoticeVersion;
-pub use permit::{PermitAnswer, PermitRequest, PermitTable};
+pub use permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest, PermitTable};
 pub use port::{
     ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild,
     connect_host, serve_port, wall_clock_ms,
 };
+pub use quota::{PERMIT_VALIDITY_MS, PermitTerms, QuotaBounds, QuotaClass, QuotaRequest, QuotaShares};
+pub use quota_client::{HeldPermit, QuotaAnswer, QuotaDemand};
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -18,7 +18,7 @@
 use crate::crash::{CrashReport, NoticePage};
 use crate::limit::LimitReport;
 use crate::notice::NoticeVersion;
-use crate::permit::{PermitAnswer, PermitRequest};
+use crate::permit::{PermitAnswer, PermitAsk, PermitKey};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
     context_with_timeout, open_stream,
@@ -197,17 +197,36 @@
 
     /// Asks the host for a permit. Returns `None` at once if it is not connected or has not answered lately, and after
     /// a timeout if it does not answer.
-    pub(crate) async fn request_permit(&self, request: PermitRequest) -> Option<PermitAnswer> {
+    pub(crate) async fn request_permit(&self, ask: PermitAsk) -> Option<PermitAnswer> {
         let client = self.permit_client().await?;
-        let asking = client.permit(context_with_timeout(PERMIT_TIMEOUT), request);
-        let answer = timeout(PERMIT_TIMEOUT, asking).await;
-        let answer = answer.ok().and_then(Result::ok);
+        let asking = client.permits(context_with_timeout(PERMIT_TIMEOUT), vec![ask]);
+        let answers = timeout(PERMIT_TIMEOUT, asking).await;
+        let answer = answers
+            .ok()
+            .and_then(Result::ok)
+            .and_then(|answers| answers.first().copied());
+        let answer = answer.filter(|answer| *answer != PermitAnswer::Unavailable);
         if answer.is_none() {
             *self.permit_failure() = Some(Instant::now());
         }
         answer
     }
 
+    /// Returns a permit that was not used.
+    pub(crate) async fn give_back(&self, key: PermitKey) {
+        if let Some(client) = self.permit_client().await {
+            // A permit that is lost on the way is one request less for the workspace.
+            drop(client.give_back(context_with_timeout(PERMIT_TIMEOUT), key).await);
+        }
+    }
+
+    /// Returns whether the host is not asked for permits at present.
+    pub(crate) fn is_away(&self) -> bool {
+        let failed_at = *self.permit_failure();
+        let is_paused = failed_at.is_some_and(|failed_at| failed_at.elapsed() < PERMIT_PAUSE);
+        is_paused || !self.is_up()
+    }
+
     /// Reports to the host that a backend server has lifted its limit.
     pub(crate) async fn report_lifted(&self, instance: InstanceKey, heard_ms_ago: u64) -> bool {
         let Some(client) = self.permit_client().await else {
@@ -284,9 +303,7 @@
     /// Returns a client on the open connection if the host has answered the latest call about permits. A slow host may
     /// still answer the other calls on the connection, so that it stays open.
     async fn permit_client(&self) -> Option<LedgerPortClient> {
-        let failed_at = *self.permit_failure();
-        let is_paused = failed_at.is_some_and(|failed_at| failed_at.elapsed() < PERMIT_PAUSE);
-        if is_paused {
+        if self.is_away() {
             return None;
         }
         self.open_client().await
--- a/components/ledger/src/permit_client.rs
+++ b/components/ledger/src/permit_client.rs
@@ -7,7 +7,7 @@
 
 use crate::client::LedgerClient;
 use crate::link::HostLink;
-use crate::permit::{PermitAnswer, PermitRequest};
+use crate::permit::{PermitAnswer, PermitAsk, PermitRequest};
 
 /// Hosts that hand out the permits of one server: the first, and one in its place while an entry cannot reach it.
 const PERMIT_HOSTS: usize = 2;
@@ -19,26 +19,32 @@
     /// Asks for the permit to send one request to a backend server. Returns `None` when none of the hosts that hand out
     /// the server's permits answers.
     pub async fn request_permit(&self, request: PermitRequest) -> Option<PermitAnswer> {
-        let [first, second] = self.permit_hosts(request.instance);
-        if let Some(answer) = first?.request_permit(request).await {
+        let [first, second] = self.server_hosts(request.instance);
+        if let Some(answer) = first?.request_permit(PermitAsk::Server(request)).await {
             return Some(answer);
         }
         let rate = RequestRate(request.rate.0 / SECOND_HOST_DIVISOR);
-        second?.request_permit(PermitRequest { rate, ..request }).await
+        let request = PermitRequest { rate, ..request };
+        second?.request_permit(PermitAsk::Server(request)).await
     }
 
     /// Reports that a backend server has lifted its limit. Entries that are not told hear it from the server.
     pub async fn report_lifted(&self, instance: InstanceKey, heard_ms_ago: u64) {
-        for host in self.permit_hosts(instance).into_iter().flatten() {
+        for host in self.server_hosts(instance).into_iter().flatten() {
             host.report_lifted(instance, heard_ms_ago).await;
         }
     }
 
-    /// Returns the hosts that hand out a server's permits, chosen by rendezvous hashing.
-    fn permit_hosts(&self, instance: InstanceKey) -> [Option<Arc<HostLink>>; PERMIT_HOSTS] {
-        let mut links = self.links().clone();
-        links.sort_by_cached_key(|link| xxh3_64_with_seed(link.peer.name.as_bytes(), instance.0));
-        let mut links = links.into_iter();
+    /// Returns the hosts that hand out a server's permits.
+    fn server_hosts(&self, instance: InstanceKey) -> [Option<Arc<HostLink>>; PERMIT_HOSTS] {
+        let mut links = self.permit_hosts(instance.0).into_iter();
         std::array::from_fn(|_| links.next())
     }
+
+    /// Returns all hosts in the order in which they hand out the permits of a key, chosen by rendezvous hashing.
+    pub(crate) fn permit_hosts(&self, seed: u64) -> Vec<Arc<HostLink>> {
+        let mut links = self.links().clone();
+        links.sort_by_cached_key(|link| xxh3_64_with_seed(link.peer.name.as_bytes(), seed));
+        links
+    }
 }
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -19,7 +19,7 @@
 use crate::digest::BucketDigests;
 use crate::limit::LimitReport;
 use crate::notice::NoticeVersion;
-use crate::permit::{PermitAnswer, PermitRequest};
+use crate::permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::KindSnapshot;
 
@@ -119,7 +119,8 @@
     /// Returns the software that produces the events of a turn's stream; `None` if the host has no record of it.
     async fn stream_build(program: ProgramKey, turn: TurnKey) -> PortResult<Option<StreamBuild>>;
 
-    /// Decides on the permit to send one request to a backend server that limits them.
+    /// Decides on the permit to send one request to a backend server that limits them; entries of earlier versions
+    /// call it.
     async fn permit(request: PermitRequest) -> PermitAnswer;
 
     /// Reports that a backend server has lifted its limit some milliseconds ago.
@@ -144,6 +145,12 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<(NoticeVersion, Vec<LimitReport>)>;
+
+    /// Decides on requests for permits, in their order.
+    async fn permits(asks: Vec<PermitAsk>) -> Vec<PermitAnswer>;
+
+    /// Takes back the permit of a request that was not sent.
+    async fn give_back(key: PermitKey);
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/ledger/src/repair.rs
+++ b/components/ledger/src/repair.rs
@@ -23,6 +23,9 @@
 const KEYS_PER_CALL: usize = 512;
 /// Largest number of buckets whose keys are requested in one call.
 const BUCKETS_PER_CALL: usize = 512;
+/// Time from the start of a round for which the target hands out permits of workspaces once it has reached half of the
+/// other hosts. It is longer than the time between two rounds, and ends before another host takes the target's place.
+const PERMIT_LEASE: Duration = Duration::from_secs(4);
 /// Delay before checking whether records claimed for another source have arrived: a few round trips between
 /// hosts.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -246,7 +249,11 @@
         let copies = self.sources.iter_mut().map(|source| source.copy(target));
         let mut copies: FuturesUnordered<_> = copies.collect();
         let mut reached = Vec::with_capacity(total);
+        let began = std::time::Instant::now();
         loop {
+            if reached.len() * 2 >= total {
+                target.host.lease_permits_until(began + PERMIT_LEASE);
+            }
             if self.is_initial && reached.len() + max_unreachable >= total {
                 self.is_initial = false;
                 target.host.finish_copying();
