--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -547,8 +547,7 @@
             self.plan.bond = VersionBond::Bound(build);
         }
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
-        self.entry
-            .record_affinity(self.plan.affinity, self.plan.program, key, &self.tried);
+        self.record_session(key, &server);
         let mut head = response::Response::new(()).into_parts().0;
         head.status = status;
         head.headers = headers.clone();
@@ -565,6 +564,20 @@
         })
     }
 
+    /// Records which server holds the session, and why it has changed.
+    fn record_session(&self, key: ServerKey, server: &BackendServer) {
+        let before = self
+            .entry
+            .record_affinity(self.plan.affinity, self.plan.program, key);
+        let Some(before) = before else { return };
+        let cause = self.entry.move_cause(before, key, &self.tried);
+        self.entry.metrics.session_moves.with_label_values(&[cause]).inc();
+        if before != key && self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "session changed its server"; "request" => &self.plan.attempt_id,
+                "server" => &server.name, "cause" => cause);
+        }
+    }
+
     fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<Full<Bytes>> {
         let mut parts = request::Request::new(()).into_parts().0;
         parts.method = self.plan.method.clone();
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -399,31 +399,25 @@
         self.open_turns.store(open_turns, Ordering::Relaxed);
     }
 
-    /// Records the backend server that holds the prompt of a session and of its program, after the `tried` servers have
-    /// not served the request.
+    /// Records the backend server that holds the prompt of a session and of its program. Returns the one that held it
+    /// before.
     pub(crate) fn record_affinity(
         &self,
         affinity: Option<u64>,
         program: Option<ProgramKey>,
         key: ServerKey,
-        tried: &[ServerKey],
-    ) {
-        let before = {
-            let mut map = lock(&self.affinity);
-            let before = affinity.and_then(|session| map.get(session));
-            for session in affinity.into_iter().chain(program.map(program_affinity)) {
-                map.set(session, key);
-            }
-            before
-        };
-        if let Some(before) = before {
-            self.count_move(before, key, tried);
+    ) -> Option<ServerKey> {
+        let mut map = lock(&self.affinity);
+        let before = affinity.and_then(|session| map.get(session));
+        for session in affinity.into_iter().chain(program.map(program_affinity)) {
+            map.set(session, key);
         }
+        before
     }
 
-    /// Counts the cause for which a session has changed its server.
-    fn count_move(&self, before: ServerKey, key: ServerKey, tried: &[ServerKey]) {
-        let cause = if before == key {
+    /// Returns why a session has changed its server, after the `tried` servers have not served its request.
+    pub(crate) fn move_cause(&self, before: ServerKey, key: ServerKey, tried: &[ServerKey]) -> &'static str {
+        if before == key {
             "none"
         } else if tried.contains(&before) {
             "failed"
@@ -435,8 +429,7 @@
                 Some((_, server)) if server.state == ServerState::Leaving => "leaving",
                 Some(_) => "balance",
             }
-        };
-        self.metrics.session_moves.with_label_values(&[cause]).inc();
+        }
     }
 
     /// Returns the last server of a session, or else of its program.
