--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod front;
 mod homes;
+mod knowledge;
 mod limits;
 mod log;
 mod long_answer;
