Let entries know how old their configuration is

Ruled out: a read of the store for each unknown key, which costs calls under a flood; a longer bound, which would refuse keys of a version that is in force. Before: 200 until the store was back, 401 for keys of a newer version.

--- a/components/gateway/src/access.rs
+++ b/components/gateway/src/access.rs
@@ -19,8 +19,8 @@
     }
 }
 
-/// Returns the caller of a request that may be served, and the configuration that says so. An unknown API key makes the
-/// entry ask for a newer configuration first.
+/// Returns the caller of a request that may be served, and the configuration that says so. Before it refuses a
+/// request, the entry asks for a newer configuration.
 ///
 /// # Errors
 ///
@@ -33,14 +33,16 @@
 ) -> Result<(Arc<RouteTable>, KeyHolder), CallError> {
     let api_key = entry.dialect.api_key(&head.headers);
     let mut holder = KeyHolder::of_request(&table, find_route(&table, head)?, api_key);
-    if holder == KeyHolder::Unknown
+    let mut age_ms = entry.configuration_age_ms();
+    let mut decision = entry.access_bounds().decide(&holder, age_ms);
+    if decision != AccessDecision::Granted
         && let Some(newer) = entry.refreshed_configuration().await
     {
         table = newer;
         holder = KeyHolder::of_request(&table, find_route(&table, head)?, api_key);
+        age_ms = entry.configuration_age_ms();
+        decision = entry.access_bounds().decide(&holder, age_ms);
     }
-    let age_ms = entry.configuration_age_ms();
-    let decision = entry.access_bounds().decide(&holder, age_ms);
     let label = outcome_label(&holder, decision);
     entry.metrics.access.with_label_values(&[label]).inc();
     match decision {
--- a/components/gateway/src/knowledge.rs
+++ b/components/gateway/src/knowledge.rs
@@ -11,7 +11,7 @@
 
 /// Bounds of an entry whose settings give none.
 const DEFAULT_BOUNDS: AccessBounds = AccessBounds {
-    refusal_age_ms: u64::MAX,
+    refusal_age_ms: 2_000,
     grant_age_ms: None,
 };
 
@@ -40,10 +40,12 @@
 }
 
 impl ConfigurationKnowledge {
-    /// Records that the configuration was the newest one at a time.
-    pub(crate) fn confirm(&self, at: Instant) {
+    /// Records that the configuration was the newest one at a time, and returns the latest such time.
+    pub(crate) fn confirm(&self, at: Instant) -> Instant {
         let mut confirmed = lock(&self.confirmed);
-        *confirmed = (*confirmed).max(Some(at));
+        let latest = confirmed.map_or(at, |known| known.max(at));
+        *confirmed = Some(latest);
+        latest
     }
 
     /// Returns the time since the configuration was last known to be the newest one, in milliseconds; `None` if it never
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms, served as text.
 
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -29,6 +31,8 @@
     pub(crate) log_lines_dropped: IntCounter,
     /// Version of the configuration in force.
     pub(crate) configuration_version: IntGauge,
+    /// Unix time at which the configuration was last known to be the newest one, in seconds.
+    pub(crate) configuration_confirmed: IntGauge,
     /// Backend servers in the directory.
     pub(crate) backend_servers: IntGauge,
     /// Objects of the platform's store that cannot be decoded, by kind.
@@ -71,6 +75,13 @@
                 &registry,
                 IntGauge::new("configuration_version", "Version of the configuration in force"),
             ),
+            configuration_confirmed: register(
+                &registry,
+                IntGauge::new(
+                    "configuration_confirmed_timestamp_seconds",
+                    "Unix time at which the configuration was last known to be the newest one",
+                ),
+            ),
             backend_servers: register(
                 &registry,
                 IntGauge::new("backend_servers", "Listed backend servers"),
@@ -105,6 +116,14 @@
         self.unreadable_objects.with_label_values(&[kind]).inc();
     }
 
+    /// Sets how long ago the configuration was known to be the newest one.
+    pub fn set_configuration_confirmed(&self, age: Duration) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let confirmed_s = now.saturating_sub(age).as_secs();
+        self.configuration_confirmed
+            .set(i64::try_from(confirmed_s).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of turns that this ledger host stores.
     pub fn set_kept_turns(&self, turns: usize) {
         self.kept_turns.set(i64::try_from(turns).unwrap_or(i64::MAX));
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -241,7 +241,8 @@
 
     /// Records that the configuration that has been received was the newest one at a time.
     pub fn confirm_configuration(&self, at: Instant) {
-        self.knowledge.confirm(at);
+        let latest = self.knowledge.confirm(at);
+        self.metrics.set_configuration_confirmed(latest.elapsed());
     }
 
     /// Waits until a request needs a newer configuration.
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -20,7 +20,7 @@
 use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
 use crate::port::{HostAddress, RecordReceipt, StreamBuild};
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
-use crate::snapshot::KindSnapshot;
+use crate::snapshot::SnapshotPage;
 
 /// Delay after which the next hosts are asked for a chain of turns, although an earlier one has not answered yet.
 /// It is many times the duration of a call between failure domains.
@@ -270,8 +270,9 @@
     }
 
     /// Fetches snapshots that are newer than the known revisions from one of the connected hosts, as
-    /// [`polled_host`] chooses it. If none is connected, returns the first snapshots that any of the seeds sends.
-    pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
+    /// [`polled_host`] chooses it. If none is connected, returns the first snapshots that any of the seeds sends. The page
+    /// is empty if there are no newer ones or no host responds.
+    pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> SnapshotPage {
         let mut connected: Vec<Arc<HostLink>> =
             self.links().iter().filter(|link| link.is_up()).cloned().collect();
         connected.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
@@ -281,12 +282,17 @@
                 .iter()
                 .map(|seed| fetch_snapshots_at(*seed, known))
                 .collect();
+            let mut empty = SnapshotPage::default();
             while let Some(response) = responses.next().await {
-                if let Some(snapshots) = response.filter(|snapshots| !snapshots.is_empty()) {
-                    return snapshots;
+                let Some(page) = response else { continue };
+                if !page.snapshots.is_empty() {
+                    return page;
+                }
+                if page.confirmed_ms_ago.is_some() {
+                    empty = page;
                 }
             }
-            return Vec::new();
+            return empty;
         }
         let poll = self.shared.polls.fetch_add(1, Ordering::Relaxed);
         let choice = polled_host(poll, connected.len(), self.shared.tolerated_failures + 1);
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -21,7 +21,7 @@
     ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
 };
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
-use crate::snapshot::{KindSnapshot, SnapshotSet};
+use crate::snapshot::{KindSnapshot, SnapshotPage, SnapshotSet};
 use crate::table::{FoundRecord, RecordTable};
 
 /// Largest number of keys in one page of changes.
@@ -72,6 +72,8 @@
     is_copying: AtomicBool,
     readers: Mutex<Vec<ReaderPosition>>,
     snapshots: Mutex<SnapshotSet>,
+    /// Latest time at which the store had nothing newer than the snapshots.
+    confirmed: Mutex<Option<Instant>>,
     permits: Mutex<PermitTable>,
     crashes: Mutex<CrashTable>,
     /// Number of changes of the notices about crashes.
@@ -105,6 +107,7 @@
                 is_copying: AtomicBool::new(true),
                 readers: Mutex::default(),
                 snapshots: Mutex::new(SnapshotSet::open(&options.folder)),
+                confirmed: Mutex::default(),
                 permits: Mutex::default(),
                 crashes: Mutex::default(),
                 notice_changes: watch::Sender::new(0),
@@ -192,6 +195,16 @@
         self.snapshot_set().put(snapshot)
     }
 
+    /// Records that the store had nothing newer than the published snapshots at a time.
+    pub fn confirm(&self, at: Instant) {
+        let mut confirmed = self
+            .shared
+            .confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *confirmed = (*confirmed).max(Some(at));
+    }
+
     /// Returns all stored snapshots.
     pub fn published(&self) -> Vec<KindSnapshot> {
         self.snapshot_set().newer_than(&[])
@@ -494,4 +507,19 @@
     async fn has_foreign_turn(self, _: Context, turn: TurnKey) -> PortResult<bool> {
         Ok(self.table().has_foreign_turn(turn))
     }
+
+    async fn snapshot_page(self, _: Context, known: Vec<(String, u64)>) -> PortResult<SnapshotPage> {
+        // Read before the snapshots: newer ones may be published in between.
+        let confirmed = *self
+            .shared
+            .confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let confirmed_ms_ago =
+            confirmed.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX));
+        Ok(SnapshotPage {
+            snapshots: self.snapshot_set().newer_than(&known),
+            confirmed_ms_ago,
+        })
+    }
 }
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -42,5 +42,5 @@
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
-pub use snapshot::KindSnapshot;
+pub use snapshot::{KindSnapshot, SnapshotPage};
 pub use table::{FoundRecord, RecordTable};
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -25,7 +25,7 @@
 };
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::relay::connect_through;
-use crate::snapshot::KindSnapshot;
+use crate::snapshot::SnapshotPage;
 
 /// Timeout for establishing a connection, directly or through a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -197,10 +197,10 @@
 
     /// Fetches snapshots that are newer than the known revisions. Returns `None` if the host does not
     /// respond.
-    pub(crate) async fn fetch_snapshots(&self, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
+    pub(crate) async fn fetch_snapshots(&self, known: &[(String, u64)]) -> Option<SnapshotPage> {
         let request = |client: LedgerPortClient| async move {
             client
-                .snapshots(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
+                .snapshot_page(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
                 .await
         };
         self.call(1, request).await?.ok()
@@ -538,14 +538,11 @@
 }
 
 /// Fetches snapshots that are newer than the known revisions from a host that is known by its address only.
-pub(crate) async fn fetch_snapshots_at(
-    address: SocketAddr,
-    known: &[(String, u64)],
-) -> Option<Vec<KindSnapshot>> {
+pub(crate) async fn fetch_snapshots_at(address: SocketAddr, known: &[(String, u64)]) -> Option<SnapshotPage> {
     let stream = timeout(CONNECT_TIMEOUT, open_stream(address)).await.ok()?.ok()?;
     let client = connect_host(stream);
     client
-        .snapshots(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
+        .snapshot_page(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
         .await
         .ok()?
         .ok()
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -21,7 +21,7 @@
 use crate::notice::NoticeVersion;
 use crate::permit::{PermitAnswer, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
-use crate::snapshot::KindSnapshot;
+use crate::snapshot::{KindSnapshot, SnapshotPage};
 
 /// Largest size of a message: a chain of turns at the limits for callers.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
@@ -147,6 +147,9 @@
 
     /// Returns whether the host stores a turn with the same id that belongs to another workspace.
     async fn has_foreign_turn(turn: TurnKey) -> PortResult<bool>;
+
+    /// Returns the snapshots that are newer than the reader's revisions of their kinds, and the age of what the host knows.
+    async fn snapshot_page(known: Vec<(String, u64)>) -> PortResult<SnapshotPage>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/ledger/src/snapshot.rs
+++ b/components/ledger/src/snapshot.rs
@@ -19,6 +19,16 @@
     pub body: Bytes,
 }
 
+/// Snapshots that a reader lacks, and how old the knowledge is that there are no others.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotPage {
+    /// The snapshots.
+    pub snapshots: Vec<KindSnapshot>,
+    /// Time in milliseconds since the publisher last found that the store had nothing newer; `None` if it never did.
+    pub confirmed_ms_ago: Option<u64>,
+}
+
 /// The newest snapshot of each kind, sorted by kind.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct SnapshotSet {
