Let the priority of a workspace go before that of its route

Change: `KeyHolder::priority`, shown in the line of an answered request and ready for the orders to engines (`RoutedRequest::priority`). Before: not tested. After: the_priority_of_a_workspace_goes_before_that_of_its_route passes.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -183,6 +183,11 @@
 }
 
 impl RoutedRequest<'_> {
+    /// Returns the priority of the request; 0 is the most urgent.
+    fn priority(&self) -> u32 {
+        self.caller.priority(self.route)
+    }
+
     /// Serves a request whose answer is read completely before it is sent to the caller.
     async fn serve_buffered(
         self,
@@ -523,7 +528,7 @@
         }
         info!(self.entry.log, "request answered"; "request" => &self.facts.attempt_id, "route" => &self.route.name,
             "configuration" => self.table.version(), "workspace" => self.caller.workspace().map(|workspace| &workspace.name),
-            "server" => &attempt.server.name, "status" => status,
+            "priority" => self.priority(), "server" => &attempt.server.name, "status" => status,
             "ms" => arrived.elapsed().as_millis(), "sent" => dispatcher.sent(),
             "sent_ms" => whole_millis(attempt.sent_at - arrived), "directory" => attempt.view.revision,
             "registered" => attempt.view.is_registered);
--- a/components/routing/src/access.rs
+++ b/components/routing/src/access.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Returns the priority of the caller's requests on a route: that of the workspace goes before that of the route; 0 is
+    /// the most urgent.
+    pub fn priority(&self, route: &ServiceRoute) -> u32 {
+        let of_workspace = self.workspace().and_then(|workspace| workspace.priority);
+        of_workspace.unwrap_or(route.priority)
+    }
+
     /// Returns the caller's workspace; `None` if the caller belongs to none.
     pub fn workspace(&self) -> Option<&Workspace> {
         match self {
--- a/components/routing/tests/access.rs
+++ b/components/routing/tests/access.rs
@@ -110,6 +110,38 @@
     }
 }
 
+/// Priorities of a workspace and of a route, and that of a request.
+struct PriorityCase {
+    workspace: Option<u32>,
+    route: u32,
+    request: u32,
+}
+
+#[gtest]
+fn the_priority_of_a_workspace_goes_before_that_of_its_route() {
+    let case = |workspace, route, request| PriorityCase {
+        workspace,
+        route,
+        request,
+    };
+    let cases = [case(None, 3, 3), case(Some(0), 3, 0), case(Some(5), 3, 5)];
+    for case in cases {
+        let member = KeyHolder::Member(
+            Workspace {
+                priority: case.workspace,
+                ..workspace("a")
+            }
+            .into(),
+        );
+        let route = ServiceRoute {
+            priority: case.route,
+            ..route(RouteAccess::Workspaces)
+        };
+        expect_that!(member.priority(&route), eq(case.request), "{:?}", case.workspace);
+        expect_that!(KeyHolder::Anonymous.priority(&route), eq(case.route));
+    }
+}
+
 /// Who sent a request, the age of the configuration, and what is decided in both kinds of bounds.
 struct AgeCase {
     holder: KeyHolder,
