--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -46,5 +46,5 @@
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
-pub use snapshot::KindSnapshot;
+pub use snapshot::{KindSnapshot, SnapshotPage};
 pub use table::{FoundRecord, RecordTable};
