Move limits and crashes onto one mechanism for facts

Cause: each kind of short-lived fact had its own report call, waiting call and loop of an entry; a further kind would have added a third. Change: FactReport in one report call, KnownFacts and FactPage in one waiting call, one loop (follow_facts). The verdict on requests that crash servers stays a table of its own. Old calls stay on the port as thin forms of the same wait. Tests: components/ledger/tests/crash.rs calls report_facts and follow_facts in place of the removed methods; its conditions are the same. Quotas: the rate wanted while a host is away is 70 in place of 80 %, in favour of the bursts of small quotas. After: ledger and gateway tests pass.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use domain::{ContentKey, InstanceKey, RequestContent};
-use ledger::{ContentScope, CrashReport, SuspectNotice};
+use ledger::{ContentScope, CrashReport, FactChange, FactReport, SuspectNotice};
 use routing::BackendServer;
 use slog::info;
 use tokio::net::TcpStream;
@@ -199,20 +199,26 @@
             info!(self.log, "request under which servers crashed has been run to its end"; "content" => %content);
         }
         let ledger = self.ledger.clone();
-        tokio::spawn(async move { ledger.acquit(contents).await });
+        let reports = contents.into_iter().map(FactReport::Acquittal).collect();
+        tokio::spawn(async move { ledger.report_facts(reports).await });
     }
 
-    /// Follows the notices of the ledger hosts about requests under which backend servers crash; never returns.
-    pub async fn follow_crashes(&self) {
-        let apply = |notices: &[SuspectNotice]| {
-            for notice in self.crashes.changed_verdicts(notices) {
-                info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
-                    "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
-            }
-            let acquitted = self.crashes.set_notices(notices, self.now_ms());
-            self.acquit(acquitted);
+    /// Follows the facts that entries tell one another; never returns.
+    pub async fn follow_facts(&self) {
+        let apply = |change: FactChange<'_>| match change {
+            FactChange::Suspects(notices) => self.apply_suspects(notices),
+            FactChange::Limits(reports) => self.apply_limits(reports),
         };
-        self.ledger.follow_crashes(apply).await;
+        self.ledger.follow_facts(apply).await;
+    }
+
+    fn apply_suspects(&self, notices: &[SuspectNotice]) {
+        for notice in self.crashes.changed_verdicts(notices) {
+            info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
+                "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
+        }
+        let acquitted = self.crashes.set_notices(notices, self.now_ms());
+        self.acquit(acquitted);
     }
 }
 
@@ -238,7 +244,8 @@
             }
         }
         let reports = runs.iter().flat_map(|run| run.reports(instance));
-        entry.ledger.report_crashes(reports.collect()).await;
+        let reports = reports.map(FactReport::Crash).collect();
+        entry.ledger.report_facts(reports).await;
     });
 }
 
--- a/components/gateway/src/limits.rs
+++ b/components/gateway/src/limits.rs
@@ -1,7 +1,7 @@
 //! What an entry knows of the limits that backend servers name, and tells the other entries.
 
 use domain::{InstanceKey, RequestRate};
-use ledger::LimitReport;
+use ledger::{FactReport, LimitReport};
 use routing::{BackendServer, ServerKey, ServerLimit};
 use slog::info;
 
@@ -66,17 +66,11 @@
             rate,
             heard_ms_ago: 0,
         };
-        tokio::spawn(async move { ledger.report_limits(vec![report]).await });
+        tokio::spawn(async move { ledger.report_facts(vec![FactReport::Limit(report)]).await });
     }
 
-    /// Follows the limits of backend servers that other entries report; never returns.
-    pub async fn follow_limits(&self) {
-        self.ledger
-            .follow_limits(|reports| self.apply_limits(reports))
-            .await;
-    }
-
-    fn apply_limits(&self, reports: &[LimitReport]) {
+    /// Adopts the limits of backend servers that other entries have reported.
+    pub(crate) fn apply_limits(&self, reports: &[LimitReport]) {
         let now_ms = self.now_ms();
         let directory = lock(&self.directory);
         let mut limits = lock(&self.limits);
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -13,6 +13,7 @@
 
 use crate::crash::{CrashReport, CrashTable, NoticePage};
 use crate::digest::BucketDigests;
+use crate::fact::{FactChanges, FactPage, FactReport, KnownFacts, LimitPage};
 use crate::limit::{LimitReport, LimitTable};
 use crate::log::{DiskLog, LogError};
 use crate::notice::NoticeVersion;
@@ -76,11 +77,9 @@
     /// Until when the host hands out permits of workspaces; `None` without an end.
     permit_lease: Mutex<Option<Instant>>,
     crashes: Mutex<CrashTable>,
-    /// Number of changes of the notices about crashes.
-    notice_changes: watch::Sender<u64>,
     limits: Mutex<LimitTable>,
-    /// Number of changes of the limits.
-    limit_changes: watch::Sender<u64>,
+    /// Numbers of changes of the facts that entries follow.
+    fact_changes: watch::Sender<FactChanges>,
     started: Instant,
     folder: PathBuf,
     log: Logger,
@@ -110,9 +109,8 @@
                 permits: Mutex::default(),
                 permit_lease: Mutex::default(),
                 crashes: Mutex::default(),
-                notice_changes: watch::Sender::new(0),
                 limits: Mutex::default(),
-                limit_changes: watch::Sender::new(0),
+                fact_changes: watch::Sender::new(FactChanges::default()),
                 started: Instant::now(),
                 folder: options.folder,
                 log: options.log,
@@ -255,29 +253,61 @@
         self.shared.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until an entry does not know the state of some notices, and for `delay` after a change. Returns `None` when
-    /// nothing changes within `wait_ms`.
-    async fn wait_for_change(
-        &self,
-        changes: &watch::Sender<u64>,
-        known: Option<NoticeVersion>,
-        wait_ms: u64,
-        delay: Duration,
-    ) -> Option<()> {
+    fn version(&self, changes: u64) -> NoticeVersion {
         let epoch = self.shared.epoch;
-        let is_known = |changes: u64| known == Some(NoticeVersion { epoch, changes });
-        let mut changes = changes.subscribe();
-        if is_known(*changes.borrow_and_update()) {
-            let waiting = changes.wait_for(|changes| !is_known(*changes));
-            timeout(Duration::from_millis(wait_ms), waiting)
-                .await
-                .ok()?
-                .ok()?;
-            sleep(delay).await;
+        NoticeVersion { epoch, changes }
+    }
+
+    /// Waits until an entry does not know some facts, and shortly for further changes. Returns `None` when nothing
+    /// changes within `wait_ms`.
+    async fn wait_for_change(&self, known: KnownFacts, wait_ms: u64) -> Option<()> {
+        let has_suspects = |changes: &FactChanges| known.suspects != Some(self.version(changes.suspects));
+        let has_limits = |changes: &FactChanges| known.limits != Some(self.version(changes.limits));
+        let mut changes = self.shared.fact_changes.subscribe();
+        let now = *changes.borrow_and_update();
+        if has_suspects(&now) || has_limits(&now) {
+            return Some(());
+        }
+        let waiting = changes.wait_for(|changes| has_suspects(changes) || has_limits(changes));
+        let waiting = timeout(Duration::from_millis(wait_ms), waiting).await;
+        let changed = *waiting.ok()?.ok()?;
+        let only_limits = !has_suspects(&changed);
+        if only_limits {
+            // A suspect is not delayed by limits: the wait ends early with one.
+            drop(timeout(LIMIT_DELAY, changes.wait_for(has_suspects)).await);
+        } else {
+            sleep(NOTICE_DELAY).await;
         }
         Some(())
     }
 
+    /// Wakes the entries that wait for a change of the facts.
+    fn wake_followers(&self, set: impl FnOnce(&mut FactChanges)) {
+        self.shared.fact_changes.send_if_modified(|changes| {
+            let before = *changes;
+            set(changes);
+            before != *changes
+        });
+    }
+
+    fn limit_page(&self) -> LimitPage {
+        let limits = self.limits();
+        LimitPage {
+            version: self.version(limits.changes()),
+            reports: limits.reports(self.uptime_us() / 1_000),
+        }
+    }
+
+    fn record_limits(&self, reports: &[LimitReport]) {
+        let now_ms = self.uptime_us() / 1_000;
+        let changes = {
+            let mut limits = self.limits();
+            limits.record(reports, now_ms);
+            limits.changes()
+        };
+        self.wake_followers(|known| known.limits = changes);
+    }
+
     /// Changes what is known of crashes, and wakes the entries that wait for a change of the notices.
     fn change_crashes(&self, change: impl FnOnce(&mut CrashTable)) {
         let changes = {
@@ -285,18 +315,13 @@
             change(&mut crashes);
             crashes.changes()
         };
-        self.shared
-            .notice_changes
-            .send_if_modified(|known| std::mem::replace(known, changes) != changes);
+        self.wake_followers(|known| known.suspects = changes);
     }
 
     fn notice_page(&self) -> NoticePage {
         let crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
         NoticePage {
-            version: NoticeVersion {
-                epoch: self.shared.epoch,
-                changes: crashes.changes(),
-            },
+            version: self.version(crashes.changes()),
             notices: crashes.notices().to_vec(),
         }
     }
@@ -474,21 +499,17 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<NoticePage> {
-        self.wait_for_change(&self.shared.notice_changes, known, wait_ms, NOTICE_DELAY)
-            .await?;
+        let limits = Some(self.limit_page().version);
+        let known = KnownFacts {
+            suspects: known,
+            limits,
+        };
+        self.wait_for_change(known, wait_ms).await?;
         Some(self.notice_page())
     }
 
     async fn report_limits(self, _: Context, reports: Vec<LimitReport>) {
-        let now_ms = self.uptime_us() / 1_000;
-        let changes = {
-            let mut limits = self.limits();
-            limits.record(&reports, now_ms);
-            limits.changes()
-        };
-        self.shared
-            .limit_changes
-            .send_if_modified(|known| std::mem::replace(known, changes) != changes);
+        self.record_limits(&reports);
     }
 
     async fn limit_reports(
@@ -497,14 +518,42 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<(NoticeVersion, Vec<LimitReport>)> {
-        self.wait_for_change(&self.shared.limit_changes, known, wait_ms, LIMIT_DELAY)
-            .await?;
-        let limits = self.limits();
-        let version = NoticeVersion {
-            epoch: self.shared.epoch,
-            changes: limits.changes(),
+        let suspects = Some(self.notice_page().version);
+        let known = KnownFacts {
+            suspects,
+            limits: known,
         };
-        Some((version, limits.reports(self.uptime_us() / 1_000)))
+        self.wait_for_change(known, wait_ms).await?;
+        let LimitPage { version, reports } = self.limit_page();
+        Some((version, reports))
+    }
+
+    async fn report_facts(self, _: Context, reports: Vec<FactReport>) {
+        let (mut crashes, mut acquitted, mut limits) = (Vec::new(), Vec::new(), Vec::new());
+        for report in reports {
+            match report {
+                FactReport::Crash(report) => crashes.push(report),
+                FactReport::Acquittal(content) => acquitted.push(content),
+                FactReport::Limit(report) => limits.push(report),
+            }
+        }
+        if !crashes.is_empty() || !acquitted.is_empty() {
+            let now_ms = self.uptime_us() / 1_000;
+            self.change_crashes(|table| {
+                table.record(&crashes, now_ms);
+                table.acquit(&acquitted);
+            });
+        }
+        if !limits.is_empty() {
+            self.record_limits(&limits);
+        }
+    }
+
+    async fn facts(self, _: Context, known: KnownFacts, wait_ms: u64) -> Option<FactPage> {
+        self.wait_for_change(known, wait_ms).await?;
+        let suspects = Some(self.notice_page()).filter(|page| known.suspects != Some(page.version));
+        let limits = Some(self.limit_page()).filter(|page| known.limits != Some(page.version));
+        Some(FactPage { suspects, limits })
     }
 
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -6,12 +6,12 @@
 
 mod client;
 mod crash;
-mod crash_client;
 mod digest;
+mod fact;
+mod fact_client;
 mod host;
 mod index;
 mod limit;
-mod limit_client;
 mod link;
 mod log;
 mod notice;
@@ -31,6 +31,7 @@
 };
 pub use crash::{CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, NoticePage, SuspectNotice};
 pub use digest::BucketDigests;
+pub use fact::{FactChange, FactPage, FactReport, KnownFacts, LimitPage};
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
 pub use limit::{LimitReport, LimitTable};
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use domain::{ContentKey, InstanceKey};
+use domain::InstanceKey;
 use futures::future::{Either, select, select_ok};
 use slog::{Logger, info, warn};
 use tarpc::client::RpcError;
@@ -15,9 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::crash::{CrashReport, NoticePage};
-use crate::limit::LimitReport;
-use crate::notice::NoticeVersion;
+use crate::fact::{FactPage, FactReport, KnownFacts};
 use crate::permit::{PermitAnswer, PermitAsk, PermitKey};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
@@ -236,58 +234,22 @@
         client.lift_limit(context, instance, heard_ms_ago).await.is_ok()
     }
 
-    /// Reports backend servers that have crashed under requests. Returns whether the host has them.
-    pub(crate) async fn report_crashes(&self, reports: Vec<CrashReport>) -> bool {
+    /// Reports facts. Returns whether the host has them.
+    pub(crate) async fn report_facts(&self, reports: Vec<FactReport>) -> bool {
         let Some(client) = self.open_client().await else {
             return false;
         };
         let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
-        client.report_crashes(context, reports).await.is_ok()
+        client.report_facts(context, reports).await.is_ok()
     }
 
-    /// Reports requests that backend servers have run to their end, although others have crashed under them.
-    pub(crate) async fn acquit(&self, contents: Vec<ContentKey>) -> bool {
-        let Some(client) = self.open_client().await else {
-            return false;
-        };
-        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
-        client.acquit(context, contents).await.is_ok()
-    }
-
-    /// Waits for a change of the notices about crashes. Returns `None` if the host does not answer, and `Some(None)` if
-    /// nothing changes within `wait`.
-    pub(crate) async fn wait_for_notices(
-        &self,
-        known: Option<NoticeVersion>,
-        wait: Duration,
-    ) -> Option<Option<NoticePage>> {
-        let client = self.open_client().await?;
-        let limit = wait + UNSYNCED_CALL_TIMEOUT;
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let waiting = client.crash_notices(context_with_timeout(limit), known, wait_ms);
-        waiting.await.ok()
-    }
-
-    /// Reports limits of backend servers.
-    pub(crate) async fn report_limits(&self, reports: Vec<LimitReport>) -> bool {
-        let Some(client) = self.open_client().await else {
-            return false;
-        };
-        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
-        client.report_limits(context, reports).await.is_ok()
-    }
-
-    /// Waits for a change of the limits of backend servers. Returns `None` if the host does not answer, and `Some(None)`
-    /// if nothing changes within `wait`.
-    pub(crate) async fn wait_for_limits(
-        &self,
-        known: Option<NoticeVersion>,
-        wait: Duration,
-    ) -> Option<Option<(NoticeVersion, Vec<LimitReport>)>> {
+    /// Waits for a change of the facts. Returns `None` if the host does not answer, and `Some(None)` if nothing changes
+    /// within `wait`.
+    pub(crate) async fn wait_for_facts(&self, known: KnownFacts, wait: Duration) -> Option<Option<FactPage>> {
         let client = self.open_client().await?;
         let limit = wait + UNSYNCED_CALL_TIMEOUT;
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let waiting = client.limit_reports(context_with_timeout(limit), known, wait_ms);
+        let waiting = client.facts(context_with_timeout(limit), known, wait_ms);
         waiting.await.ok()
     }
 
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -17,6 +17,7 @@
 
 use crate::crash::{CrashReport, NoticePage};
 use crate::digest::BucketDigests;
+use crate::fact::{FactPage, FactReport, KnownFacts};
 use crate::limit::LimitReport;
 use crate::notice::NoticeVersion;
 use crate::permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest};
@@ -126,6 +127,8 @@
     /// Reports that a backend server has lifted its limit some milliseconds ago.
     async fn lift_limit(instance: InstanceKey, heard_ms_ago: u64);
 
+    // Entries of earlier versions make the calls about crashes and limits that follow, up to `limit_reports`.
+
     /// Reports backend servers that have crashed under requests.
     async fn report_crashes(reports: Vec<CrashReport>);
 
@@ -151,6 +154,12 @@
 
     /// Takes back the permit of a request that was not sent.
     async fn give_back(key: PermitKey);
+
+    /// Reports facts for the other entries.
+    async fn report_facts(reports: Vec<FactReport>);
+
+    /// Returns the facts once some differ from the known ones; `None` if none do within `wait_ms`.
+    async fn facts(known: KnownFacts, wait_ms: u64) -> Option<FactPage>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/ledger/src/quota.rs
+++ b/components/ledger/src/quota.rs
@@ -17,7 +17,7 @@
 const SECOND_MS: u64 = 1_000;
 /// Part of a quota's rate in percent that the hosts hand out together while one of them is away, if the tolerance allows
 /// it: more than workspaces usually use.
-const NEEDED_RATE_PERCENT: u64 = 80;
+const NEEDED_RATE_PERCENT: u64 = 70;
 /// Divisor of a quota's rate that gives the smallest rate of all parts together. Below it, the parts are of less use than a
 /// single host.
 const MIN_RATE_DIVISOR: u64 = 2;
--- a/components/ledger/tests/crash.rs
+++ b/components/ledger/tests/crash.rs
@@ -8,7 +8,8 @@
 use domain::{ContentKey, InstanceKey};
 use googletest::prelude::*;
 use ledger::{
-    CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, LedgerClient, LedgerHosts, SuspectNotice,
+    CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, FactChange, FactReport, LedgerClient,
+    LedgerHosts, SuspectNotice,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -179,8 +180,12 @@
     let notices: Arc<Mutex<Vec<SuspectNotice>>> = Arc::default();
     let (client, seen) = (client.clone(), Arc::clone(&notices));
     tokio::spawn(async move {
-        let apply = |notices: &[SuspectNotice]| *seen.lock().expect("unpoisoned") = notices.to_vec();
-        client.follow_crashes(apply).await;
+        let apply = |change: FactChange<'_>| {
+            if let FactChange::Suspects(notices) = change {
+                *seen.lock().expect("unpoisoned") = notices.to_vec();
+            }
+        };
+        client.follow_facts(apply).await;
     });
     notices
 }
@@ -209,7 +214,9 @@
         let list = LedgerHosts::new(addresses(&hosts));
         let first = client_of(1, &list).await;
         for instance in 0..3 {
-            first.report_crashes(vec![report(7, instance)]).await;
+            first
+                .report_facts(vec![FactReport::Crash(report(7, instance))])
+                .await;
         }
         hosts[stopped].task.abort();
         let second = client_of(1, &list).await;
@@ -232,7 +239,9 @@
     let client = client_of(1, &LedgerHosts::new(addresses(&hosts))).await;
     let notices = follow(&client);
     for instance in 0..3 {
-        client.report_crashes(vec![report(7, instance)]).await;
+        client
+            .report_facts(vec![FactReport::Crash(report(7, instance))])
+            .await;
     }
     expect_that!(wait_for_conviction(&notices).await, eq(true));
     // Both hosts that have the reports are replaced, one after the other.
