--- a/components/ledger/tests/support/mod.rs
+++ b/components/ledger/tests/support/mod.rs
@@ -152,41 +152,60 @@
     }
 }
 
-/// A proxy in front of a host that counts the bytes that the host sends.
+/// A proxy in front of a host that counts the bytes in each direction.
 pub struct CountingProxy {
     pub address: SocketAddr,
     sent: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
+}
+
+/// Copies bytes until either side ends, and counts them.
+async fn copy_counted(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    counter: Arc<AtomicU64>,
+) {
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        counter.fetch_add(length as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
 }
 
 impl CountingProxy {
     pub async fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
-        let sent = Arc::new(AtomicU64::new(0));
-        let counter = Arc::clone(&sent);
+        let (sent, received) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
+        let counters = (Arc::clone(&sent), Arc::clone(&received));
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                let counter = Arc::clone(&counter);
+                let (sent, received) = counters.clone();
                 tokio::spawn(async move {
                     let host = TcpStream::connect(target).await.expect("the host is running");
-                    let (mut from_client, mut to_client) = client.into_split();
-                    let (mut from_host, mut to_host) = host.into_split();
-                    tokio::spawn(async move { tokio::io::copy(&mut from_client, &mut to_host).await });
-                    let mut buffer = vec![0; 64 * 1024];
-                    while let Ok(length @ 1..) = from_host.read(&mut buffer).await {
-                        counter.fetch_add(length as u64, Ordering::Relaxed);
-                        if to_client.write_all(&buffer[..length]).await.is_err() {
-                            return;
-                        }
-                    }
+                    let (from_client, to_client) = client.into_split();
+                    let (from_host, to_host) = host.into_split();
+                    tokio::spawn(copy_counted(from_client, to_host, received));
+                    copy_counted(from_host, to_client, sent).await;
                 });
             }
         });
-        Self { address, sent }
+        Self {
+            address,
+            sent,
+            received,
+        }
     }
 
     /// Returns the number of bytes that the host has sent.
     pub fn sent_bytes(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of bytes that the host has received.
+    pub fn received_bytes(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
 }
