Let homes in the entry's failure domain go first while they have room

Cause: home servers were chosen over all failure domains.

Change: a server of the entry's own failure domain goes first while it has less than a sixteenth of its slots in requests of the entry, as in the predicted cost. Servers of fewer than 16 slots have no such preference.

--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -213,7 +213,7 @@
     /// Has sessions, objects and prefixes stay at home servers, on which all entries agree.
     #[must_use]
     pub fn with_home_servers(mut self) -> Self {
-        self.homes = Some(Mutex::default());
+        self.homes = Some(Mutex::new(HomeServers::new(self.failure_domain.clone())));
         self
     }
 
@@ -336,7 +336,8 @@
             .as_mut()
             .map(|homes| homes.of_service(&directory, request.service));
         let placed = request.prompt.and_then(|prompt| {
-            model.prefix_servers(&directory, request.service, prompt, table.as_deref_mut())
+            let table = table.as_deref_mut().map(|table| &mut table.assignments);
+            model.prefix_servers(&directory, request.service, prompt, table)
         });
         let load_permille = self.load_permille(&directory, model, request.service);
         let prompt = request
