Bound the memory and the connections that an entry holds for its callers

Cause: an entry held without bound what a slow caller or server does not take. Reading from the server stopped with the caller, so that a server that cuts off unread answers broke them off, and the kernel ended a connection whose caller had read nothing for 2.5 s. header_timeout_ms was unused, and nothing bounded the connections or the bodies in all.

Ruled out: refusing by the number of requests (answers differ in size by four orders), a bound for each connection alone (200 callers of a megabyte exceed an entry of 88 MB), leaving it to the kernel's buffers (the server cuts the answer off).

A table of holders (pure) counts each connection, the work on its request and the bytes that wait for its caller, and decides who makes room: idle connections, then the one whose bytes have waited longest for the least urgent request. A task reads answers on up to the bound of the connection. Requests that would not fit are refused at once (3029, not run). Connections are bounded by the descriptors; the longest idle one yields. A request head must arrive within the header timeout. Without the contract, no byte is counted and answers are read as before.

Before: with the contract off, the test of idle connections fails (its others were not looked at).

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -17,11 +17,12 @@
 use slog::info;
 use tokio::time::{timeout, timeout_at};
 
-use crate::answer::{AnswerBody, full_body};
+use crate::answer::AnswerBody;
 use crate::crash::{LostRun, investigate};
 use crate::dialect::{AnswerKind, AttemptContext};
 use crate::limits::AnswerTrace;
 use crate::long_answer::LongAnswer;
+use crate::memory::CallerConnection;
 use crate::models::TurnPrompt;
 use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
@@ -104,6 +105,8 @@
     pub(crate) last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that the caller takes up again.
     pub(crate) resumes: Option<String>,
+    /// Connection of the caller, if its memory is bounded.
+    pub(crate) connection: Option<Arc<CallerConnection>>,
 }
 
 /// Head of a backend server's answer, with the connection from which its body is read.
@@ -260,7 +263,11 @@
                 Ok(None) => {
                     lease.finish();
                     self.entry.record_success(self.plan.content);
-                    return Ok((head, full_body(read.freeze())));
+                    let mut answer = read.freeze();
+                    if let Some(connection) = &self.plan.connection {
+                        answer = connection.hold_answer(answer);
+                    }
+                    return Ok((head, AnswerBody::full(answer)));
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -284,6 +291,7 @@
             lease,
             _load: load,
             deadline: self.plan.deadline,
+            connection: self.plan.connection.clone(),
         };
         Ok((head, long.into_body()))
     }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,13 +1,14 @@
 //! Serves one request of a caller, from its headers to its answer.
 
+use std::error::Error;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
@@ -22,6 +23,7 @@
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond, convicted_error};
+use crate::memory::{CallerConnection, RequestMemory};
 use crate::models::TurnPrompt;
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, whole_millis};
@@ -30,23 +32,30 @@
 const LEDGER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves one request. Answers with an error of the entry itself when no backend server answered.
-pub(crate) async fn serve(entry: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) async fn serve(
+    entry: Arc<EntryState>,
+    connection: Option<Arc<CallerConnection>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let arrived = Instant::now();
+    let mut memory = RequestMemory::new(connection);
     let (head, body) = request.into_parts();
-    let result = serve_parts(&entry, &head, body, arrived).await;
+    let result = serve_parts(&entry, &mut memory, &head, body, arrived).await;
     entry.metrics.first_byte.observe(arrived.elapsed().as_secs_f64());
-    match result {
+    let response = match result {
         Ok(response) => response,
         Err(error) => {
             log_error(&entry, &head, &error, arrived);
             let usual_ms = || entry.retry_after_ms(error.code);
             error_answer(&error, error.retry_after_ms.unwrap_or_else(usual_ms))
         }
-    }
+    };
+    response.map(|body| body.with_memory(memory))
 }
 
 async fn serve_parts(
     entry: &Arc<EntryState>,
+    memory: &mut RequestMemory,
     head: &request::Parts,
     body: Incoming,
     arrived: Instant,
@@ -80,7 +89,9 @@
         + facts
             .caller_timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
-    let input = read_body(body, table.limits().max_body_bytes, deadline).await?;
+    let workspace_priority = caller.workspace().and_then(|workspace| workspace.priority);
+    memory.admit(workspace_priority.unwrap_or(route.priority))?;
+    let input = read_body(body, table.limits().max_body_bytes, deadline, memory).await?;
     let content = RequestContent::new(
         head.method.as_str(),
         named_host(head),
@@ -98,6 +109,7 @@
         facts,
         content,
         deadline,
+        memory,
     };
     if route.streaming {
         return request.serve_stream(head, input, arrived).await;
@@ -124,14 +136,24 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, CallError> {
-    match timeout_at(deadline.into(), Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallError::not_run(
+/// Reads the body of a request. Its memory is held before it arrives if its length is stated, or else as it grows.
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+    memory: &mut RequestMemory,
+) -> Result<Bytes, CallError> {
+    let stated = body.size_hint().exact().unwrap_or(0).min(max_bytes as u64);
+    memory.claim(stated)?;
+    let reading = collect_body(Limited::new(body, max_bytes), stated, memory);
+    match timeout_at(deadline.into(), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyFault::NoRoom(error))) => Err(error),
+        Ok(Err(BodyFault::Unreadable(error))) if error.is::<LengthLimitError>() => Err(CallError::not_run(
             ResultCode::BodyTooLarge,
             format!("the request body exceeds {max_bytes} bytes"),
         )),
-        Ok(Err(_)) => Err(CallError::not_run(
+        Ok(Err(BodyFault::Unreadable(_))) => Err(CallError::not_run(
             ResultCode::MalformedRequest,
             "the request body could not be read to its end",
         )),
@@ -142,6 +164,31 @@
     }
 }
 
+/// Why a body was not read to its end.
+enum BodyFault {
+    NoRoom(CallError),
+    Unreadable(Box<dyn Error + Send + Sync>),
+}
+
+async fn collect_body(
+    mut body: Limited<Incoming>,
+    held_bytes: u64,
+    memory: &mut RequestMemory,
+) -> Result<Bytes, BodyFault> {
+    let mut held_bytes = held_bytes;
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.map_err(BodyFault::Unreadable)?.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&bytes);
+        let missing = (read.len() as u64).saturating_sub(held_bytes);
+        memory.claim(missing).map_err(BodyFault::NoRoom)?;
+        held_bytes += missing;
+    }
+    Ok(read.freeze())
+}
+
 /// A request for which a route was found.
 struct RoutedRequest<'a> {
     entry: &'a Arc<EntryState>,
@@ -151,6 +198,7 @@
     facts: RequestFacts,
     content: RequestContent,
     deadline: Instant,
+    memory: &'a mut RequestMemory,
 }
 
 impl RoutedRequest<'_> {
@@ -188,6 +236,9 @@
         let began_at = self.began_at(patience).await?;
         let mut plan = self.plan(head, input.clone(), began_at)?;
         plan.body = chained_body(&chain, &input);
+        if !chain.is_empty() {
+            self.memory.claim(plan.body.len() as u64)?;
+        }
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
         let build = match self.route.run_policy {
             RunPolicy::Resumable => Some(dispatcher.choose_first()?),
@@ -252,6 +303,7 @@
             deadline: self.deadline,
             last_event: self.facts.last_event,
             resumes: self.facts.resumes.clone(),
+            connection: self.memory.connection(),
         })
     }
 
@@ -452,6 +504,7 @@
             input,
             self.route.retention_ms,
         )
+        .held_for(self.memory.connection().as_ref())
     }
 
     fn tokens_per_event(&self) -> u64 {
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use errors::{CallError, ResultCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -15,10 +17,14 @@
 use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
+use crate::answer::error_answer;
+use crate::caller_stream::CallerStream;
 use crate::exchange;
+use crate::holders::NoRoom;
+use crate::memory::ConnectionOrder;
 use crate::net;
 use crate::state::{EntryState, StopPhase};
 
@@ -88,6 +94,13 @@
     if net::set_connection_timeouts(&stream).is_err() {
         return;
     }
+    let caller = match entry.memory.open() {
+        Ok(caller) => caller,
+        Err(no_room) => return refuse_caller(&entry, stream, &no_room).await,
+    };
+    if caller.is_some() && net::set_caller_buffer(&stream).is_err() {
+        return;
+    }
     let limits = entry.table.load().as_ref().map(|table| table.limits());
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         Duration::from_millis(limits.idle_timeout_ms)
@@ -97,10 +110,12 @@
     });
     let mut phase = entry.phase.subscribe();
     let (first_request, mut has_request) = watch::channel(false);
+    let orders = caller.as_ref().map(|caller| caller.orders());
+    let stream = CallerStream::new(stream, caller.clone());
     let service = service_fn(move |request| {
         first_request.send_replace(true);
-        let entry = Arc::clone(&entry);
-        async move { Ok::<_, Infallible>(exchange::serve(entry, request).await) }
+        let (entry, caller) = (Arc::clone(&entry), caller.clone());
+        async move { Ok::<_, Infallible>(exchange::serve(entry, caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -108,19 +123,58 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let mut aborted = std::pin::pin!(wait_for_order(orders.clone(), ConnectionOrder::Abort));
     // The result is ignored: an error means that the caller disconnected or that a relayed stream broke off.
-    tokio::select! {
+    let is_stopping = tokio::select! {
         _ = connection.as_mut() => return,
-        _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => {}
+        () = aborted.as_mut() => return,
+        () = wait_for_order(orders, ConnectionOrder::Close) => false,
+        _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => true,
+    };
+    if is_stopping {
+        // A graceful shutdown closes a connection at once that has not received a request yet.
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = has_request.wait_for(|has_request| *has_request) => {}
+            () = sleep(FIRST_REQUEST_TIMEOUT) => {}
+        }
     }
-    // A graceful shutdown closes a connection at once that has not received a request yet.
+    connection.as_mut().graceful_shutdown();
     tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = has_request.wait_for(|has_request| *has_request) => {}
-        () = sleep(FIRST_REQUEST_TIMEOUT) => {}
+        _ = connection => {}
+        () = aborted => {}
     }
-    connection.as_mut().graceful_shutdown();
-    drop(connection.await);
+}
+
+/// Waits for this order; forever on a connection that is not counted.
+async fn wait_for_order(orders: Option<watch::Receiver<ConnectionOrder>>, expected: ConnectionOrder) {
+    let Some(mut orders) = orders else {
+        return std::future::pending().await;
+    };
+    if orders.wait_for(|order| *order == expected).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Refuses the first request of a connection for which there is no room. Further connections are reset.
+async fn refuse_caller(entry: &EntryState, stream: TcpStream, no_room: &NoRoom) {
+    let Ok(_permit) = entry.refusing.try_acquire() else {
+        return;
+    };
+    let service = service_fn(move |_: Request<Incoming>| async move {
+        let message = format!("no room for the connection: {no_room}");
+        let error = CallError::not_run(ResultCode::MemoryExhausted, message);
+        let mut response = error_answer(&error, entry.retry_after_ms(error.code));
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+        Ok::<_, Infallible>(response)
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(MIN_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    // The result is ignored: the caller is not served either way.
+    drop(timeout(FIRST_REQUEST_TIMEOUT, connection).await);
 }
 
 /// Returns the status and the text for a request path.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,20 +4,24 @@
 
 mod access;
 mod answer;
+mod caller_stream;
 mod chains;
 mod crash;
 mod dialect;
 mod dispatch;
 mod exchange;
 mod front;
+mod holders;
 mod limits;
 mod log;
 mod long_answer;
+mod memory;
 mod metrics;
 mod models;
 mod net;
 mod permits;
 mod pool;
+mod read_ahead;
 mod relay;
 mod state;
 
@@ -26,6 +30,7 @@
     remove_connection_headers,
 };
 pub use front::{PageHandler, serve_callers, serve_pages};
+pub use holders::{HeldUse, HolderKey, HolderTable, LetGo, MemoryBounds, NoRoom, RoomMade};
 pub use log::{LogGuard, open_log};
 pub use metrics::ProcessMetrics;
 pub use net::{connect, set_connection_timeouts};
--- a/components/gateway/src/long_answer.rs
+++ b/components/gateway/src/long_answer.rs
@@ -5,13 +5,15 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
-use http_body_util::{BodyExt as _, Either, StreamBody};
+use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
 use slog::info;
 use tokio::time::timeout_at;
 
 use crate::answer::{AnswerBody, EventStream, StreamBroken};
+use crate::memory::CallerConnection;
 use crate::pool::ConnectionLease;
+use crate::read_ahead::read_ahead;
 use crate::state::{EntryState, LoadGuard};
 
 /// Largest body of an answer.
@@ -29,13 +31,16 @@
     pub(crate) lease: ConnectionLease,
     pub(crate) _load: LoadGuard,
     pub(crate) deadline: Instant,
+    /// Connection of the caller, if its memory is bounded.
+    pub(crate) connection: Option<Arc<CallerConnection>>,
     /// Length of the body so far.
     pub(crate) bytes: usize,
 }
 
 impl LongAnswer {
     /// Returns the body of the answer to the caller.
-    pub(crate) fn into_body(self) -> AnswerBody {
+    pub(crate) fn into_body(mut self) -> AnswerBody {
+        let connection = self.connection.take();
         let frames: EventStream = Box::pin(stream::unfold(Some(self), |answer| async move {
             let mut answer = answer?;
             match answer.next().await {
@@ -50,7 +55,7 @@
                 }
             }
         }));
-        Either::Right(StreamBody::new(frames))
+        AnswerBody::stream(read_ahead(frames, connection))
     }
 
     /// Returns the next bytes, or `None` at the end of the answer.
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -17,6 +17,12 @@
     pub(crate) attempts: IntCounterVec,
     /// Permits for limited backend servers by outcome.
     pub(crate) permits: IntCounterVec,
+    /// What was done to keep the memory for callers within its bounds, by outcome.
+    pub(crate) memory: IntCounterVec,
+    /// Bytes held for callers.
+    pub(crate) held_bytes: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
     /// Time from the arrival of a request until the head of its answer, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from the end of a turn's stream until the ledger hosts have stored the turn, in seconds.
@@ -52,6 +58,18 @@
             requests: counters("requests_total", "Requests by outcome"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
             permits: counters("permits_total", "Permits for limited backend servers by outcome"),
+            memory: counters(
+                "memory_total",
+                "Refusals and closed connections that keep memory in bounds by outcome",
+            ),
+            held_bytes: register(
+                &registry,
+                IntGauge::new("held_bytes", "Bytes held for callers' connections"),
+            ),
+            caller_connections: register(
+                &registry,
+                IntGauge::new("caller_connections", "Open connections of callers"),
+            ),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
             keep: histogram("keep_seconds", "Time until a turn was kept"),
             reserve: histogram("reserve_seconds", "Time until a reservation was answered"),
--- a/components/gateway/src/net.rs
+++ b/components/gateway/src/net.rs
@@ -18,6 +18,12 @@
 /// Number of unanswered keep-alive probes that end a connection.
 const PROBE_LIMIT: u32 = 2;
 
+/// Size of the kernel's buffer for what a caller has not taken yet, in bytes. Without a bound it grows to megabytes.
+const CALLER_BUFFER_BYTES: usize = 64 * 1024;
+/// Time after which bytes that a caller does not take end its connection. The kernel counts an unread window as
+/// unacknowledged bytes, while a slow reader is served as long as there is memory for its answer.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Opens a connection and sets its timeouts.
 ///
 /// # Errors
@@ -37,6 +43,17 @@
     Ok(stream)
 }
 
+/// Bounds the buffer of an accepted connection and lets its caller read slowly.
+///
+/// # Errors
+///
+/// Fails when the connection is already closed.
+pub(crate) fn set_caller_buffer(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_send_buffer_size(CALLER_BUFFER_BYTES)?;
+    socket.set_tcp_user_timeout(Some(UNREAD_TIMEOUT))
+}
+
 /// Sets the timeout for unacknowledged bytes and the keep-alive probes of an opened or accepted connection,
 /// and disables the delay of small segments.
 ///
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,10 +1,11 @@
 //! Relays a backend server's event stream to the caller.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::{BodyExt as _, Either, StreamBody};
+use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
 use ledger::{LedgerClient, ProgramKey, TurnKey, TurnRecord};
 use routing::{EventAssembler, PaceSample, RunPolicy, ServerKey, StreamEvent};
@@ -13,7 +14,10 @@
 
 use crate::answer::{AnswerBody, EventStream, StreamBroken};
 use crate::dispatch::{AcceptedAnswer, Dispatcher, SentAttempt};
+use crate::holders::HeldUse;
+use crate::memory::{CallerConnection, MemoryLease};
 use crate::pool::ConnectionLease;
+use crate::read_ahead::read_ahead;
 use crate::state::{LoadGuard, whole_millis};
 
 /// Time from its first event for which a run may still have just begun: a server that a request crashes does so at the
@@ -64,6 +68,7 @@
     pub(crate) input: Bytes,
     pub(crate) retention_ms: u64,
     output: Vec<u8>,
+    output_memory: Option<MemoryLease>,
 }
 
 impl PendingTurn {
@@ -81,6 +86,23 @@
             input,
             retention_ms,
             output: Vec::new(),
+            output_memory: None,
+        }
+    }
+
+    /// Returns the turn with its output counted as memory held for a connection.
+    pub(crate) fn held_for(self, connection: Option<&Arc<CallerConnection>>) -> Self {
+        let output_memory = connection.map(|connection| connection.hold(0, HeldUse::Working));
+        Self {
+            output_memory,
+            ..self
+        }
+    }
+
+    fn append_event(&mut self, event: &StreamEvent) {
+        event.append_data(&mut self.output);
+        if let Some(memory) = &mut self.output_memory {
+            memory.grow_to(self.output.capacity() as u64);
         }
     }
 
@@ -193,6 +215,7 @@
 
     /// Returns the body of the answer, which drives the relay.
     pub(crate) fn into_body(self) -> AnswerBody {
+        let connection = self.dispatcher.plan.connection.clone();
         let events: EventStream = Box::pin(stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
             match relay.next().await {
@@ -207,7 +230,7 @@
                 }
             }
         }));
-        Either::Right(StreamBody::new(events))
+        AnswerBody::stream(read_ahead(events, connection))
     }
 
     /// Returns the bytes of the next event, or `None` when the stream has ended completely.
@@ -266,7 +289,7 @@
                 reservation.spent += self.tokens_per_event;
             }
             if let Some(turn) = &mut self.pending_turn {
-                event.append_data(&mut turn.output);
+                turn.append_event(&event);
             }
         }
         Some(event.bytes)
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,13 +15,15 @@
     ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::timeout;
 
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
 use crate::dialect::WireDialect;
+use crate::holders::MemoryBounds;
 use crate::log::LineLimiter;
+use crate::memory::MemoryBudget;
 use crate::metrics::ProcessMetrics;
 use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
@@ -47,6 +49,9 @@
 /// Longest time for which a turn waits for the ledger hosts after a start of the entry.
 const LEDGER_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Limit on the connections that are open only for a refusal; further ones are reset.
+const MAX_REFUSING_CONNECTIONS: usize = 32;
+
 /// Largest load in thousandths of the slots that the choice of a server distinguishes.
 const MAX_LOAD_PERMILLE: u64 = 2_000;
 
@@ -97,8 +102,11 @@
     pub(crate) ledger: LedgerClient,
     pub(crate) chains: ChainCache,
     pub(crate) crashes: CrashRegister,
-    pub(crate) metrics: ProcessMetrics,
-    pub(crate) line_limiter: LineLimiter,
+    pub(crate) memory: Arc<MemoryBudget>,
+    /// Connections that are open only for a refusal.
+    pub(crate) refusing: Semaphore,
+    pub(crate) metrics: Arc<ProcessMetrics>,
+    pub(crate) line_limiter: Arc<LineLimiter>,
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) directory: Mutex<ServerDirectory>,
@@ -171,6 +179,9 @@
         ledger: LedgerClient,
         log: Logger,
     ) -> Self {
+        let metrics = Arc::new(ProcessMetrics::new());
+        let line_limiter = Arc::new(LineLimiter::new());
+        let memory = MemoryBudget::new(Arc::clone(&metrics), Arc::clone(&line_limiter), log.clone());
         Self {
             dialect,
             failure_domain,
@@ -180,8 +191,10 @@
             ledger,
             chains: ChainCache::default(),
             crashes: CrashRegister::default(),
-            metrics: ProcessMetrics::new(),
-            line_limiter: LineLimiter::new(),
+            memory: Arc::new(memory),
+            refusing: Semaphore::new(MAX_REFUSING_CONNECTIONS),
+            metrics,
+            line_limiter,
             log,
             phase: watch::Sender::new(StopPhase::Serving),
             directory: Mutex::default(),
@@ -205,10 +218,22 @@
     }
 
     /// Returns the metrics that the entry records and that its metrics listener serves.
-    pub const fn metrics(&self) -> &ProcessMetrics {
+    pub fn metrics(&self) -> &ProcessMetrics {
         &self.metrics
     }
 
+    /// Bounds what the entry holds for its callers, from the next connection on.
+    pub fn bound_memory(&self, bounds: MemoryBounds) {
+        self.memory.set_bounds(bounds);
+    }
+
+    /// Closes connections of callers whose requests do not arrive within the header timeout.
+    pub fn close_late_callers(&self) {
+        if let Some(table) = &*self.table.load() {
+            self.memory.close_late_heads(table.limits().header_timeout_ms);
+        }
+    }
+
     /// Puts a configuration in force if it is newer than the current one. Returns the version that was in
     /// force before.
     ///
@@ -433,7 +458,7 @@
     /// Returns the Retry-After delay of a refused request in milliseconds. It is longer soon after a start,
     /// because the whole system may have lost power and other entries cannot serve any sooner.
     pub(crate) fn retry_after_ms(&self, code: ResultCode) -> u64 {
-        if code == ResultCode::QueueFull {
+        if matches!(code, ResultCode::QueueFull | ResultCode::MemoryExhausted) {
             return rand::random_range(BUSY_RETRY_AFTER_MS);
         }
         if self.started.elapsed() < RECOVERY_PERIOD {
