--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -14,11 +14,11 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response};
 use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord};
-use routing::{EngineLoad, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
+use routing::{EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
-use crate::access::{Caller, identify};
+use crate::access::{caller_identity, identify};
 use crate::answer::{AnswerBody, error_answer};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
@@ -82,8 +82,12 @@
             "the request has no attempt id",
         ));
     }
+    let (table, caller) = identify(entry, table, head).await?;
     let route = find_route(&table, head)?;
-    let caller = identify(&table, route, entry.dialect.api_key(&head.headers))?;
+    let facts = match caller.workspace() {
+        None => facts,
+        Some(workspace) => facts.in_workspace(workspace.key),
+    };
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived
         + facts
@@ -123,7 +127,15 @@
     head.uri.host().or(named).unwrap_or_default()
 }
 
-fn find_route<'a>(table: &'a RouteTable, head: &request::Parts) -> Result<&'a ServiceRoute, CallError> {
+/// Returns the route that serves a request.
+///
+/// # Errors
+///
+/// Fails when no route matches.
+pub(crate) fn find_route<'a>(
+    table: &'a RouteTable,
+    head: &request::Parts,
+) -> Result<&'a ServiceRoute, CallError> {
     match table.find(named_host(head), head.uri.path()) {
         RouteMatch::Found(route) => Ok(route),
         RouteMatch::Unknown => {
@@ -194,7 +206,7 @@
     entry: &'a Arc<EntryState>,
     table: &'a RouteTable,
     route: &'a ServiceRoute,
-    caller: Caller,
+    caller: KeyHolder,
     facts: RequestFacts,
     content: RequestContent,
     deadline: Instant,
@@ -282,7 +294,7 @@
         let headers = self
             .entry
             .dialect
-            .forwarded_headers(&head.headers, self.caller.identity());
+            .forwarded_headers(&head.headers, caller_identity(&self.caller));
         let target = head.uri.path_and_query().cloned();
         Ok(RequestPlan {
             method: head.method.clone(),
@@ -355,7 +367,7 @@
             )
         };
         let first = self.facts.resumes.as_ref().ok_or_else(unknown)?;
-        let turn = TurnKey::from_id(first.as_bytes());
+        let turn = self.facts.turn_of(first);
         let program = self.facts.program.unwrap_or(ProgramKey(turn.0));
         let ask_until = Instant::now() + patience;
         let fetching = async {
@@ -413,21 +425,35 @@
             }
         };
         let chain = timeout_at(self.deadline.into(), fetching).await;
-        let chain = chain.map_err(|_elapsed| ledger_timeout())?.map_err(|failure| {
-            let code = match failure {
-                // The caller may retry: even if every host answered, a host that is being replaced may have
-                // the turn.
-                LedgerError::UnknownTurn => ResultCode::TurnNotFound,
-                LedgerError::TooFewHosts { .. } => ResultCode::LedgerUnavailable,
-            };
-            CallError::not_run(code, failure.to_string())
-        })?;
+        let chain = match chain.map_err(|_elapsed| ledger_timeout())? {
+            Ok(chain) => chain,
+            Err(LedgerError::UnknownTurn) => return Err(self.unknown_turn_error(previous).await),
+            Err(failure @ LedgerError::TooFewHosts { .. }) => {
+                return Err(CallError::not_run(
+                    ResultCode::LedgerUnavailable,
+                    failure.to_string(),
+                ));
+            }
+        };
         for record in &chain {
             self.entry.chains.insert(record.clone());
         }
         Ok(chain)
     }
 
+    /// Returns the error for a turn that no ledger host knows in the caller's workspace.
+    async fn unknown_turn_error(&self, turn: TurnKey) -> CallError {
+        let is_foreign = self.table.workspaces().is_some() && self.entry.ledger.has_foreign_turn(turn).await;
+        if is_foreign {
+            return CallError::not_run(
+                ResultCode::UnknownTurn,
+                "no such turn exists in the caller's workspace",
+            );
+        }
+        // The caller may retry: even if every host answered, a host that is being replaced may have the turn.
+        CallError::not_run(ResultCode::TurnNotFound, LedgerError::UnknownTurn.to_string())
+    }
+
     /// Reserves the largest number of tokens that the turn can spend, and has the ledger name the software `build` at
     /// which its stream begins. Returns `None` when the request states no program or no token budget, and has no such
     /// stream. Repeats the reservation for up to `patience`.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod front;
 mod holders;
+mod knowledge;
 mod limits;
 mod log;
 mod long_answer;
