Count the memory of model servers in placement and admission

Cause: servers crash with all their requests when these exceed their memory; placement and admission counted slots only.

Ruled out: asking the servers (a probe is priced and its answer some hundred ms old).

Change: each entry tracks the tokens of its own requests at each server (a shared prefix once, the output that may still come in full) and estimates those of other entries from the open turns. A server that would exceed its memory for certain is not chosen; one that may comes after the others. Admission counts no more slots than memory allows for requests of average size. On with the bounds on memory for callers, where the configuration states the servers' memory.

Entries do not know where the others' long requests are; that needs a fact of each entry's tokens at a server. Existing tests: the new field of ServerQuery is set to None in four of them.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -396,6 +396,7 @@
             prefix: self.facts.prefix,
             tokens: self.facts.prompt_tokens,
             stream_tokens: self.facts.expected_tokens,
+            max_tokens: self.facts.max_tokens,
             tokens_per_event: profile.tokens_per_event?,
             cache_tokens: profile.cache_tokens,
         })
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -76,6 +76,11 @@
         state.table.set_bounds(bounds);
     }
 
+    /// Returns whether memory is counted.
+    pub(crate) fn is_bounded(&self) -> bool {
+        self.state.get().is_some()
+    }
+
     /// Counts a connection; `None` without bounds.
     ///
     /// # Errors
--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -1,8 +1,8 @@
 //! What an entry observes of the model services: the prefixes of prompts and the pace of the servers.
 
 use routing::{
-    PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory, ServerKey,
-    prefix_servers,
+    MemoryDemand, MemoryTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery,
+    ServerDirectory, ServerKey, prefix_servers,
 };
 
 /// Prompt of a turn, as the request and the configuration describe it.
@@ -14,17 +14,29 @@
     pub(crate) tokens: u64,
     /// Number of output tokens that the caller expects.
     pub(crate) stream_tokens: Option<u64>,
+    /// Largest number of output tokens.
+    pub(crate) max_tokens: u64,
     /// Largest number of tokens in one event of the service's streams.
     pub(crate) tokens_per_event: u64,
     /// Tokens that a server of the service can hold in its cache, if the configuration states them.
     pub(crate) cache_tokens: Option<u64>,
 }
 
+impl TurnPrompt {
+    /// Returns the memory that the turn needs at its server.
+    pub(crate) fn demand(self) -> MemoryDemand {
+        let output_tokens = self.stream_tokens.unwrap_or(self.max_tokens);
+        MemoryDemand::new(self.prefix, self.tokens, output_tokens)
+    }
+}
+
 /// What the entry has observed of a model service.
 #[derive(Debug, Default)]
 pub(crate) struct ModelObservation {
     prefixes: PrefixTracker,
     paces: PaceTracker,
+    /// Memory that the entry's requests need at the servers.
+    pub(crate) memory: MemoryTracker,
 }
 
 impl ModelObservation {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,9 +11,9 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample,
-    RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots,
-    may_be_full,
+    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker,
+    MemoryDemand, MemoryQuery, PaceSample, RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery,
+    choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, Semaphore, watch};
@@ -166,11 +166,17 @@
 pub(crate) struct LoadGuard {
     entry: Arc<EntryState>,
     key: ServerKey,
+    /// Memory that is counted at the server, and the service of that.
+    memory: Option<(String, MemoryDemand)>,
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         lock(&self.entry.loads).end(self.key);
+        if let Some((service, demand)) = &self.memory {
+            let mut models = lock(&self.entry.models);
+            models.of_service(service).memory.end(self.key, *demand);
+        }
     }
 }
 
@@ -352,6 +358,20 @@
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
+        let demand = request.prompt.map(TurnPrompt::demand);
+        let memory = self
+            .server_tokens(request.service)
+            .zip(demand)
+            .map(|(server_tokens, demand)| MemoryQuery {
+                tracker: &model.memory,
+                demand,
+                server_tokens,
+                open_turns: self.open_turns.load(Ordering::Relaxed),
+                slots: directory
+                    .ready(request.service)
+                    .map(|(_, server)| u64::from(server.capacity))
+                    .sum(),
+            });
         let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
@@ -365,14 +385,25 @@
                 limits: &limits,
                 max_wait_ms: request.max_wait_ms,
             }),
+            memory,
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
-        let pick = choose_backend(&directory, &loads, &query)?;
+        let Some(pick) = choose_backend(&directory, &loads, &query) else {
+            if let Some(memory) = query.memory {
+                self.log_unplaced(request.service, memory);
+            }
+            return None;
+        };
+        let demand = memory.map(|memory| memory.demand);
         loads.begin(pick.key);
+        if let Some(demand) = demand {
+            model.memory.begin(pick.key, demand);
+        }
         let guard = LoadGuard {
             entry: Arc::clone(self),
             key: pick.key,
+            memory: demand.map(|demand| (request.service.to_owned(), demand)),
         };
         Some(PickedServer {
             key: pick.key,
@@ -417,7 +448,24 @@
         load.slots_permille().min(MAX_LOAD_PERMILLE)
     }
 
-    /// Returns the slots of the servers of a service.
+    /// Returns the memory of each server of a service in tokens, if it is counted.
+    fn server_tokens(&self, service: &str) -> Option<u64> {
+        let table = self.table.load();
+        let profile = table.as_ref()?.service(service)?;
+        profile.cache_tokens.filter(|_| self.memory.is_bounded())
+    }
+
+    /// Logs that no server was left for a request whose memory is counted.
+    fn log_unplaced(&self, service: &str, memory: MemoryQuery<'_>) {
+        self.metrics.memory.with_label_values(&["unplaced"]).inc();
+        if self.line_limiter.try_acquire() {
+            info!(self.log, "no backend server left for a request"; "service" => service,
+                "own_tokens" => memory.demand.own_tokens, "server_tokens" => memory.server_tokens,
+                "open_turns" => memory.open_turns);
+        }
+    }
+
+    /// Returns the slots of the servers of a service, as far as their memory allows requests of average size.
     fn engine_slots(
         &self,
         directory: &ServerDirectory,
@@ -426,11 +474,15 @@
     ) -> Vec<EngineSlots> {
         let limits = lock(&self.limits);
         let now_ms = self.now_ms();
+        let memory_slots = self
+            .server_tokens(service)
+            .and_then(|server_tokens| model.memory.mean_slots(server_tokens))
+            .map_or(u32::MAX, |slots| u32::try_from(slots).unwrap_or(u32::MAX).max(1));
         let servers = directory.ready(service).map(|(key, server)| {
             let slots_of =
                 |limit: ServerLimit| limited_slots(server.capacity, limit.rate, model.stream_us(key, now_ms));
             EngineSlots {
-                capacity: server.capacity,
+                capacity: server.capacity.min(memory_slots),
                 limited: limits.limit(key).map(slots_of),
             }
         });
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -214,6 +214,7 @@
             tried: &[],
             build: None,
             limits: None,
+            memory: None,
             draw: self.rng.random(),
             now_ms: self.now_us / 1_000,
         };
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -13,6 +13,7 @@
 
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
 use crate::limit::LimitQuery;
+use crate::memory::{MemoryFit, MemoryQuery};
 use crate::pace::{PaceTracker, STEP_GROWTH_PERMILLE};
 
 /// Requests by which a server may exceed the least loaded one before a session of unknown size moves to another
@@ -145,6 +146,8 @@
     pub prompt: Option<PromptQuery<'a>>,
     /// Limits of the servers; `None` if no server has one.
     pub limits: Option<LimitQuery<'a>>,
+    /// Memory of the servers; `None` if it is not counted.
+    pub memory: Option<MemoryQuery<'a>>,
     /// Random number that breaks ties between servers of equal cost.
     pub draw: u64,
     /// Current time in milliseconds of a monotonic clock.
@@ -198,11 +201,12 @@
     pub spare_ms: Option<u64>,
 }
 
-/// Cost of a server for a request. Servers that are the last choice come after all others, then those that failed
-/// lately.
+/// Cost of a server for a request. Servers that are the last choice come after all others, then those whose memory may
+/// not hold the request, then those that failed lately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ServerCost {
     is_last_choice: bool,
+    may_exceed_memory: bool,
     is_avoided: bool,
     cost_us: u64,
 }
@@ -210,7 +214,8 @@
 impl ServerCost {
     /// Returns by how much a later choice costs more, in milliseconds; `None` if it costs more than time.
     fn spare_ms(self, later: Self) -> Option<u64> {
-        let is_same_kind = (self.is_last_choice, self.is_avoided) == (later.is_last_choice, later.is_avoided);
+        let kind = |cost: Self| (cost.is_last_choice, cost.may_exceed_memory, cost.is_avoided);
+        let is_same_kind = kind(self) == kind(later);
         is_same_kind.then(|| later.cost_us.saturating_sub(self.cost_us) / 1_000)
     }
 }
@@ -230,6 +235,12 @@
         if is_other_build || query.tried.contains(&key) {
             continue;
         }
+        let fit = query
+            .memory
+            .map_or(MemoryFit::Fits, |memory| memory.fit(key, server.capacity));
+        if fit == MemoryFit::Exceeds {
+            continue;
+        }
         let load = tracker.load(key);
         let is_avoided = load.avoid_until_ms > query.now_ms;
         let (cost_us, equal_us) = query.cost_us(key, server, load.in_flight);
@@ -247,6 +258,7 @@
         let wait_ms = limits.map_or(0, |limits| limits.wait_ms(key, query.now_ms));
         let cost = ServerCost {
             is_last_choice: limits.is_some_and(|limits| limits.is_last_choice(key, query.now_ms)),
+            may_exceed_memory: fit == MemoryFit::MayExceed,
             is_avoided,
             cost_us: cost_us
                 .saturating_add(random_us)
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod expiry;
 mod limit;
+mod memory;
 mod outcome;
 mod pace;
 mod prefix;
@@ -22,6 +23,7 @@
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use expiry::{ExpiryEvidence, expiry_grace_ms};
 pub use limit::{LimitQuery, LimitTracker, ServerLimit, limited_slots};
+pub use memory::{MemoryDemand, MemoryFit, MemoryQuery, MemoryTracker};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
 pub use pace::{PaceSample, PaceTracker};
 pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -29,6 +29,7 @@
         tried,
         build: None,
         limits: None,
+        memory: None,
         draw: 7,
         now_ms: 0,
     }
--- a/components/routing/tests/limit.rs
+++ b/components/routing/tests/limit.rs
@@ -54,6 +54,7 @@
             paces,
         }),
         limits: Some(limits),
+        memory: None,
         draw: 7,
         now_ms: NOW_MS,
     }
--- a/components/routing/tests/pace.rs
+++ b/components/routing/tests/pace.rs
@@ -171,6 +171,7 @@
             paces,
         }),
         limits: None,
+        memory: None,
         draw: draw.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         now_ms,
     }
