--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -26,6 +26,7 @@
 use crate::models::TurnPrompt;
 use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
+use crate::quota::QuotaTicket;
 use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
@@ -101,6 +102,8 @@
     pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) max_attempts: u32,
     pub(crate) deadline: Instant,
+    /// Set if the request's workspace has a quota.
+    pub(crate) quota: Option<QuotaTicket>,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that the caller takes up again.
@@ -206,6 +209,7 @@
                 return Err(self.refuse_convicted());
             }
             let (key, server) = (picked.key, Arc::clone(&picked.server));
+            self.obtain_quota().await?;
             match self.obtain_permit(&picked).await {
                 PermitOutcome::Ready => {}
                 PermitOutcome::TryAnother => continue,
@@ -224,12 +228,17 @@
                 SlotAnswer::NotAsked => None,
             };
             self.claim_version(&server).await?;
+            // The permit may have expired while the request waited for the server.
+            self.obtain_quota().await?;
             self.tried.push(key);
             let view = picked.view;
             let outcome = match self.attempt(picked, slot.as_deref()).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(outcome) => outcome,
             };
+            if outcome == AttemptOutcome::Lost {
+                self.use_quota();
+            }
             self.record_failure(key, &server, view, outcome);
             match next_step(self.plan.run_policy, outcome, self.was_lost, self.limits()) {
                 NextStep::TryAnother => {}
@@ -551,12 +560,12 @@
             }
         }
         self.sent += 1;
+        self.use_quota();
         if let VersionBond::Claimed(build) = self.plan.bond {
             self.plan.bond = VersionBond::Bound(build);
         }
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
-        self.entry
-            .record_affinity(self.plan.affinity, self.plan.program, key);
+        self.record_session(key, &server);
         let mut head = response::Response::new(()).into_parts().0;
         head.status = status;
         head.headers = headers.clone();
@@ -573,6 +582,20 @@
         })
     }
 
+    /// Records which server holds the session, and why it has changed.
+    fn record_session(&self, key: ServerKey, server: &BackendServer) {
+        let before = self
+            .entry
+            .record_affinity(self.plan.affinity, self.plan.program, key);
+        let Some(before) = before else { return };
+        let cause = self.entry.move_cause(before, key, &self.tried);
+        self.entry.metrics.session_moves.with_label_values(&[cause]).inc();
+        if before != key && self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "session changed its server"; "request" => &self.plan.attempt_id,
+                "server" => &server.name, "cause" => cause);
+        }
+    }
+
     fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<Full<Bytes>> {
         let mut parts = request::Request::new(()).into_parts().0;
         parts.method = self.plan.method.clone();
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) held_bytes: IntGauge,
     /// Open connections of callers.
     pub(crate) caller_connections: IntGauge,
+    /// Permits within the quotas of workspaces by outcome.
+    pub(crate) quota_permits: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from the end of a turn's stream until the ledger hosts have stored the turn, in seconds.
@@ -37,6 +39,8 @@
     pub(crate) configuration_version: IntGauge,
     /// Backend servers in the directory.
     pub(crate) backend_servers: IntGauge,
+    /// Requests of known sessions by the cause for which they changed their server.
+    pub(crate) session_moves: IntCounterVec,
     /// Objects of the platform's store that cannot be decoded, by kind.
     pub(crate) unreadable_objects: IntCounterVec,
     /// Turns stored on this ledger host.
@@ -75,6 +79,10 @@
                 &registry,
                 IntGauge::new("caller_connections", "Open connections of callers"),
             ),
+            quota_permits: counters(
+                "quota_permits_total",
+                "Permits within the quotas of workspaces by outcome",
+            ),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
             keep: histogram("keep_seconds", "Time until a turn was kept"),
             reserve: histogram("reserve_seconds", "Time until a reservation was answered"),
@@ -93,6 +101,16 @@
                 &registry,
                 IntGauge::new("backend_servers", "Listed backend servers"),
             ),
+            session_moves: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "session_moves_total",
+                        "Requests of known sessions by why they changed their server",
+                    ),
+                    &["cause"],
+                ),
+            ),
             unreadable_objects: register(
                 &registry,
                 IntCounterVec::new(
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod access;
 mod admission;
+mod assignment;
 mod balance;
 mod departure;
 mod directory;
@@ -19,6 +20,7 @@
 
 pub use access::{AccessBounds, AccessDecision, KeyHolder, RefreshGate, RefreshStep};
 pub use admission::{EngineLoad, EngineSlots, admits_program};
+pub use assignment::AssignmentTable;
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use expiry::{ExpiryEvidence, expiry_grace_ms};
