--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -21,6 +21,12 @@
     pub(crate) attempts: IntCounterVec,
     /// Permits for limited backend servers by outcome.
     pub(crate) permits: IntCounterVec,
+    /// What was done to keep the memory for callers within its bounds, by outcome.
+    pub(crate) memory: IntCounterVec,
+    /// Bytes held for callers.
+    pub(crate) held_bytes: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
     /// Permits within the quotas of workspaces by outcome.
     pub(crate) quota_permits: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
@@ -65,6 +71,18 @@
             access: counters("access_total", "Requests by what their API key showed"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
             permits: counters("permits_total", "Permits for limited backend servers by outcome"),
+            memory: counters(
+                "memory_total",
+                "Refusals and closed connections that keep memory in bounds by outcome",
+            ),
+            held_bytes: register(
+                &registry,
+                IntGauge::new("held_bytes", "Bytes held for callers' connections"),
+            ),
+            caller_connections: register(
+                &registry,
+                IntGauge::new("caller_connections", "Open connections of callers"),
+            ),
             quota_permits: counters(
                 "quota_permits_total",
                 "Permits within the quotas of workspaces by outcome",
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,20 +11,22 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample,
-    RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery, ServerState, choose_backend,
-    limited_slots, may_be_full,
+    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker,
+    MemoryDemand, MemoryQuery, PaceSample, RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery,
+    ServerState, choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::timeout;
 
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
 use crate::dialect::WireDialect;
+use crate::holders::MemoryBounds;
 use crate::homes::{HomeServers, home_server};
 use crate::knowledge::ConfigurationKnowledge;
 use crate::log::LineLimiter;
+use crate::memory::MemoryBudget;
 use crate::metrics::ProcessMetrics;
 use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
@@ -50,6 +52,9 @@
 /// Longest time for which a turn waits for the ledger hosts after a start of the entry.
 const LEDGER_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Limit on the connections that are open only for a refusal; further ones are reset.
+const MAX_REFUSING_CONNECTIONS: usize = 32;
+
 /// Largest load in thousandths of the slots that the choice of a server distinguishes.
 const MAX_LOAD_PERMILLE: u64 = 2_000;
 
@@ -101,8 +106,11 @@
     pub(crate) ledger: LedgerClient,
     pub(crate) chains: ChainCache,
     pub(crate) crashes: CrashRegister,
-    pub(crate) metrics: ProcessMetrics,
-    pub(crate) line_limiter: LineLimiter,
+    pub(crate) memory: Arc<MemoryBudget>,
+    /// Connections that are open only for a refusal.
+    pub(crate) refusing: Semaphore,
+    pub(crate) metrics: Arc<ProcessMetrics>,
+    pub(crate) line_limiter: Arc<LineLimiter>,
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) directory: Mutex<ServerDirectory>,
@@ -169,11 +177,17 @@
 pub(crate) struct LoadGuard {
     entry: Arc<EntryState>,
     key: ServerKey,
+    /// Memory that is counted at the server, and the service of that.
+    memory: Option<(String, MemoryDemand)>,
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         lock(&self.entry.loads).end(self.key);
+        if let Some((service, demand)) = &self.memory {
+            let mut models = lock(&self.entry.models);
+            models.of_service(service).memory.end(self.key, *demand);
+        }
     }
 }
 
@@ -185,6 +199,9 @@
         ledger: LedgerClient,
         log: Logger,
     ) -> Self {
+        let metrics = Arc::new(ProcessMetrics::new());
+        let line_limiter = Arc::new(LineLimiter::new());
+        let memory = MemoryBudget::new(Arc::clone(&metrics), Arc::clone(&line_limiter), log.clone());
         Self {
             dialect,
             failure_domain,
@@ -195,8 +212,10 @@
             ledger,
             chains: ChainCache::default(),
             crashes: CrashRegister::default(),
-            metrics: ProcessMetrics::new(),
-            line_limiter: LineLimiter::new(),
+            memory: Arc::new(memory),
+            refusing: Semaphore::new(MAX_REFUSING_CONNECTIONS),
+            metrics,
+            line_limiter,
             log,
             phase: watch::Sender::new(StopPhase::Serving),
             directory: Mutex::default(),
@@ -228,10 +247,22 @@
     }
 
     /// Returns the metrics that the entry records and that its metrics listener serves.
-    pub const fn metrics(&self) -> &ProcessMetrics {
+    pub fn metrics(&self) -> &ProcessMetrics {
         &self.metrics
     }
 
+    /// Bounds what the entry holds for its callers, from the next connection on.
+    pub fn bound_memory(&self, bounds: MemoryBounds) {
+        self.memory.set_bounds(bounds);
+    }
+
+    /// Closes connections of callers whose requests do not arrive within the header timeout.
+    pub fn close_late_callers(&self) {
+        if let Some(table) = &*self.table.load() {
+            self.memory.close_late_heads(table.limits().header_timeout_ms);
+        }
+    }
+
     /// Puts a configuration in force if it is newer than the current one. Returns the version that was in
     /// force before.
     ///
@@ -344,6 +375,20 @@
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
+        let demand = request.prompt.map(TurnPrompt::demand);
+        let memory = self
+            .server_tokens(request.service)
+            .zip(demand)
+            .map(|(server_tokens, demand)| MemoryQuery {
+                tracker: &model.memory,
+                demand,
+                server_tokens,
+                open_turns: self.open_turns.load(Ordering::Relaxed),
+                slots: directory
+                    .ready(request.service)
+                    .map(|(_, server)| u64::from(server.capacity))
+                    .sum(),
+            });
         let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
         // A prompt stays where it is cached; an object goes to the server on which all entries agree.
@@ -361,14 +406,25 @@
                 limits: &limits,
                 max_wait_ms: request.max_wait_ms,
             }),
+            memory,
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
-        let pick = choose_backend(&directory, &loads, &query)?;
+        let Some(pick) = choose_backend(&directory, &loads, &query) else {
+            if let Some(memory) = query.memory {
+                self.log_unplaced(request.service, memory);
+            }
+            return None;
+        };
+        let demand = memory.map(|memory| memory.demand);
         loads.begin(pick.key);
+        if let Some(demand) = demand {
+            model.memory.begin(pick.key, demand);
+        }
         let guard = LoadGuard {
             entry: Arc::clone(self),
             key: pick.key,
+            memory: demand.map(|demand| (request.service.to_owned(), demand)),
         };
         Some(PickedServer {
             key: pick.key,
@@ -413,7 +469,24 @@
         load.slots_permille().min(MAX_LOAD_PERMILLE)
     }
 
-    /// Returns the slots of the servers of a service.
+    /// Returns the memory of each server of a service in tokens, if it is counted.
+    fn server_tokens(&self, service: &str) -> Option<u64> {
+        let table = self.table.load();
+        let profile = table.as_ref()?.service(service)?;
+        profile.cache_tokens.filter(|_| self.memory.is_bounded())
+    }
+
+    /// Logs that no server was left for a request whose memory is counted.
+    fn log_unplaced(&self, service: &str, memory: MemoryQuery<'_>) {
+        self.metrics.memory.with_label_values(&["unplaced"]).inc();
+        if self.line_limiter.try_acquire() {
+            info!(self.log, "no backend server left for a request"; "service" => service,
+                "own_tokens" => memory.demand.own_tokens, "server_tokens" => memory.server_tokens,
+                "open_turns" => memory.open_turns);
+        }
+    }
+
+    /// Returns the slots of the servers of a service, as far as their memory allows requests of average size.
     fn engine_slots(
         &self,
         directory: &ServerDirectory,
@@ -422,11 +495,15 @@
     ) -> Vec<EngineSlots> {
         let limits = lock(&self.limits);
         let now_ms = self.now_ms();
+        let memory_slots = self
+            .server_tokens(service)
+            .and_then(|server_tokens| model.memory.mean_slots(server_tokens))
+            .map_or(u32::MAX, |slots| u32::try_from(slots).unwrap_or(u32::MAX).max(1));
         let servers = directory.ready(service).map(|(key, server)| {
             let slots_of =
                 |limit: ServerLimit| limited_slots(server.capacity, limit.rate, model.stream_us(key, now_ms));
             EngineSlots {
-                capacity: server.capacity,
+                capacity: server.capacity.min(memory_slots),
                 limited: limits.limit(key).map(slots_of),
             }
         });
@@ -532,7 +609,7 @@
     /// Returns the Retry-After delay of a refused request in milliseconds. It is longer soon after a start,
     /// because the whole system may have lost power and other entries cannot serve any sooner.
     pub(crate) fn retry_after_ms(&self, code: ResultCode) -> u64 {
-        if code == ResultCode::QueueFull {
+        if matches!(code, ResultCode::QueueFull | ResultCode::MemoryExhausted) {
             return rand::random_range(BUSY_RETRY_AFTER_MS);
         }
         if self.started.elapsed() < RECOVERY_PERIOD {
