Choose servers by their observed speed, reading time and risk

The weight of a pace sample was cut to whole samples, so that a single one counted nothing after a millisecond and the next one never added to it: the choice by pace has only worked in its test, where all samples had one time.

Ruled out: the constant for reading prompts.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -123,6 +123,8 @@
     pub(crate) view: DirectoryView,
     /// When the attempt was handed to a connection.
     pub(crate) sent_at: Instant,
+    /// Number of prompt tokens that the server is expected to read.
+    pub(crate) read_tokens: u64,
 }
 
 /// Sends one request to backend servers until one answers or no further attempt is allowed.
@@ -308,6 +310,7 @@
     fn lose_answer(&mut self, server: ServerKey) -> CallError {
         self.was_lost = true;
         self.entry.avoid(server);
+        self.entry.record_broken_run(&self.plan.service, server);
         CallError::unknown("the answer of the backend server could not be read to its end")
     }
 
@@ -431,6 +434,7 @@
             tried: &excluded,
             build: self.plan.bond.required(),
             max_wait_ms: self.permits.may_ask().then(|| self.max_permit_wait_ms()),
+            left_ms: self.limits().left_ms,
         })
     }
 
@@ -495,17 +499,23 @@
             server,
             load,
             view,
+            read_tokens,
             ..
         } = picked;
         let sent_at = Instant::now();
         let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
+        let mut watch = self.entry.watch_run(&self.plan.service, key);
         let sending = self.entry.pool.send(server.address, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(SendError::NotSent(_))) => return Err(AttemptOutcome::NotSent),
+            Ok(Err(SendError::NotSent(_))) => {
+                watch.fail();
+                return Err(AttemptOutcome::NotSent);
+            }
             Ok(Err(SendError::Lost(_))) => {
+                watch.fail();
                 self.investigate_loss(&server);
                 return Err(AttemptOutcome::Lost);
             }
@@ -530,9 +540,13 @@
             self.entry.record_limit(key, &server, notice, trace);
         }
         match kind {
-            AnswerKind::Answered => {}
+            AnswerKind::Answered if status.is_server_error() => watch.fail(),
+            AnswerKind::Answered => watch.answer(),
             // The connection may deliver the answer to an earlier request instead of the expected one.
-            AnswerKind::Foreign => return Err(AttemptOutcome::Lost),
+            AnswerKind::Foreign => {
+                watch.fail();
+                return Err(AttemptOutcome::Lost);
+            }
             AnswerKind::Refused => {
                 finish_refusal(answer);
                 return Err(AttemptOutcome::Refused);
@@ -559,6 +573,7 @@
                 server,
                 view,
                 sent_at,
+                read_tokens,
             },
             answer,
             load,
--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -1,8 +1,8 @@
-//! What an entry observes of the model services: the prefixes of prompts and the pace of the servers.
+//! What an entry observes of the services: the prefixes of prompts, and the pace and the failures of the servers.
 
 use routing::{
-    PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory, ServerKey,
-    prefix_servers,
+    HealthTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory,
+    ServerKey, StartSample, prefix_servers,
 };
 
 /// Prompt of a turn, as the request and the configuration describe it.
@@ -20,9 +20,11 @@
     pub(crate) cache_tokens: Option<u64>,
 }
 
-/// What the entry has observed of a model service.
+/// What the entry has observed of a service.
 #[derive(Debug, Default)]
 pub(crate) struct ModelObservation {
+    /// Failures and silence of the servers.
+    pub(crate) health: HealthTracker,
     prefixes: PrefixTracker,
     paces: PaceTracker,
 }
@@ -38,6 +40,11 @@
         self.paces.record(key, sample, now_ms);
     }
 
+    /// Records the beginning of a stream of a backend server.
+    pub(crate) fn record_start(&mut self, key: ServerKey, sample: StartSample, now_ms: u64) {
+        self.paces.record_start(key, sample, now_ms);
+    }
+
     /// Returns the expected time of a whole stream of a server in microseconds.
     pub(crate) fn stream_us(&self, key: ServerKey, now_ms: u64) -> u64 {
         self.paces.stream_us(key, None, now_ms)
@@ -100,6 +107,7 @@
     pub(crate) fn remove_unlisted(&mut self, directory: &ServerDirectory) {
         for (_, model) in &mut self.services {
             model.paces.remove_unlisted(directory);
+            model.health.remove_unlisted(directory);
         }
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use ledger::{LedgerClient, ProgramKey, TurnKey, TurnRecord};
-use routing::{EventAssembler, PaceSample, RunPolicy, ServerKey, StreamEvent};
+use routing::{EventAssembler, PaceSample, RunPolicy, ServerKey, StartSample, StreamEvent};
 use slog::{info, warn};
 use tokio::time::timeout_at;
 
@@ -260,6 +260,9 @@
         }
         self.events += 1;
         self.pace.count_event();
+        if self.pace.events == 1 {
+            self.record_start();
+        }
         self.first_event.get_or_insert_with(|| self.arrived.elapsed());
         if event.has_data() {
             if let Some(reservation) = &mut self.reservation {
@@ -272,6 +275,21 @@
         Some(event.bytes)
     }
 
+    /// Records the time until the first event of the present source.
+    fn record_start(&self) {
+        let plan = &self.dispatcher.plan;
+        let Some(source) = self.source.as_ref().filter(|_| plan.prompt.is_some()) else {
+            return;
+        };
+        let first_us = u64::try_from(self.attempt.sent_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let sample = StartSample {
+            first_us,
+            read_tokens: self.attempt.read_tokens,
+        };
+        let entry = &self.dispatcher.entry;
+        entry.record_start(&plan.service, source.server, sample);
+    }
+
     /// Returns the connection to the pool, settles the tokens and stores the turn.
     async fn finish(&mut self) -> Result<(), StreamBroken> {
         if let Some(source) = self.source.take() {
@@ -310,7 +328,10 @@
 
     /// Resumes the stream at another backend server after the last complete event.
     async fn resume(&mut self) -> Result<(), StreamBroken> {
-        self.source = None;
+        if let Some(source) = self.source.take() {
+            let service = &self.dispatcher.plan.service;
+            self.dispatcher.entry.record_broken_run(service, source.server);
+        }
         self.assembler.discard_partial();
         let may_resume =
             self.dispatcher.plan.run_policy == RunPolicy::Resumable && self.dispatcher.may_repeat();
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -12,7 +12,8 @@
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
     BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample, RouteTable,
-    ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots, may_be_full,
+    RunOutcome, ServerDirectory, ServerKey, ServerLimit, ServerQuery, StartSample, choose_backend,
+    limited_slots, may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
@@ -125,6 +126,8 @@
     /// Longest time for which the request can wait for a limited server, in milliseconds; `None` if such servers are
     /// the last choice.
     pub(crate) max_wait_ms: Option<u64>,
+    /// Time until the deadline of the request, in milliseconds.
+    pub(crate) left_ms: u64,
 }
 
 /// The server that was chosen for a request, and what the directory showed then.
@@ -138,6 +141,8 @@
     pub(crate) wait_ms: u64,
     /// Time in milliseconds by which it may take the request later and stay the best choice; `None` without another.
     pub(crate) spare_ms: Option<u64>,
+    /// Number of prompt tokens that the server is expected to read.
+    pub(crate) read_tokens: u64,
 }
 
 /// State of the directory when a server was chosen. The log shows it, so that a request at a server that had left
@@ -163,6 +168,38 @@
     }
 }
 
+/// A request whose answer from a backend server has not begun. Dropping it records how it has ended.
+#[derive(Debug)]
+pub(crate) struct RunWatch {
+    entry: Arc<EntryState>,
+    service: String,
+    key: ServerKey,
+    sent_at_ms: u64,
+    outcome: Option<RunOutcome>,
+}
+
+impl RunWatch {
+    /// Records that the answer has begun.
+    pub(crate) fn answer(mut self) {
+        let after_ms = self.entry.now_ms().saturating_sub(self.sent_at_ms);
+        self.outcome = Some(RunOutcome::Answered { after_ms });
+    }
+
+    /// Records that the server has given no usable answer.
+    pub(crate) const fn fail(&mut self) {
+        self.outcome = Some(RunOutcome::Failed);
+    }
+}
+
+impl Drop for RunWatch {
+    fn drop(&mut self) {
+        let now_ms = self.entry.now_ms();
+        let mut models = lock(&self.entry.models);
+        let health = &mut models.of_service(&self.service).health;
+        health.end(self.key, self.sent_at_ms, self.outcome, now_ms);
+    }
+}
+
 impl EntryState {
     /// Creates the state of an entry that has neither a configuration nor backend servers yet.
     pub fn new(
@@ -281,6 +318,7 @@
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
+        let risks = model.health.risks(&directory, request.service, self.now_ms());
         let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
@@ -294,6 +332,8 @@
                 limits: &limits,
                 max_wait_ms: request.max_wait_ms,
             }),
+            risks: &risks,
+            left_ms: request.left_ms,
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
@@ -313,6 +353,7 @@
             },
             wait_ms: pick.wait_ms,
             spare_ms: pick.spare_ms,
+            read_tokens: pick.read_tokens,
         })
     }
 
@@ -374,6 +415,36 @@
             .record_pace(key, sample, now_ms);
     }
 
+    /// Watches a request that is sent to a backend server until its answer begins.
+    pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey) -> RunWatch {
+        let sent_at_ms = self.now_ms();
+        let mut models = lock(&self.models);
+        models.of_service(service).health.begin(key, sent_at_ms);
+        RunWatch {
+            entry: Arc::clone(self),
+            service: service.to_owned(),
+            key,
+            sent_at_ms,
+            outcome: None,
+        }
+    }
+
+    /// Records that a backend server has failed to bring an answer to its end.
+    pub(crate) fn record_broken_run(&self, service: &str, key: ServerKey) {
+        let now_ms = self.now_ms();
+        let mut models = lock(&self.models);
+        let health = &mut models.of_service(service).health;
+        health.record(key, RunOutcome::Failed, now_ms);
+    }
+
+    /// Records the beginning of a stream of a backend server.
+    pub(crate) fn record_start(&self, service: &str, key: ServerKey, sample: StartSample) {
+        let now_ms = self.now_ms();
+        lock(&self.models)
+            .of_service(service)
+            .record_start(key, sample, now_ms);
+    }
+
     /// Records the open turns of all entries that the ledger hosts have reported.
     pub(crate) fn record_open_turns(&self, open_turns: u64) {
         self.open_turns.store(open_turns, Ordering::Relaxed);
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -214,6 +214,8 @@
             tried: &[],
             build: None,
             limits: None,
+            risks: &[],
+            left_ms: 0,
             draw: self.rng.random(),
             now_ms: self.now_us / 1_000,
         };
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -12,6 +12,7 @@
 use domain::BuildKey;
 
 use crate::directory::{BackendServer, ServerDirectory, ServerKey};
+use crate::health::ServerRisk;
 use crate::limit::LimitQuery;
 use crate::pace::{PaceTracker, STEP_GROWTH_PERMILLE};
 
@@ -28,7 +29,8 @@
 const AVOID_MS: u64 = 1_000;
 /// Cost in microseconds of one more request on a server whose requests have no measured duration.
 const PLAIN_REQUEST_US: u64 = 1_000;
-/// Number of prompt tokens that an engine reads in the time in which it generates one token.
+/// Number of prompt tokens that an engine reads in the time in which it generates one token, until the entry has
+/// observed it.
 const PROMPT_TOKENS_PER_STEP: u64 = 160;
 /// Divisor of the duration of a stream that gives the largest difference in cost between servers that count as
 /// equal.
@@ -103,13 +105,20 @@
 }
 
 impl PromptQuery<'_> {
-    /// Returns the time in microseconds in which a server reads the tokens that it lacks.
-    fn read_us(&self, key: ServerKey) -> u64 {
+    /// Returns the number of tokens that a server lacks unless it has served the session last.
+    fn missing_tokens(&self, key: ServerKey) -> u64 {
         let has_prefix = self
             .prefix_servers
             .is_none_or(|servers| servers.binary_search(&key).is_ok());
         let prefix_tokens = if has_prefix { 0 } else { self.prefix_tokens };
-        let tokens = self.session_tokens.saturating_add(prefix_tokens);
+        self.session_tokens.saturating_add(prefix_tokens)
+    }
+
+    /// Returns the time in microseconds in which a server reads some tokens.
+    fn read_us(&self, key: ServerKey, tokens: u64, now_ms: u64) -> u64 {
+        if let Some(read_us) = self.paces.read_us(key, tokens, now_ms) {
+            return read_us;
+        }
         let per_event = self
             .tokens_per_event
             .max(1)
@@ -145,6 +154,10 @@
     pub prompt: Option<PromptQuery<'a>>,
     /// Limits of the servers; `None` if no server has one.
     pub limits: Option<LimitQuery<'a>>,
+    /// Servers that are held to be at fault, sorted by key.
+    pub risks: &'a [ServerRisk],
+    /// Time in milliseconds until the deadline of the request, which a server at fault may cost.
+    pub left_ms: u64,
     /// Random number that breaks ties between servers of equal cost.
     pub draw: u64,
     /// Current time in milliseconds of a monotonic clock.
@@ -176,12 +189,27 @@
             .stream_tokens
             .map(|tokens| tokens.div_ceil(prompt.tokens_per_event.max(1)));
         let stream_us = prompt.paces.stream_us(key, events, self.now_ms);
-        let read_us = if is_preferred { 0 } else { prompt.read_us(key) };
+        let read_us = prompt.read_us(key, self.read_tokens(key), self.now_ms);
+        let start_us = prompt.paces.start_us(key, self.now_ms);
         let equal_us = (prompt.paces.mean_stream_us() / EQUAL_COST_DIVISOR).min(request_us);
         let queue_us = u64::from(requests).saturating_mul(request_us);
-        let cost_us = stream_us.saturating_add(queue_us).saturating_add(read_us);
+        let first_us = start_us.saturating_add(read_us);
+        let cost_us = stream_us.saturating_add(queue_us).saturating_add(first_us);
         (cost_us, equal_us)
     }
+
+    /// Returns the time in microseconds that the request is expected to lose by a failure of a server.
+    fn risk_us(&self, key: ServerKey) -> u64 {
+        let found = self.risks.binary_search_by_key(&key, |risk| risk.key);
+        let permille = found.map_or(0, |index| self.risks[index].permille);
+        self.left_ms.saturating_mul(permille)
+    }
+
+    /// Returns the number of prompt tokens that a server is expected to read for the request.
+    fn read_tokens(&self, key: ServerKey) -> u64 {
+        let prompt = self.prompt.as_ref().filter(|_| self.preferred != Some(key));
+        prompt.map_or(0, |prompt| prompt.missing_tokens(key))
+    }
 }
 
 /// A chosen server.
@@ -196,6 +224,8 @@
     /// Time in milliseconds by which the request may wait longer until another server is the better choice; `None` if
     /// there is no other one.
     pub spare_ms: Option<u64>,
+    /// Number of prompt tokens that the server is expected to read.
+    pub read_tokens: u64,
 }
 
 /// Cost of a server for a request. Servers that are the last choice come after all others, then those that failed
@@ -250,6 +280,7 @@
             is_avoided,
             cost_us: cost_us
                 .saturating_add(random_us)
+                .saturating_add(query.risk_us(key))
                 .saturating_add(wait_ms.saturating_mul(1_000)),
         };
         let Some((lowest, _)) = best else {
@@ -265,7 +296,12 @@
     }
     let (lowest, pick) = best?;
     let spare_ms = second.and_then(|second| lowest.spare_ms(second));
-    Some(ServerPick { spare_ms, ..pick })
+    let read_tokens = query.read_tokens(pick.key);
+    Some(ServerPick {
+        spare_ms,
+        read_tokens,
+        ..pick
+    })
 }
 
 const fn pick_of(key: ServerKey, server: &Arc<BackendServer>, wait_ms: u64) -> ServerPick<'_> {
@@ -274,6 +310,7 @@
         server,
         wait_ms,
         spare_ms: None,
+        read_tokens: 0,
     }
 }
 
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,10 +7,12 @@
 mod departure;
 mod directory;
 mod expiry;
+mod health;
 mod limit;
 mod outcome;
 mod pace;
 mod prefix;
+mod reading;
 mod route;
 mod stream;
 mod workspace;
@@ -19,9 +21,10 @@
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
 pub use expiry::{ExpiryEvidence, expiry_grace_ms};
+pub use health::{HealthTracker, RunOutcome, ServerRisk};
 pub use limit::{LimitQuery, LimitTracker, ServerLimit, limited_slots};
 pub use outcome::{AttemptLimits, AttemptOutcome, NextStep, next_step};
-pub use pace::{PaceSample, PaceTracker};
+pub use pace::{PaceSample, PaceTracker, StartSample};
 pub use prefix::{PrefixTracker, PromptPrefix, prefix_servers};
 pub use route::{
     RequestLimits, RouteAccess, RouteMatch, RouteTable, RunPolicy, ServiceProfile, ServiceRoute,
--- a/components/routing/src/pace.rs
+++ b/components/routing/src/pace.rs
@@ -2,19 +2,26 @@
 //!
 //! Load pattern: a third of the servers needs 30 % longer for each event, and single servers turn slow for some
 //! seconds. A program whose session stays on a slow server ends late although every other server is in time. The
-//! entry therefore compares the time between events over the servers. A sample counts less as it ages, so that a
-//! server that was slow is tried again.
+//! entry therefore compares the time between events over the servers, and the time until the first event, which
+//! grows while requests queue at a server. A sample counts less as it ages, so that a server that was slow is tried
+//! again.
 
 use crate::directory::{ServerDirectory, ServerKey};
+use crate::reading::ReadEstimator;
 
 /// Thousandths by which one more running request makes the steps of an engine longer.
 pub(crate) const STEP_GROWTH_PERMILLE: u64 = 35;
-/// Number of samples of a server beyond which older ones lose weight.
-const MAX_SAMPLES: u64 = 6;
-/// Number of samples whose weight the mean of the service has in the estimate for one server.
-const MEAN_SAMPLES: u64 = 1;
-/// Age in milliseconds at which a sample of a server no longer counts.
-const SAMPLE_LIFE_MS: u64 = 30_000;
+/// Weight of one sample. A weight that fades in whole samples would drop a single one at once.
+const SAMPLE_WEIGHT: u64 = 1_000;
+/// Weight of the samples of a server beyond which older ones lose weight.
+const MAX_WEIGHT: u64 = 6 * SAMPLE_WEIGHT;
+/// Weight of the mean of the service in the estimate for one server.
+const MEAN_WEIGHT: u64 = SAMPLE_WEIGHT;
+/// Age in milliseconds at which the time between two events of a server no longer counts.
+const EVENT_LIFE_MS: u64 = 30_000;
+/// Age in milliseconds at which the delay of a server's first event no longer counts. A queue passes sooner than a
+/// difference in speed.
+const START_LIFE_MS: u64 = 3_000;
 /// Divisor of the weight of a new sample in the mean of the service.
 const MEAN_SHARE: u64 = 16;
 /// Time between two events in microseconds until the first stream has ended.
@@ -33,13 +40,50 @@
     pub events: u64,
 }
 
+/// Beginning of a stream: its first event has arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartSample {
+    /// Time from the dispatch of the request to the first event, in microseconds.
+    pub first_us: u64,
+    /// Prompt tokens that the server was expected to read.
+    pub read_tokens: u64,
+}
+
+/// Mean of the latest samples of one server.
+#[derive(Debug, Clone, Copy, Default)]
+struct SampleMean {
+    value_us: u64,
+    weight: u64,
+    sampled_at_ms: u64,
+}
+
+impl SampleMean {
+    /// Returns the weight that the samples still have.
+    fn faded_weight(&self, life_ms: u64, now_ms: u64) -> u64 {
+        let age_ms = now_ms.saturating_sub(self.sampled_at_ms).min(life_ms);
+        self.weight * (life_ms - age_ms) / life_ms
+    }
+
+    fn record(&mut self, value_us: u64, life_ms: u64, now_ms: u64) {
+        let older = self.faded_weight(life_ms, now_ms).min(MAX_WEIGHT - SAMPLE_WEIGHT);
+        self.weight = older + SAMPLE_WEIGHT;
+        self.value_us = (self.value_us * older + value_us * SAMPLE_WEIGHT) / self.weight;
+        self.sampled_at_ms = now_ms;
+    }
+
+    /// Returns the estimate for the server, which is the mean of its service without samples of its own.
+    fn estimate_us(&self, mean_us: u64, life_ms: u64, now_ms: u64) -> u64 {
+        let weight = self.faded_weight(life_ms, now_ms);
+        (mean_us * MEAN_WEIGHT + self.value_us * weight) / (MEAN_WEIGHT + weight)
+    }
+}
+
 /// Samples of one server.
 #[derive(Debug, Clone, Copy)]
 struct ServerPace {
     key: ServerKey,
-    event_us: u64,
-    samples: u64,
-    sampled_at_ms: u64,
+    events: SampleMean,
+    starts: SampleMean,
 }
 
 /// Pace of the servers of one service, sorted by key.
@@ -47,7 +91,9 @@
 pub struct PaceTracker {
     paces: Vec<ServerPace>,
     mean_event_us: u64,
+    mean_start_us: u64,
     mean_events_scaled: u64,
+    reading: ReadEstimator,
 }
 
 impl Default for PaceTracker {
@@ -55,7 +101,9 @@
         Self {
             paces: Vec::new(),
             mean_event_us: DEFAULT_EVENT_US,
+            mean_start_us: 0,
             mean_events_scaled: DEFAULT_EVENTS * EVENT_SCALE,
+            reading: ReadEstimator::default(),
         }
     }
 }
@@ -65,24 +113,22 @@
     pub fn record(&mut self, key: ServerKey, sample: PaceSample, now_ms: u64) {
         self.mean_event_us = blend(self.mean_event_us, sample.event_us, MEAN_SHARE);
         self.mean_events_scaled = blend(self.mean_events_scaled, sample.events * EVENT_SCALE, MEAN_SHARE);
-        match self.paces.binary_search_by_key(&key, |pace| pace.key) {
-            Ok(index) => {
-                let pace = &mut self.paces[index];
-                let weight = pace.weight(now_ms).min(MAX_SAMPLES - 1);
-                pace.event_us = (pace.event_us * weight + sample.event_us) / (weight + 1);
-                pace.samples = weight + 1;
-                pace.sampled_at_ms = now_ms;
-            }
-            Err(index) => {
-                let pace = ServerPace {
-                    key,
-                    event_us: sample.event_us,
-                    samples: 1,
-                    sampled_at_ms: now_ms,
-                };
-                self.paces.insert(index, pace);
-            }
-        }
+        let pace = self.pace_mut(key);
+        pace.events.record(sample.event_us, EVENT_LIFE_MS, now_ms);
+    }
+
+    /// Adds the beginning of a stream of a server.
+    pub fn record_start(&mut self, key: ServerKey, sample: StartSample, now_ms: u64) {
+        let event_us = self.event_us(key, now_ms).max(1);
+        // Compared at the mean speed, because fast servers get most of the long prompts.
+        let first_us = sample.first_us.saturating_mul(self.mean_event_us) / event_us;
+        self.reading.record(sample.read_tokens, first_us);
+        let read_us = self.reading.read_us(sample.read_tokens).unwrap_or_default();
+        let read_us = read_us.saturating_mul(event_us) / self.mean_event_us.max(1);
+        let start_us = sample.first_us.saturating_sub(read_us);
+        self.mean_start_us = blend(self.mean_start_us, start_us, MEAN_SHARE);
+        let pace = self.pace_mut(key);
+        pace.starts.record(start_us, START_LIFE_MS, now_ms);
     }
 
     /// Removes the servers that are no longer listed.
@@ -95,18 +141,25 @@
     /// Returns the expected time of a whole stream of a server in microseconds, from its first event on. Without a
     /// number of events, their mean is used.
     pub fn stream_us(&self, key: ServerKey, events: Option<u64>, now_ms: u64) -> u64 {
-        let event_us = match self.paces.binary_search_by_key(&key, |pace| pace.key) {
-            Ok(index) => {
-                let pace = &self.paces[index];
-                let weight = pace.weight(now_ms);
-                (self.mean_event_us * MEAN_SAMPLES + pace.event_us * weight) / (MEAN_SAMPLES + weight)
-            }
-            Err(_) => self.mean_event_us,
-        };
         let events_scaled = events.map_or(self.mean_events_scaled, |events| {
             events.saturating_mul(EVENT_SCALE)
         });
-        event_us.saturating_mul(events_scaled) / EVENT_SCALE
+        self.event_us(key, now_ms).saturating_mul(events_scaled) / EVENT_SCALE
+    }
+
+    /// Returns the expected time of a server until its first event in microseconds, without the reading of the prompt.
+    pub fn start_us(&self, key: ServerKey, now_ms: u64) -> u64 {
+        self.pace(key).map_or(self.mean_start_us, |pace| {
+            pace.starts.estimate_us(self.mean_start_us, START_LIFE_MS, now_ms)
+        })
+    }
+
+    /// Returns the expected time in which a server reads tokens of a prompt, in microseconds; `None` until the entry
+    /// has observed enough prompts of different lengths.
+    pub fn read_us(&self, key: ServerKey, tokens: u64, now_ms: u64) -> Option<u64> {
+        let read_us = self.reading.read_us(tokens)?;
+        let event_us = self.event_us(key, now_ms);
+        Some(read_us.saturating_mul(event_us) / self.mean_event_us.max(1))
     }
 
     /// Returns the expected time of a whole stream of any server in microseconds.
@@ -118,13 +171,30 @@
     pub const fn mean_event_us(&self) -> u64 {
         self.mean_event_us
     }
-}
 
-impl ServerPace {
-    /// Returns the number of samples that still count.
-    fn weight(&self, now_ms: u64) -> u64 {
-        let age_ms = now_ms.saturating_sub(self.sampled_at_ms).min(SAMPLE_LIFE_MS);
-        self.samples * (SAMPLE_LIFE_MS - age_ms) / SAMPLE_LIFE_MS
+    fn event_us(&self, key: ServerKey, now_ms: u64) -> u64 {
+        self.pace(key).map_or(self.mean_event_us, |pace| {
+            pace.events.estimate_us(self.mean_event_us, EVENT_LIFE_MS, now_ms)
+        })
+    }
+
+    fn pace(&self, key: ServerKey) -> Option<&ServerPace> {
+        let found = self.paces.binary_search_by_key(&key, |pace| pace.key);
+        found.ok().map(|index| &self.paces[index])
+    }
+
+    fn pace_mut(&mut self, key: ServerKey) -> &mut ServerPace {
+        let found = self.paces.binary_search_by_key(&key, |pace| pace.key);
+        let index = found.unwrap_or_else(|index| {
+            let pace = ServerPace {
+                key,
+                events: SampleMean::default(),
+                starts: SampleMean::default(),
+            };
+            self.paces.insert(index, pace);
+            index
+        });
+        &mut self.paces[index]
     }
 }
 
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -29,6 +29,8 @@
         tried,
         build: None,
         limits: None,
+        risks: &[],
+        left_ms: 0,
         draw: 7,
         now_ms: 0,
     }
--- a/components/routing/tests/limit.rs
+++ b/components/routing/tests/limit.rs
@@ -54,6 +54,8 @@
             paces,
         }),
         limits: Some(limits),
+        risks: &[],
+        left_ms: 0,
         draw: 7,
         now_ms: NOW_MS,
     }
--- a/components/routing/tests/pace.rs
+++ b/components/routing/tests/pace.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::ops::RangeInclusive;
+
 use googletest::prelude::*;
 use routing::{
     LoadTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory,
-    ServerKey, ServerQuery, choose_backend, may_be_full,
+    ServerKey, ServerQuery, StartSample, choose_backend, may_be_full,
 };
 use support::{SERVICE, fleet};
 
@@ -65,6 +67,13 @@
             fast_in_flight: 0,
             slow_percent: (0, 0),
         },
+        PaceCase {
+            name: "observed once, a turn ago",
+            samples: 1,
+            age_ms: 500,
+            fast_in_flight: 0,
+            slow_percent: (0, 0),
+        },
         PaceCase {
             name: "observed long ago",
             samples: 4,
@@ -108,6 +117,99 @@
     }
 }
 
+/// Load pattern: an entry gets an answer of each server about once a second.
+#[gtest]
+fn samples_that_come_one_by_one_add_up() {
+    let directory = fleet(SERVERS);
+    let mut paces = PaceTracker::default();
+    for second in 1..=10 {
+        for (index, key) in keys(&directory).into_iter().enumerate() {
+            let sample = if index % 3 == 2 { SLOW } else { FAST };
+            paces.record(key, sample, second * 1_000);
+        }
+    }
+    let event_us = |index: usize| paces.stream_us(keys(&directory)[index], Some(1), 11_000);
+    expect_that!(event_us(0), all![ge(30_000), le(31_000)]);
+    expect_that!(event_us(2), all![ge(37_500), le(39_000)]);
+}
+
+/// Engines that read prompts at different speeds, and the time that an entry expects for 10,000 tokens.
+struct ReadCase {
+    name: &'static str,
+    token_ns: u64,
+    samples: u64,
+    expected_us: Option<RangeInclusive<u64>>,
+}
+
+/// Load pattern: turns read between a hundred and fifteen thousand tokens, and wait up to 20 ms for a slot beside.
+#[gtest]
+fn reading_time_is_learnt_from_first_events() {
+    let case = |name, token_ns, samples, expected_us| ReadCase {
+        name,
+        token_ns,
+        samples,
+        expected_us,
+    };
+    let cases = [
+        case("few observations", 3_000, 20, None),
+        case("a fast engine", 3_000, 400, Some(24_000..=36_000)),
+        case("a slow engine", 7_000, 400, Some(60_000..=80_000)),
+        case("prompts cost nothing", 0, 400, Some(0..=6_000)),
+    ];
+    let directory = fleet(SERVERS);
+    let key = keys(&directory)[0];
+    for case in cases {
+        let mut paces = PaceTracker::default();
+        for index in 0..case.samples {
+            let read_tokens = index * 7_919 % 15_000 + 100;
+            let wait_us = index * 104_729 % 20_000;
+            let first_us = 20_000 + wait_us + read_tokens * case.token_ns / 1_000;
+            let sample = StartSample {
+                first_us,
+                read_tokens,
+            };
+            paces.record_start(key, sample, index * 40);
+        }
+        let read_us = paces.read_us(key, 10_000, case.samples * 40);
+        let is_expected = match (&case.expected_us, read_us) {
+            (None, None) => true,
+            (Some(range), Some(read_us)) => range.contains(&read_us),
+            _ => false,
+        };
+        expect_that!(is_expected, eq(true), "{}: {read_us:?}", case.name);
+    }
+}
+
+/// Load pattern: requests queue at some servers, and their turns begin late.
+#[gtest]
+fn servers_at_which_turns_begin_late_are_avoided_for_a_while() {
+    let directory = fleet(SERVERS);
+    let mut paces = PaceTracker::default();
+    for (index, key) in keys(&directory).into_iter().enumerate() {
+        let first_us = if index % 3 == 2 { 400_000 } else { 40_000 };
+        let sample = StartSample {
+            first_us,
+            read_tokens: 0,
+        };
+        paces.record_start(key, sample, 1_000);
+    }
+    let tracker = LoadTracker::default();
+    for (age_ms, least, most) in [(100, 0, 0), (4_000, 20, 50)] {
+        let picks = (0..100).filter_map(|draw: u64| {
+            let query = query(&paces, None, draw, 1_000 + age_ms);
+            choose_backend(&directory, &tracker, &query).map(|pick| pick.key)
+        });
+        let is_queued = |key: &ServerKey| {
+            keys(&directory)
+                .iter()
+                .position(|of| of == key)
+                .is_some_and(|index| index % 3 == 2)
+        };
+        let queued = picks.filter(is_queued).count();
+        expect_that!(queued, all![ge(least), le(most)], "after {age_ms} ms");
+    }
+}
+
 /// A session on a slow server, and whether it moves.
 struct MoveCase {
     name: &'static str,
@@ -171,6 +273,8 @@
             paces,
         }),
         limits: None,
+        risks: &[],
+        left_ms: 0,
         draw: draw.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         now_ms,
     }
--- a/components/routing/tests/prefix.rs
+++ b/components/routing/tests/prefix.rs
@@ -178,6 +178,8 @@
                     paces: &paces,
                 }),
                 limits: None,
+                risks: &[],
+                left_ms: 0,
                 draw: u64::wrapping_mul(draw, 0x9e37_79b9_7f4a_7c15),
                 now_ms: 0,
             };
