Count the requests that a reading delays; log servers at fault

Change: a reading costs, beside its own time, the delay of the requests that run at the server, spread over four turns of the session. Servers that are held to be at fault are logged and counted at begin and end.

--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) configuration_version: IntGauge,
     /// Backend servers in the directory.
     pub(crate) backend_servers: IntGauge,
+    /// Changes of the backend servers that this entry holds to be at fault.
+    pub(crate) server_faults: IntCounterVec,
     /// Turns stored on this ledger host.
     pub(crate) kept_turns: IntGauge,
 }
@@ -70,6 +72,10 @@
                 &registry,
                 IntGauge::new("backend_servers", "Listed backend servers"),
             ),
+            server_faults: counters(
+                "server_faults_total",
+                "Backend servers held to be at fault, by begin and end",
+            ),
             kept_turns: register(
                 &registry,
                 IntGauge::new("kept_turns", "Turns kept by this ledger host"),
--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -2,7 +2,7 @@
 
 use routing::{
     HealthTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory,
-    ServerKey, StartSample, prefix_servers,
+    ServerKey, ServerRisk, StartSample, prefix_servers,
 };
 
 /// Prompt of a turn, as the request and the configuration describe it.
@@ -20,11 +20,22 @@
     pub(crate) cache_tokens: Option<u64>,
 }
 
+/// Change of a server's standing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum FaultChange {
+    /// The server is held to be at fault from now on.
+    Begun(ServerRisk),
+    /// The server counts as sound again, or is no longer listed.
+    Ended(ServerKey),
+}
+
 /// What the entry has observed of a service.
 #[derive(Debug, Default)]
 pub(crate) struct ModelObservation {
     /// Failures and silence of the servers.
     pub(crate) health: HealthTracker,
+    /// Servers that are held to be at fault, sorted.
+    faulty: Vec<ServerKey>,
     prefixes: PrefixTracker,
     paces: PaceTracker,
 }
@@ -35,6 +46,26 @@
         self.prefixes.record(prefix, now_ms);
     }
 
+    /// Returns the servers that are held to be at fault, sorted by key, and those for which that has changed since the
+    /// last call.
+    pub(crate) fn risks(
+        &mut self,
+        directory: &ServerDirectory,
+        service: &str,
+        now_ms: u64,
+    ) -> (Vec<ServerRisk>, Vec<FaultChange>) {
+        let risks = self.health.risks(directory, service, now_ms);
+        let began = risks
+            .iter()
+            .filter(|risk| self.faulty.binary_search(&risk.key).is_err());
+        let began = began.map(|risk| FaultChange::Begun(*risk));
+        let is_held = |key: &ServerKey| risks.binary_search_by_key(key, |risk| risk.key).is_ok();
+        let ended = self.faulty.iter().filter(|key| !is_held(key));
+        let changes = began.chain(ended.map(|key| FaultChange::Ended(*key))).collect();
+        self.faulty = risks.iter().map(|risk| risk.key).collect();
+        (risks, changes)
+    }
+
     /// Records the pace of a stream that a backend server has sent.
     pub(crate) fn record_pace(&mut self, key: ServerKey, sample: PaceSample, now_ms: u64) {
         self.paces.record(key, sample, now_ms);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -24,7 +24,7 @@
 use crate::dialect::WireDialect;
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
-use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
+use crate::models::{FaultChange, ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
 
 /// Capacity of each of the two maps of an [`AffinityMap`], in sessions and programs.
@@ -311,6 +311,8 @@
         {
             model.record_prefix(prefix, self.now_ms());
         }
+        let (risks, changes) = model.risks(&directory, request.service, self.now_ms());
+        self.report_faults(&directory, &changes);
         let placed = request
             .prompt
             .and_then(|prompt| model.prefix_servers(&directory, request.service, prompt));
@@ -318,7 +320,6 @@
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
-        let risks = model.health.risks(&directory, request.service, self.now_ms());
         let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
         let query = ServerQuery {
@@ -357,6 +358,24 @@
         })
     }
 
+    /// Logs and counts backend servers that are held to be at fault from now on, or no longer.
+    fn report_faults(&self, directory: &ServerDirectory, changes: &[FaultChange]) {
+        for change in changes {
+            let (key, label, permille) = match change {
+                FaultChange::Begun(risk) => (risk.key, "begin", risk.permille),
+                FaultChange::Ended(key) => (*key, "end", 0),
+            };
+            self.metrics.server_faults.with_label_values(&[label]).inc();
+            let listed = directory.all().find(|(listed, _)| *listed == key);
+            if let Some((_, server)) = listed
+                && self.line_limiter.try_acquire()
+            {
+                info!(self.log, "backend server held to be at fault"; "server" => &server.name,
+                    "service" => &server.service, "change" => label, "risk_permille" => permille);
+            }
+        }
+    }
+
     /// Returns whether a chosen server still takes new work.
     pub(crate) fn takes_work(&self, key: ServerKey) -> bool {
         lock(&self.directory).is_ready(key)
--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -32,6 +32,8 @@
 /// Number of prompt tokens that an engine reads in the time in which it generates one token, until the entry has
 /// observed it.
 const PROMPT_TOKENS_PER_STEP: u64 = 160;
+/// Number of turns in which a session saves time at a faster server, for one prompt that is read there.
+const TURNS_PER_READING: u64 = 4;
 /// Divisor of the duration of a stream that gives the largest difference in cost between servers that count as
 /// equal.
 const EQUAL_COST_DIVISOR: u64 = 8;
@@ -114,11 +116,19 @@
         self.session_tokens.saturating_add(prefix_tokens)
     }
 
-    /// Returns the time in microseconds in which a server reads some tokens.
-    fn read_us(&self, key: ServerKey, tokens: u64, now_ms: u64) -> u64 {
-        if let Some(read_us) = self.paces.read_us(key, tokens, now_ms) {
-            return read_us;
-        }
+    /// Returns the cost in microseconds of the tokens that a server has to read. The reading delays the requests that
+    /// run there as much as the turn itself, but only once for several turns of the session.
+    fn read_cost_us(&self, key: ServerKey, tokens: u64, capacity: u32, now_ms: u64) -> u64 {
+        let Some(read_us) = self.paces.read_us(key, tokens, now_ms) else {
+            return self.default_read_us(tokens);
+        };
+        let running_permille = u64::from(capacity) * self.load_permille.min(1_000);
+        let others_us = read_us.saturating_mul(running_permille) / 1_000 / TURNS_PER_READING;
+        read_us.saturating_add(others_us)
+    }
+
+    /// Returns the cost in microseconds of some tokens until the entry has observed how fast they are read.
+    fn default_read_us(&self, tokens: u64) -> u64 {
         let per_event = self
             .tokens_per_event
             .max(1)
@@ -189,7 +199,8 @@
             .stream_tokens
             .map(|tokens| tokens.div_ceil(prompt.tokens_per_event.max(1)));
         let stream_us = prompt.paces.stream_us(key, events, self.now_ms);
-        let read_us = prompt.read_us(key, self.read_tokens(key), self.now_ms);
+        let read_tokens = self.read_tokens(key);
+        let read_us = prompt.read_cost_us(key, read_tokens, server.capacity, self.now_ms);
         let start_us = prompt.paces.start_us(key, self.now_ms);
         let equal_us = (prompt.paces.mean_stream_us() / EQUAL_COST_DIVISOR).min(request_us);
         let queue_us = u64::from(requests).saturating_mul(request_us);
