--- a/components/routing/tests/pace.rs
+++ b/components/routing/tests/pace.rs
@@ -180,6 +180,51 @@
     }
 }
 
+/// Load of a service, and whether a session of 5,000 tokens leaves a slow server for a fast one.
+struct ReadingCase {
+    load_permille: u64,
+    moves: bool,
+}
+
+/// Load pattern: a burst fills the fast servers with sessions of slow ones, and they read prompts instead of generating.
+#[gtest]
+fn sessions_move_while_a_reading_delays_few_others() {
+    let cases = [
+        ReadingCase {
+            load_permille: 100,
+            moves: true,
+        },
+        ReadingCase {
+            load_permille: 950,
+            moves: false,
+        },
+    ];
+    let directory = fleet(SERVERS);
+    let mut paces = paces(&directory, 4, 1_000);
+    for index in 0..400 {
+        let read_tokens = index * 7_919 % 15_000 + 100;
+        let sample = StartSample {
+            first_us: 20_000 + read_tokens * 10,
+            read_tokens,
+        };
+        let servers = keys(&directory);
+        // The fast servers observe it: their speed is close to the mean.
+        paces.record_start(servers[(index % 2) as usize], sample, 1_000);
+    }
+    let slow = keys(&directory)[2];
+    for case in cases {
+        // Long after the last delay of a first event, and while the paces still count.
+        let mut query = query(&paces, Some(slow), 5, 5_000);
+        if let Some(prompt) = &mut query.prompt {
+            prompt.session_tokens = 5_000;
+            prompt.load_permille = case.load_permille;
+        }
+        let pick = choose_backend(&directory, &LoadTracker::default(), &query);
+        let has_moved = pick.is_some_and(|pick| pick.key != slow);
+        expect_that!(has_moved, eq(case.moves), "{} permille", case.load_permille);
+    }
+}
+
 /// Load pattern: requests queue at some servers, and their turns begin late.
 #[gtest]
 fn servers_at_which_turns_begin_late_are_avoided_for_a_while() {
