--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub(crate) session_moves: IntCounterVec,
     /// Objects of the platform's store that cannot be decoded, by kind.
     pub(crate) unreadable_objects: IntCounterVec,
+    /// Changes of the backend servers that this entry holds to be at fault.
+    pub(crate) server_faults: IntCounterVec,
     /// Turns stored on this ledger host.
     pub(crate) kept_turns: IntGauge,
 }
@@ -132,6 +134,10 @@
                     &["kind"],
                 ),
             ),
+            server_faults: counters(
+                "server_faults_total",
+                "Backend servers held to be at fault, by begin and end",
+            ),
             kept_turns: register(
                 &registry,
                 IntGauge::new("kept_turns", "Turns kept by this ledger host"),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -12,8 +12,8 @@
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
     AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker,
-    MemoryDemand, MemoryQuery, PaceSample, RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery,
-    ServerState, choose_backend, limited_slots, may_be_full,
+    MemoryDemand, MemoryQuery, PaceSample, RouteTable, RunOutcome, ServerDirectory, ServerKey, ServerLimit,
+    ServerQuery, ServerState, StartSample, choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, Semaphore, watch};
@@ -28,7 +28,7 @@
 use crate::log::LineLimiter;
 use crate::memory::MemoryBudget;
 use crate::metrics::ProcessMetrics;
-use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
+use crate::models::{FaultChange, ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
 
 /// Capacity of each of the two maps of an [`AffinityMap`], in sessions and programs.
@@ -139,6 +139,8 @@
     /// Longest time for which the request can wait for a limited server, in milliseconds; `None` if such servers are
     /// the last choice.
     pub(crate) max_wait_ms: Option<u64>,
+    /// Time until the deadline of the request, in milliseconds.
+    pub(crate) left_ms: u64,
 }
 
 impl PickRequest<'_> {
@@ -160,6 +162,8 @@
     pub(crate) wait_ms: u64,
     /// Time in milliseconds by which it may take the request later and stay the best choice; `None` without another.
     pub(crate) spare_ms: Option<u64>,
+    /// Number of prompt tokens that the server is expected to read.
+    pub(crate) read_tokens: u64,
 }
 
 /// State of the directory when a server was chosen. The log shows it, so that a request at a server that had left
@@ -191,6 +195,38 @@
     }
 }
 
+/// A request whose answer from a backend server has not begun. Dropping it records how it has ended.
+#[derive(Debug)]
+pub(crate) struct RunWatch {
+    entry: Arc<EntryState>,
+    service: String,
+    key: ServerKey,
+    sent_at_ms: u64,
+    outcome: Option<RunOutcome>,
+}
+
+impl RunWatch {
+    /// Records that the answer has begun.
+    pub(crate) fn answer(mut self) {
+        let after_ms = self.entry.now_ms().saturating_sub(self.sent_at_ms);
+        self.outcome = Some(RunOutcome::Answered { after_ms });
+    }
+
+    /// Records that the server has given no usable answer.
+    pub(crate) const fn fail(&mut self) {
+        self.outcome = Some(RunOutcome::Failed);
+    }
+}
+
+impl Drop for RunWatch {
+    fn drop(&mut self) {
+        let now_ms = self.entry.now_ms();
+        let mut models = lock(&self.entry.models);
+        let health = &mut models.of_service(&self.service).health;
+        health.end(self.key, self.sent_at_ms, self.outcome, now_ms);
+    }
+}
+
 impl EntryState {
     /// Creates the state of an entry that has neither a configuration nor backend servers yet.
     pub fn new(
@@ -371,6 +407,8 @@
             let table = table.as_deref_mut().map(|table| &mut table.assignments);
             model.prefix_servers(&directory, request.service, prompt, table)
         });
+        let (risks, changes) = model.risks(&directory, request.service, self.now_ms());
+        self.report_faults(&directory, &changes);
         let load_permille = self.load_permille(&directory, model, request.service);
         let prompt = request
             .prompt
@@ -407,6 +445,8 @@
                 max_wait_ms: request.max_wait_ms,
             }),
             memory,
+            risks: &risks,
+            left_ms: request.left_ms,
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
@@ -436,9 +476,28 @@
             },
             wait_ms: pick.wait_ms,
             spare_ms: pick.spare_ms,
+            read_tokens: pick.read_tokens,
         })
     }
 
+    /// Logs and counts backend servers that are held to be at fault from now on, or no longer.
+    fn report_faults(&self, directory: &ServerDirectory, changes: &[FaultChange]) {
+        for change in changes {
+            let (key, label, permille) = match change {
+                FaultChange::Begun(risk) => (risk.key, "begin", risk.permille),
+                FaultChange::Ended(key) => (*key, "end", 0),
+            };
+            self.metrics.server_faults.with_label_values(&[label]).inc();
+            let listed = directory.all().find(|(listed, _)| *listed == key);
+            if let Some((_, server)) = listed
+                && self.line_limiter.try_acquire()
+            {
+                info!(self.log, "backend server held to be at fault"; "server" => &server.name,
+                    "service" => &server.service, "change" => label, "risk_permille" => permille);
+            }
+        }
+    }
+
     /// Returns whether a chosen server still takes new work.
     pub(crate) fn takes_work(&self, key: ServerKey) -> bool {
         lock(&self.directory).is_ready(key)
@@ -518,6 +577,36 @@
             .record_pace(key, sample, now_ms);
     }
 
+    /// Watches a request that is sent to a backend server until its answer begins.
+    pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey) -> RunWatch {
+        let sent_at_ms = self.now_ms();
+        let mut models = lock(&self.models);
+        models.of_service(service).health.begin(key, sent_at_ms);
+        RunWatch {
+            entry: Arc::clone(self),
+            service: service.to_owned(),
+            key,
+            sent_at_ms,
+            outcome: None,
+        }
+    }
+
+    /// Records that a backend server has failed to bring an answer to its end.
+    pub(crate) fn record_broken_run(&self, service: &str, key: ServerKey) {
+        let now_ms = self.now_ms();
+        let mut models = lock(&self.models);
+        let health = &mut models.of_service(service).health;
+        health.record(key, RunOutcome::Failed, now_ms);
+    }
+
+    /// Records the beginning of a stream of a backend server.
+    pub(crate) fn record_start(&self, service: &str, key: ServerKey, sample: StartSample) {
+        let now_ms = self.now_ms();
+        lock(&self.models)
+            .of_service(service)
+            .record_start(key, sample, now_ms);
+    }
+
     /// Records the open turns of all entries that the ledger hosts have reported.
     pub(crate) fn record_open_turns(&self, open_turns: u64) {
         self.open_turns.store(open_turns, Ordering::Relaxed);
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -30,6 +30,8 @@
         build: None,
         limits: None,
         memory: None,
+        risks: &[],
+        left_ms: 0,
         draw: 7,
         now_ms: 0,
     }
--- a/components/routing/tests/limit.rs
+++ b/components/routing/tests/limit.rs
@@ -55,6 +55,8 @@
         }),
         limits: Some(limits),
         memory: None,
+        risks: &[],
+        left_ms: 0,
         draw: 7,
         now_ms: NOW_MS,
     }
--- a/components/routing/tests/memory.rs
+++ b/components/routing/tests/memory.rs
@@ -137,6 +137,8 @@
         prompt: None,
         limits: None,
         memory,
+        risks: &[],
+        left_ms: 0,
         draw,
         now_ms: 0,
     }
