--- a/components/routing/tests/health.rs
+++ b/components/routing/tests/health.rs
@@ -166,6 +166,7 @@
             build: None,
             prompt: None,
             limits: None,
+            memory: None,
             risks: &risks,
             left_ms: TIME_LIMIT_MS,
             draw,
