--- a/components/routing/src/assignment.rs
+++ b/components/routing/src/assignment.rs
@@ -14,6 +14,9 @@
 
 /// Largest load of a server in percent of its share of the requests under way.
 const MAX_LOAD_PERCENT: u64 = 125;
+/// Smallest bound of a server, in requests. An entry has few requests under way; with a bound of one, the second of two
+/// at the same time would leave its home.
+const MIN_BOUND_REQUESTS: u64 = 2;
 /// Limit on the rankings that are remembered; beyond it they are computed anew.
 const MAX_RANKINGS: usize = 256;
 
@@ -96,7 +99,7 @@
     }
 
     /// Returns the first server of a key's ranking, among those that `may_take` allows, that has no more than
-    /// [`MAX_LOAD_PERCENT`] of its share of the requests under way, with one more; `None` if `may_take` allows none.
+    /// [`MAX_LOAD_PERCENT`] of its share of the requests under way, with one more, or [`MIN_BOUND_REQUESTS`]; `None` if `may_take` allows none.
     /// `load` is the number of requests at a server.
     pub fn bounded_home(
         &self,
@@ -105,8 +108,7 @@
         may_take: impl Fn(ServerKey) -> bool,
     ) -> Option<ServerKey> {
         let home = self.home(key, &may_take)?;
-        // Every bound is at least one request.
-        if load(home) == 0 {
+        if u64::from(load(home)) < MIN_BOUND_REQUESTS {
             return Some(home);
         }
         let loads = self.servers.iter().map(|server| u64::from(load(server.key)));
@@ -139,7 +141,9 @@
     /// Returns the number of requests that a server may have when `requests` are under way.
     fn bound(&self, server: SizedServer, requests: u64) -> u64 {
         let share = MAX_LOAD_PERCENT * requests * u64::from(server.size);
-        share.div_ceil(100 * self.total_size.max(1))
+        share
+            .div_ceil(100 * self.total_size.max(1))
+            .max(MIN_BOUND_REQUESTS)
     }
 
     fn ranking(&self, key: u64) -> Vec<ServerKey> {
