--- a/components/routing/src/balance.rs
+++ b/components/routing/src/balance.rs
@@ -198,7 +198,7 @@
         let events = prompt
             .stream_tokens
             .map(|tokens| tokens.div_ceil(prompt.tokens_per_event.max(1)));
-        let stream_us = prompt.paces.stream_us(key, events, self.now_ms);
+        let stream_us = prompt.paces.compared_stream_us(key, events, self.now_ms);
         let read_tokens = self.read_tokens(key);
         let read_us = prompt.read_cost_us(key, read_tokens, server.capacity, self.now_ms);
         let start_us = prompt.paces.start_us(key, self.now_ms);
--- a/components/routing/src/pace.rs
+++ b/components/routing/src/pace.rs
@@ -22,6 +22,9 @@
 /// Age in milliseconds at which the delay of a server's first event no longer counts. A queue passes sooner than a
 /// difference in speed.
 const START_LIFE_MS: u64 = 3_000;
+/// Divisor of the mean time between two events that gives the largest difference that load and chance explain. Servers
+/// within it count as equal; else all entries would send their requests to the one that seemed fastest some seconds ago.
+const EQUAL_PACE_DIVISOR: u64 = 10;
 /// Divisor of the weight of a new sample in the mean of the service.
 const MEAN_SHARE: u64 = 16;
 /// Time between two events in microseconds until the first stream has ended.
@@ -141,10 +144,23 @@
     /// Returns the expected time of a whole stream of a server in microseconds, from its first event on. Without a
     /// number of events, their mean is used.
     pub fn stream_us(&self, key: ServerKey, events: Option<u64>, now_ms: u64) -> u64 {
+        self.whole_stream_us(self.event_us(key, now_ms), events)
+    }
+
+    fn whole_stream_us(&self, event_us: u64, events: Option<u64>) -> u64 {
         let events_scaled = events.map_or(self.mean_events_scaled, |events| {
             events.saturating_mul(EVENT_SCALE)
         });
-        self.event_us(key, now_ms).saturating_mul(events_scaled) / EVENT_SCALE
+        event_us.saturating_mul(events_scaled) / EVENT_SCALE
+    }
+
+    /// Returns the expected time of a whole stream for the comparison of servers: like [`Self::stream_us`], with the mean
+    /// of the service for servers that differ little from it.
+    pub fn compared_stream_us(&self, key: ServerKey, events: Option<u64>, now_ms: u64) -> u64 {
+        let event_us = self.event_us(key, now_ms);
+        let is_equal = event_us.abs_diff(self.mean_event_us) < self.mean_event_us / EQUAL_PACE_DIVISOR;
+        let compared_us = if is_equal { self.mean_event_us } else { event_us };
+        self.whole_stream_us(compared_us, events)
     }
 
     /// Returns the expected time of a server until its first event in microseconds, without the reading of the prompt.
