Let the silence of streams only tell of a fault

Change: only requests whose answers are streams are watched for silence; failures of plain requests count as before.

Routing and gateway tests and clippy pass.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -506,7 +506,9 @@
         let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
-        let mut watch = self.entry.watch_run(&self.plan.service, key);
+        let mut watch = self
+            .entry
+            .watch_run(&self.plan.service, key, self.plan.prompt.is_some());
         let sending = self.entry.pool.send(server.address, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -175,6 +175,7 @@
     service: String,
     key: ServerKey,
     sent_at_ms: u64,
+    is_stream: bool,
     outcome: Option<RunOutcome>,
 }
 
@@ -196,7 +197,11 @@
         let now_ms = self.entry.now_ms();
         let mut models = lock(&self.entry.models);
         let health = &mut models.of_service(&self.service).health;
-        health.end(self.key, self.sent_at_ms, self.outcome, now_ms);
+        if self.is_stream {
+            health.end(self.key, self.sent_at_ms, self.outcome, now_ms);
+        } else if let Some(outcome) = self.outcome {
+            health.record(self.key, outcome, now_ms);
+        }
     }
 }
 
@@ -434,16 +439,20 @@
             .record_pace(key, sample, now_ms);
     }
 
-    /// Watches a request that is sent to a backend server until its answer begins.
-    pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey) -> RunWatch {
+    /// Watches a request that is sent to a backend server until its answer begins. Silence tells of a fault only where
+    /// answers are streams: other requests may take long by themselves.
+    pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey, is_stream: bool) -> RunWatch {
         let sent_at_ms = self.now_ms();
-        let mut models = lock(&self.models);
-        models.of_service(service).health.begin(key, sent_at_ms);
+        if is_stream {
+            let mut models = lock(&self.models);
+            models.of_service(service).health.begin(key, sent_at_ms);
+        }
         RunWatch {
             entry: Arc::clone(self),
             service: service.to_owned(),
             key,
             sent_at_ms,
+            is_stream,
             outcome: None,
         }
     }
