--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -17,14 +17,16 @@
 use slog::info;
 use tokio::time::{timeout, timeout_at};
 
-use crate::answer::{AnswerBody, full_body};
+use crate::answer::AnswerBody;
 use crate::crash::{LostRun, investigate};
 use crate::dialect::{AnswerKind, AttemptContext};
 use crate::limits::AnswerTrace;
 use crate::long_answer::LongAnswer;
+use crate::memory::CallerConnection;
 use crate::models::TurnPrompt;
 use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
+use crate::quota::QuotaTicket;
 use crate::state::{DirectoryView, EntryState, LoadGuard, PickRequest, PickedServer, whole_millis};
 
 /// Limit on the attempts of one request that fail before a byte is sent, for example on a refused connection.
@@ -100,10 +102,14 @@
     pub(crate) prompt: Option<TurnPrompt>,
     pub(crate) max_attempts: u32,
     pub(crate) deadline: Instant,
+    /// Set if the request's workspace has a quota.
+    pub(crate) quota: Option<QuotaTicket>,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that the caller takes up again.
     pub(crate) resumes: Option<String>,
+    /// Connection of the caller, if its memory is bounded.
+    pub(crate) connection: Option<Arc<CallerConnection>>,
 }
 
 /// Head of a backend server's answer, with the connection from which its body is read.
@@ -205,6 +211,7 @@
                 return Err(self.refuse_convicted());
             }
             let (key, server) = (picked.key, Arc::clone(&picked.server));
+            self.obtain_quota().await?;
             match self.obtain_permit(&picked).await {
                 PermitOutcome::Ready => {}
                 PermitOutcome::TryAnother => continue,
@@ -223,12 +230,17 @@
                 SlotAnswer::NotAsked => None,
             };
             self.claim_version(&server).await?;
+            // The permit may have expired while the request waited for the server.
+            self.obtain_quota().await?;
             self.tried.push(key);
             let view = picked.view;
             let outcome = match self.attempt(picked, slot.as_deref()).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(outcome) => outcome,
             };
+            if outcome == AttemptOutcome::Lost {
+                self.use_quota();
+            }
             self.record_failure(key, &server, view, outcome);
             match next_step(self.plan.run_policy, outcome, self.was_lost, self.limits()) {
                 NextStep::TryAnother => {}
@@ -262,7 +274,11 @@
                 Ok(None) => {
                     lease.finish();
                     self.entry.record_success(self.plan.content);
-                    return Ok((head, full_body(read.freeze())));
+                    let mut answer = read.freeze();
+                    if let Some(connection) = &self.plan.connection {
+                        answer = connection.hold_answer(answer);
+                    }
+                    return Ok((head, AnswerBody::full(answer)));
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -286,6 +302,7 @@
             lease,
             _load: load,
             deadline: self.plan.deadline,
+            connection: self.plan.connection.clone(),
         };
         Ok((head, long.into_body()))
     }
@@ -368,7 +385,7 @@
             headers.insert(HOST, host);
         }
         let limit = self.plan.deadline.min(Instant::now() + SLOT_TIMEOUT);
-        let sending = self.entry.pool.send(server.address, request);
+        let sending = self.entry.pool.send(server, request);
         let answer = match timeout_at(limit.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return SlotAnswer::NotAsked,
@@ -506,10 +523,9 @@
         let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
-        let mut watch = self
-            .entry
-            .watch_run(&self.plan.service, key, self.plan.prompt.is_some());
-        let sending = self.entry.pool.send(server.address, request);
+        let is_stream = self.plan.prompt.is_some();
+        let mut watch = self.entry.watch_run(&self.plan.service, key, is_stream);
+        let sending = self.entry.pool.send(&server, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(_))) => {
@@ -559,12 +575,12 @@
             }
         }
         self.sent += 1;
+        self.use_quota();
         if let VersionBond::Claimed(build) = self.plan.bond {
             self.plan.bond = VersionBond::Bound(build);
         }
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
-        self.entry
-            .record_affinity(self.plan.affinity, self.plan.program, key);
+        self.record_session(key, &server);
         let mut head = response::Response::new(()).into_parts().0;
         head.status = status;
         head.headers = headers.clone();
@@ -582,6 +598,20 @@
         })
     }
 
+    /// Records which server holds the session, and why it has changed.
+    fn record_session(&self, key: ServerKey, server: &BackendServer) {
+        let before = self
+            .entry
+            .record_affinity(self.plan.affinity, self.plan.program, key);
+        let Some(before) = before else { return };
+        let cause = self.entry.move_cause(before, key, &self.tried);
+        self.entry.metrics.session_moves.with_label_values(&[cause]).inc();
+        if before != key && self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "session changed its server"; "request" => &self.plan.attempt_id,
+                "server" => &server.name, "cause" => cause);
+        }
+    }
+
     fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<Full<Bytes>> {
         let mut parts = request::Request::new(()).into_parts().0;
         parts.method = self.plan.method.clone();
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,28 +1,33 @@
 //! Serves one request of a caller, from its headers to its answer.
 
+use std::error::Error;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode, RunState};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
 use hyper::{Request, Response};
-use ledger::{LedgerError, ProgramKey, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord};
-use routing::{EngineLoad, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
+use ledger::{
+    LedgerError, ProgramKey, QuotaClass, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord,
+};
+use routing::{EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
-use crate::access::{Caller, identify};
+use crate::access::{caller_identity, identify};
 use crate::answer::{AnswerBody, error_answer};
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond, convicted_error};
+use crate::memory::{CallerConnection, RequestMemory};
 use crate::models::TurnPrompt;
+use crate::quota::{QuotaTicket, max_quota_wait_ms};
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
 use crate::state::{EntryState, whole_millis};
 
@@ -30,23 +35,30 @@
 const LEDGER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves one request. Answers with an error of the entry itself when no backend server answered.
-pub(crate) async fn serve(entry: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) async fn serve(
+    entry: Arc<EntryState>,
+    connection: Option<Arc<CallerConnection>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let arrived = Instant::now();
+    let mut memory = RequestMemory::new(connection);
     let (head, body) = request.into_parts();
-    let result = serve_parts(&entry, &head, body, arrived).await;
+    let result = serve_parts(&entry, &mut memory, &head, body, arrived).await;
     entry.metrics.first_byte.observe(arrived.elapsed().as_secs_f64());
-    match result {
+    let response = match result {
         Ok(response) => response,
         Err(error) => {
             log_error(&entry, &head, &error, arrived);
             let usual_ms = || entry.retry_after_ms(error.code);
             error_answer(&error, error.retry_after_ms.unwrap_or_else(usual_ms))
         }
-    }
+    };
+    response.map(|body| body.with_memory(memory))
 }
 
 async fn serve_parts(
     entry: &Arc<EntryState>,
+    memory: &mut RequestMemory,
     head: &request::Parts,
     body: Incoming,
     arrived: Instant,
@@ -73,14 +85,22 @@
             "the request has no attempt id",
         ));
     }
+    let (table, caller) = identify(entry, table, head).await?;
     let route = find_route(&table, head)?;
-    let caller = identify(&table, route, entry.dialect.api_key(&head.headers))?;
+    let facts = match caller.workspace() {
+        None => facts,
+        Some(workspace) => facts.in_workspace(workspace.key),
+    };
+    let quota = quota_ticket(&caller, route, &facts, table.version());
+    entry.check_quota(quota.as_ref(), &facts.attempt_id)?;
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadline = arrived
         + facts
             .caller_timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
-    let input = read_body(body, table.limits().max_body_bytes, deadline).await?;
+    let workspace_priority = caller.workspace().and_then(|workspace| workspace.priority);
+    memory.admit(workspace_priority.unwrap_or(route.priority))?;
+    let input = read_body(body, table.limits().max_body_bytes, deadline, memory).await?;
     let content = RequestContent::new(
         head.method.as_str(),
         named_host(head),
@@ -98,6 +118,7 @@
         facts,
         content,
         deadline,
+        memory,
     };
     if route.streaming {
         return request.serve_stream(head, input, arrived).await;
@@ -105,13 +126,33 @@
     request.serve_buffered(head, input, arrived).await
 }
 
+/// Returns what a request needs of its workspace's quota; `None` if it has none. Whether the request begins a program is
+/// known only after its reservation.
+fn quota_ticket(
+    caller: &KeyHolder,
+    route: &ServiceRoute,
+    facts: &RequestFacts,
+    version: u64,
+) -> Option<QuotaTicket> {
+    let max_wait_ms = facts.program.map_or(0, |_| max_quota_wait_ms(route));
+    QuotaTicket::new(caller.workspace()?, version, QuotaClass::UnderWay, max_wait_ms)
+}
+
 /// Returns the host that the caller has named.
 fn named_host(head: &request::Parts) -> &str {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     head.uri.host().or(named).unwrap_or_default()
 }
 
-fn find_route<'a>(table: &'a RouteTable, head: &request::Parts) -> Result<&'a ServiceRoute, CallError> {
+/// Returns the route that serves a request.
+///
+/// # Errors
+///
+/// Fails when no route matches.
+pub(crate) fn find_route<'a>(
+    table: &'a RouteTable,
+    head: &request::Parts,
+) -> Result<&'a ServiceRoute, CallError> {
     match table.find(named_host(head), head.uri.path()) {
         RouteMatch::Found(route) => Ok(route),
         RouteMatch::Unknown => {
@@ -124,14 +165,24 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, CallError> {
-    match timeout_at(deadline.into(), Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallError::not_run(
+/// Reads the body of a request. Its memory is held before it arrives if its length is stated, or else as it grows.
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+    memory: &mut RequestMemory,
+) -> Result<Bytes, CallError> {
+    let stated = body.size_hint().exact().unwrap_or(0).min(max_bytes as u64);
+    memory.claim(stated)?;
+    let reading = collect_body(Limited::new(body, max_bytes), stated, memory);
+    match timeout_at(deadline.into(), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyFault::NoRoom(error))) => Err(error),
+        Ok(Err(BodyFault::Unreadable(error))) if error.is::<LengthLimitError>() => Err(CallError::not_run(
             ResultCode::BodyTooLarge,
             format!("the request body exceeds {max_bytes} bytes"),
         )),
-        Ok(Err(_)) => Err(CallError::not_run(
+        Ok(Err(BodyFault::Unreadable(_))) => Err(CallError::not_run(
             ResultCode::MalformedRequest,
             "the request body could not be read to its end",
         )),
@@ -142,18 +193,49 @@
     }
 }
 
+/// Why a body was not read to its end.
+enum BodyFault {
+    NoRoom(CallError),
+    Unreadable(Box<dyn Error + Send + Sync>),
+}
+
+async fn collect_body(
+    mut body: Limited<Incoming>,
+    held_bytes: u64,
+    memory: &mut RequestMemory,
+) -> Result<Bytes, BodyFault> {
+    let mut held_bytes = held_bytes;
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.map_err(BodyFault::Unreadable)?.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&bytes);
+        let missing = (read.len() as u64).saturating_sub(held_bytes);
+        memory.claim(missing).map_err(BodyFault::NoRoom)?;
+        held_bytes += missing;
+    }
+    Ok(read.freeze())
+}
+
 /// A request for which a route was found.
 struct RoutedRequest<'a> {
     entry: &'a Arc<EntryState>,
     table: &'a RouteTable,
     route: &'a ServiceRoute,
-    caller: Caller,
+    caller: KeyHolder,
     facts: RequestFacts,
     content: RequestContent,
     deadline: Instant,
+    memory: &'a mut RequestMemory,
 }
 
 impl RoutedRequest<'_> {
+    /// Returns the priority of the request; 0 is the most urgent.
+    fn priority(&self) -> u32 {
+        self.caller.priority(self.route)
+    }
+
     /// Serves a request whose answer is read completely before it is sent to the caller.
     async fn serve_buffered(
         self,
@@ -188,12 +270,21 @@
         let began_at = self.began_at(patience).await?;
         let mut plan = self.plan(head, input.clone(), began_at)?;
         plan.body = chained_body(&chain, &input);
+        if !chain.is_empty() {
+            self.memory.claim(plan.body.len() as u64)?;
+        }
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
         let build = match self.route.run_policy {
             RunPolicy::Resumable => Some(dispatcher.choose_first()?),
             RunPolicy::Idempotent | RunPolicy::AtMostOnce => None,
         };
         let reservation = self.reserve(patience, build).await?;
+        if reservation.as_ref().is_some_and(TurnReservation::begins_program) {
+            dispatcher.plan.quota = self
+                .caller
+                .workspace()
+                .and_then(|workspace| QuotaTicket::new(workspace, self.table.version(), QuotaClass::New, 0));
+        }
         let mut accepted = dispatcher.dispatch().await?;
         if !accepted.head.status.is_success() {
             let attempt = accepted.attempt.clone();
@@ -231,7 +322,7 @@
         let headers = self
             .entry
             .dialect
-            .forwarded_headers(&head.headers, self.caller.identity());
+            .forwarded_headers(&head.headers, caller_identity(&self.caller));
         let target = head.uri.path_and_query().cloned();
         Ok(RequestPlan {
             method: head.method.clone(),
@@ -250,8 +341,10 @@
             prompt: self.prompt(service),
             max_attempts: self.route.max_attempts,
             deadline: self.deadline,
+            quota: quota_ticket(&self.caller, self.route, &self.facts, self.table.version()),
             last_event: self.facts.last_event,
             resumes: self.facts.resumes.clone(),
+            connection: self.memory.connection(),
         })
     }
 
@@ -303,7 +396,7 @@
             )
         };
         let first = self.facts.resumes.as_ref().ok_or_else(unknown)?;
-        let turn = TurnKey::from_id(first.as_bytes());
+        let turn = self.facts.turn_of(first);
         let program = self.facts.program.unwrap_or(ProgramKey(turn.0));
         let ask_until = Instant::now() + patience;
         let fetching = async {
@@ -332,6 +425,7 @@
             prefix: self.facts.prefix,
             tokens: self.facts.prompt_tokens,
             stream_tokens: self.facts.expected_tokens,
+            max_tokens: self.facts.max_tokens,
             tokens_per_event: profile.tokens_per_event?,
             cache_tokens: profile.cache_tokens,
         })
@@ -361,21 +455,35 @@
             }
         };
         let chain = timeout_at(self.deadline.into(), fetching).await;
-        let chain = chain.map_err(|_elapsed| ledger_timeout())?.map_err(|failure| {
-            let code = match failure {
-                // The caller may retry: even if every host answered, a host that is being replaced may have
-                // the turn.
-                LedgerError::UnknownTurn => ResultCode::TurnNotFound,
-                LedgerError::TooFewHosts { .. } => ResultCode::LedgerUnavailable,
-            };
-            CallError::not_run(code, failure.to_string())
-        })?;
+        let chain = match chain.map_err(|_elapsed| ledger_timeout())? {
+            Ok(chain) => chain,
+            Err(LedgerError::UnknownTurn) => return Err(self.unknown_turn_error(previous).await),
+            Err(failure @ LedgerError::TooFewHosts { .. }) => {
+                return Err(CallError::not_run(
+                    ResultCode::LedgerUnavailable,
+                    failure.to_string(),
+                ));
+            }
+        };
         for record in &chain {
             self.entry.chains.insert(record.clone());
         }
         Ok(chain)
     }
 
+    /// Returns the error for a turn that no ledger host knows in the caller's workspace.
+    async fn unknown_turn_error(&self, turn: TurnKey) -> CallError {
+        let is_foreign = self.table.workspaces().is_some() && self.entry.ledger.has_foreign_turn(turn).await;
+        if is_foreign {
+            return CallError::not_run(
+                ResultCode::UnknownTurn,
+                "no such turn exists in the caller's workspace",
+            );
+        }
+        // The caller may retry: even if every host answered, a host that is being replaced may have the turn.
+        CallError::not_run(ResultCode::TurnNotFound, LedgerError::UnknownTurn.to_string())
+    }
+
     /// Reserves the largest number of tokens that the turn can spend, and has the ledger name the software `build` at
     /// which its stream begins. Returns `None` when the request states no program or no token budget, and has no such
     /// stream. Repeats the reservation for up to `patience`.
@@ -413,10 +521,11 @@
         {
             ReserveOutcome::Reserved { is_first, open_turns } => {
                 self.entry.record_open_turns(open_turns);
-                let reservation = TurnReservation::new(ledger.clone(), program, turn);
                 // A turn that continues a stored turn does not count as the start of a program, whichever
                 // program it belongs to.
-                if is_first && limit.is_some() && self.facts.previous_turn.is_none() {
+                let begins_program = is_first && limit.is_some() && self.facts.previous_turn.is_none();
+                let reservation = TurnReservation::new(ledger.clone(), program, turn, begins_program);
+                if begins_program {
                     self.admit(program, open_turns)?;
                 }
                 Ok(Some(reservation))
@@ -452,6 +561,7 @@
             input,
             self.route.retention_ms,
         )
+        .held_for(self.memory.connection().as_ref())
     }
 
     fn tokens_per_event(&self) -> u64 {
@@ -472,7 +582,7 @@
         }
         info!(self.entry.log, "request answered"; "request" => &self.facts.attempt_id, "route" => &self.route.name,
             "configuration" => self.table.version(), "workspace" => self.caller.workspace().map(|workspace| &workspace.name),
-            "server" => &attempt.server.name, "status" => status,
+            "priority" => self.priority(), "server" => &attempt.server.name, "status" => status,
             "ms" => arrived.elapsed().as_millis(), "sent" => dispatcher.sent(),
             "sent_ms" => whole_millis(attempt.sent_at - arrived), "directory" => attempt.view.revision,
             "registered" => attempt.view.is_registered);
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms, served as text.
 
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -13,10 +15,20 @@
     registry: Registry,
     /// Requests by their outcome.
     pub(crate) requests: IntCounterVec,
+    /// Requests by what their API key showed.
+    pub(crate) access: IntCounterVec,
     /// Attempts at backend servers by their outcome.
     pub(crate) attempts: IntCounterVec,
     /// Permits for limited backend servers by outcome.
     pub(crate) permits: IntCounterVec,
+    /// What was done to keep the memory for callers within its bounds, by outcome.
+    pub(crate) memory: IntCounterVec,
+    /// Bytes held for callers.
+    pub(crate) held_bytes: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
+    /// Permits within the quotas of workspaces by outcome.
+    pub(crate) quota_permits: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from the end of a turn's stream until the ledger hosts have stored the turn, in seconds.
@@ -27,8 +39,14 @@
     pub(crate) log_lines_dropped: IntCounter,
     /// Version of the configuration in force.
     pub(crate) configuration_version: IntGauge,
+    /// Unix time at which the configuration was last known to be the newest one, in seconds.
+    pub(crate) configuration_confirmed: IntGauge,
     /// Backend servers in the directory.
     pub(crate) backend_servers: IntGauge,
+    /// Requests of known sessions by the cause for which they changed their server.
+    pub(crate) session_moves: IntCounterVec,
+    /// Objects of the platform's store that cannot be decoded, by kind.
+    pub(crate) unreadable_objects: IntCounterVec,
     /// Changes of the backend servers that this entry holds to be at fault.
     pub(crate) server_faults: IntCounterVec,
     /// Turns stored on this ledger host.
@@ -52,8 +70,25 @@
         };
         Self {
             requests: counters("requests_total", "Requests by outcome"),
+            access: counters("access_total", "Requests by what their API key showed"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
             permits: counters("permits_total", "Permits for limited backend servers by outcome"),
+            memory: counters(
+                "memory_total",
+                "Refusals and closed connections that keep memory in bounds by outcome",
+            ),
+            held_bytes: register(
+                &registry,
+                IntGauge::new("held_bytes", "Bytes held for callers' connections"),
+            ),
+            caller_connections: register(
+                &registry,
+                IntGauge::new("caller_connections", "Open connections of callers"),
+            ),
+            quota_permits: counters(
+                "quota_permits_total",
+                "Permits within the quotas of workspaces by outcome",
+            ),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
             keep: histogram("keep_seconds", "Time until a turn was kept"),
             reserve: histogram("reserve_seconds", "Time until a reservation was answered"),
@@ -68,10 +103,37 @@
                 &registry,
                 IntGauge::new("configuration_version", "Version of the configuration in force"),
             ),
+            configuration_confirmed: register(
+                &registry,
+                IntGauge::new(
+                    "configuration_confirmed_timestamp_seconds",
+                    "Unix time at which the configuration was last known to be the newest one",
+                ),
+            ),
             backend_servers: register(
                 &registry,
                 IntGauge::new("backend_servers", "Listed backend servers"),
             ),
+            session_moves: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "session_moves_total",
+                        "Requests of known sessions by why they changed their server",
+                    ),
+                    &["cause"],
+                ),
+            ),
+            unreadable_objects: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "unreadable_objects_total",
+                        "Objects of the store that cannot be decoded, by kind",
+                    ),
+                    &["kind"],
+                ),
+            ),
             server_faults: counters(
                 "server_faults_total",
                 "Backend servers held to be at fault, by begin and end",
@@ -91,6 +153,19 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Counts an object of the platform's store that cannot be decoded.
+    pub fn count_unreadable(&self, kind: &str) {
+        self.unreadable_objects.with_label_values(&[kind]).inc();
+    }
+
+    /// Sets how long ago the configuration was known to be the newest one.
+    pub fn set_configuration_confirmed(&self, age: Duration) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let confirmed_s = now.saturating_sub(age).as_secs();
+        self.configuration_confirmed
+            .set(i64::try_from(confirmed_s).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of turns that this ledger host stores.
     pub fn set_kept_turns(&self, turns: usize) {
         self.kept_turns.set(i64::try_from(turns).unwrap_or(i64::MAX));
--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -1,8 +1,8 @@
 //! What an entry observes of the services: the prefixes of prompts, and the pace and the failures of the servers.
 
 use routing::{
-    HealthTracker, PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory,
-    ServerKey, ServerRisk, StartSample, prefix_servers,
+    AssignmentTable, HealthTracker, MemoryDemand, MemoryTracker, PaceSample, PaceTracker, PrefixTracker,
+    PromptPrefix, PromptQuery, ServerDirectory, ServerKey, ServerRisk, StartSample, prefix_servers,
 };
 
 /// Prompt of a turn, as the request and the configuration describe it.
@@ -14,12 +14,22 @@
     pub(crate) tokens: u64,
     /// Number of output tokens that the caller expects.
     pub(crate) stream_tokens: Option<u64>,
+    /// Largest number of output tokens.
+    pub(crate) max_tokens: u64,
     /// Largest number of tokens in one event of the service's streams.
     pub(crate) tokens_per_event: u64,
     /// Tokens that a server of the service can hold in its cache, if the configuration states them.
     pub(crate) cache_tokens: Option<u64>,
 }
 
+impl TurnPrompt {
+    /// Returns the memory that the turn needs at its server.
+    pub(crate) fn demand(self) -> MemoryDemand {
+        let output_tokens = self.stream_tokens.unwrap_or(self.max_tokens);
+        MemoryDemand::new(self.prefix, self.tokens, output_tokens)
+    }
+}
+
 /// Change of a server's standing.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum FaultChange {
@@ -38,6 +48,8 @@
     faulty: Vec<ServerKey>,
     prefixes: PrefixTracker,
     paces: PaceTracker,
+    /// Memory that the entry's requests need at the servers.
+    pub(crate) memory: MemoryTracker,
 }
 
 impl ModelObservation {
@@ -81,17 +93,22 @@
         self.paces.stream_us(key, None, now_ms)
     }
 
-    /// Returns the sorted servers on which the prefix of a turn is placed, or `None` if every server can hold it.
+    /// Returns the sorted servers on which the prefix of a turn is placed, or `None` if every server can hold it. With
+    /// a table, servers are chosen in proportion to their sizes.
     pub(crate) fn prefix_servers(
         &self,
         directory: &ServerDirectory,
         service: &str,
         prompt: TurnPrompt,
+        table: Option<&mut AssignmentTable>,
     ) -> Option<Vec<ServerKey>> {
         let prefix = prompt.prefix?;
         let servers = directory.ready(service).count();
         let copies = self.prefixes.copies(prefix, servers, prompt.cache_tokens?)?;
-        Some(prefix_servers(directory, service, prefix, copies))
+        Some(match table {
+            Some(table) => table.first(prefix.key, copies),
+            None => prefix_servers(directory, service, prefix, copies),
+        })
     }
 
     /// Returns the inputs to the choice of a server for a turn.
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -214,6 +214,7 @@
             tried: &[],
             build: None,
             limits: None,
+            memory: None,
             risks: &[],
             left_ms: 0,
             draw: self.rng.random(),
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -19,8 +19,10 @@
 
 use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
 use crate::port::{HostAddress, RecordReceipt, StreamBuild};
+use crate::quota::QuotaBounds;
+use crate::quota_client::QuotaBook;
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
-use crate::snapshot::KindSnapshot;
+use crate::snapshot::SnapshotPage;
 
 /// Delay after which the next hosts are asked for a chain of turns, although an earlier one has not answered yet.
 /// It is many times the duration of a call between failure domains.
@@ -153,6 +155,10 @@
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     connected: Arc<Notify>,
     tolerated_failures: usize,
+    /// What is tolerated beyond the quotas of workspaces.
+    quota_bounds: QuotaBounds,
+    /// What ledger hosts have said of the next permits of workspaces.
+    quota_book: Mutex<QuotaBook>,
     /// Number of polls for snapshots; it selects the host of the next one.
     polls: AtomicUsize,
     log: Logger,
@@ -208,12 +214,19 @@
 impl LedgerClient {
     /// Creates a client that works while up to `tolerated_failures` hosts are unavailable.
     pub fn new(tolerated_failures: usize, log: Logger) -> Self {
+        Self::with_quota_bounds(tolerated_failures, QuotaBounds::default(), log)
+    }
+
+    /// Creates a client as [`Self::new`] does, for a platform that tolerates some excess over the quotas of workspaces.
+    pub fn with_quota_bounds(tolerated_failures: usize, quota_bounds: QuotaBounds, log: Logger) -> Self {
         Self {
             shared: Arc::new(ClientState {
                 links: Mutex::default(),
                 relays: Arc::default(),
                 connected: Arc::default(),
                 tolerated_failures,
+                quota_bounds,
+                quota_book: Mutex::default(),
                 polls: AtomicUsize::new(0),
                 log,
             }),
@@ -270,8 +283,9 @@
     }
 
     /// Fetches snapshots that are newer than the known revisions from one of the connected hosts, as
-    /// [`polled_host`] chooses it. If none is connected, returns the first snapshots that any of the seeds sends.
-    pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> Vec<KindSnapshot> {
+    /// [`polled_host`] chooses it. If none is connected, returns the first snapshots that any of the seeds sends. The page
+    /// is empty if there are no newer ones or no host responds.
+    pub async fn fetch_snapshots(&self, known: &[(String, u64)], seeds: &[SocketAddr]) -> SnapshotPage {
         let mut connected: Vec<Arc<HostLink>> =
             self.links().iter().filter(|link| link.is_up()).cloned().collect();
         connected.sort_unstable_by(|left, right| left.peer.cmp(&right.peer));
@@ -281,12 +295,17 @@
                 .iter()
                 .map(|seed| fetch_snapshots_at(*seed, known))
                 .collect();
+            let mut empty = SnapshotPage::default();
             while let Some(response) = responses.next().await {
-                if let Some(snapshots) = response.filter(|snapshots| !snapshots.is_empty()) {
-                    return snapshots;
+                let Some(page) = response else { continue };
+                if !page.snapshots.is_empty() {
+                    return page;
+                }
+                if page.confirmed_ms_ago.is_some() {
+                    empty = page;
                 }
             }
-            return Vec::new();
+            return empty;
         }
         let poll = self.shared.polls.fetch_add(1, Ordering::Relaxed);
         let choice = polled_host(poll, connected.len(), self.shared.tolerated_failures + 1);
@@ -479,6 +498,20 @@
         Ok(chain)
     }
 
+    /// Returns whether a host stores a turn with the same id that belongs to another workspace; `false` also when none
+    /// responds.
+    pub async fn has_foreign_turn(&self, turn: TurnKey) -> bool {
+        let hosts = self.links().clone();
+        let mut responses: FuturesUnordered<_> =
+            hosts.iter().map(|host| host.has_foreign_turn(turn)).collect();
+        while let Some(response) = responses.next().await {
+            if response == Some(true) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Fetches the longest part of a chain that one host holds. Returns a complete chain as soon as one
     /// arrives.
     ///
@@ -598,6 +631,22 @@
         hosts
     }
 
+    /// Returns the number of hosts that hand out the permits of a workspace: more than may fail.
+    pub(crate) fn quota_host_count(&self) -> usize {
+        self.shared.tolerated_failures + 1
+    }
+
+    pub(crate) fn quota_bounds(&self) -> QuotaBounds {
+        self.shared.quota_bounds
+    }
+
+    pub(crate) fn quota_book(&self) -> MutexGuard<'_, QuotaBook> {
+        self.shared
+            .quota_book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn group_size(&self) -> usize {
         2 * self.shared.tolerated_failures + 1
     }
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -6,18 +6,20 @@
 
 mod client;
 mod crash;
-mod crash_client;
 mod digest;
+mod fact;
+mod fact_client;
 mod host;
 mod index;
 mod limit;
-mod limit_client;
 mod link;
 mod log;
 mod notice;
 mod permit;
 mod permit_client;
 mod port;
+mod quota;
+mod quota_client;
 mod record;
 mod relay;
 mod repair;
@@ -29,18 +31,21 @@
 };
 pub use crash::{CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, NoticePage, SuspectNotice};
 pub use digest::BucketDigests;
+pub use fact::{FactChange, FactPage, FactReport, KnownFacts, LimitPage};
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
 pub use limit::{LimitReport, LimitTable};
 pub use log::{DiskLog, LogError};
 pub use notice::NoticeVersion;
-pub use permit::{PermitAnswer, PermitRequest, PermitTable};
+pub use permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest, PermitTable};
 pub use port::{
     ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild,
     connect_host, serve_port, wall_clock_ms,
 };
+pub use quota::{PERMIT_VALIDITY_MS, PermitTerms, QuotaBounds, QuotaClass, QuotaRequest, QuotaShares};
+pub use quota_client::{HeldPermit, QuotaAnswer, QuotaDemand};
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
-pub use snapshot::KindSnapshot;
+pub use snapshot::{KindSnapshot, SnapshotPage};
 pub use table::{FoundRecord, RecordTable};
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use domain::{ContentKey, InstanceKey};
+use domain::InstanceKey;
 use futures::future::{Either, select, select_ok};
 use slog::{Logger, info, warn};
 use tarpc::client::RpcError;
@@ -15,17 +15,15 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::crash::{CrashReport, NoticePage};
-use crate::limit::LimitReport;
-use crate::notice::NoticeVersion;
-use crate::permit::{PermitAnswer, PermitRequest};
+use crate::fact::{FactPage, FactReport, KnownFacts};
+use crate::permit::{PermitAnswer, PermitAsk, PermitKey};
 use crate::port::{
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
     context_with_timeout, open_stream,
 };
 use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::relay::connect_through;
-use crate::snapshot::KindSnapshot;
+use crate::snapshot::SnapshotPage;
 
 /// Timeout for establishing a connection, directly or through a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -170,6 +168,17 @@
         self.call(MAX_CALL_ATTEMPTS, request).await?.ok()
     }
 
+    /// Fetches whether the host stores a turn with the same id that belongs to another workspace. Returns `None` if the host
+    /// does not respond.
+    pub(crate) async fn has_foreign_turn(&self, turn: TurnKey) -> Option<bool> {
+        let request = |client: LedgerPortClient| async move {
+            client
+                .has_foreign_turn(context_with_timeout(UNSYNCED_CALL_TIMEOUT), turn)
+                .await
+        };
+        self.call(1, request).await?.ok()
+    }
+
     /// Fetches the software of a turn's stream. Returns `None` if the host does not respond or may lack records.
     pub(crate) async fn fetch_build(
         &self,
@@ -186,10 +195,10 @@
 
     /// Fetches snapshots that are newer than the known revisions. Returns `None` if the host does not
     /// respond.
-    pub(crate) async fn fetch_snapshots(&self, known: &[(String, u64)]) -> Option<Vec<KindSnapshot>> {
+    pub(crate) async fn fetch_snapshots(&self, known: &[(String, u64)]) -> Option<SnapshotPage> {
         let request = |client: LedgerPortClient| async move {
             client
-                .snapshots(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
+                .snapshot_page(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
                 .await
         };
         self.call(1, request).await?.ok()
@@ -197,17 +206,36 @@
 
     /// Asks the host for a permit. Returns `None` at once if it is not connected or has not answered lately, and after
     /// a timeout if it does not answer.
-    pub(crate) async fn request_permit(&self, request: PermitRequest) -> Option<PermitAnswer> {
+    pub(crate) async fn request_permit(&self, ask: PermitAsk) -> Option<PermitAnswer> {
         let client = self.permit_client().await?;
-        let asking = client.permit(context_with_timeout(PERMIT_TIMEOUT), request);
-        let answer = timeout(PERMIT_TIMEOUT, asking).await;
-        let answer = answer.ok().and_then(Result::ok);
+        let asking = client.permits(context_with_timeout(PERMIT_TIMEOUT), vec![ask]);
+        let answers = timeout(PERMIT_TIMEOUT, asking).await;
+        let answer = answers
+            .ok()
+            .and_then(Result::ok)
+            .and_then(|answers| answers.first().copied());
+        let answer = answer.filter(|answer| *answer != PermitAnswer::Unavailable);
         if answer.is_none() {
             *self.permit_failure() = Some(Instant::now());
         }
         answer
     }
 
+    /// Returns a permit that was not used.
+    pub(crate) async fn give_back(&self, key: PermitKey) {
+        if let Some(client) = self.permit_client().await {
+            // A permit that is lost on the way is one request less for the workspace.
+            drop(client.give_back(context_with_timeout(PERMIT_TIMEOUT), key).await);
+        }
+    }
+
+    /// Returns whether the host is not asked for permits at present.
+    pub(crate) fn is_away(&self) -> bool {
+        let failed_at = *self.permit_failure();
+        let is_paused = failed_at.is_some_and(|failed_at| failed_at.elapsed() < PERMIT_PAUSE);
+        is_paused || !self.is_up()
+    }
+
     /// Reports to the host that a backend server has lifted its limit.
     pub(crate) async fn report_lifted(&self, instance: InstanceKey, heard_ms_ago: u64) -> bool {
         let Some(client) = self.permit_client().await else {
@@ -217,58 +245,22 @@
         client.lift_limit(context, instance, heard_ms_ago).await.is_ok()
     }
 
-    /// Reports backend servers that have crashed under requests. Returns whether the host has them.
-    pub(crate) async fn report_crashes(&self, reports: Vec<CrashReport>) -> bool {
-        let Some(client) = self.open_client().await else {
-            return false;
-        };
-        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
-        client.report_crashes(context, reports).await.is_ok()
-    }
-
-    /// Reports requests that backend servers have run to their end, although others have crashed under them.
-    pub(crate) async fn acquit(&self, contents: Vec<ContentKey>) -> bool {
-        let Some(client) = self.open_client().await else {
-            return false;
-        };
-        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
-        client.acquit(context, contents).await.is_ok()
-    }
-
-    /// Waits for a change of the notices about crashes. Returns `None` if the host does not answer, and `Some(None)` if
-    /// nothing changes within `wait`.
-    pub(crate) async fn wait_for_notices(
-        &self,
-        known: Option<NoticeVersion>,
-        wait: Duration,
-    ) -> Option<Option<NoticePage>> {
-        let client = self.open_client().await?;
-        let limit = wait + UNSYNCED_CALL_TIMEOUT;
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let waiting = client.crash_notices(context_with_timeout(limit), known, wait_ms);
-        waiting.await.ok()
-    }
-
-    /// Reports limits of backend servers.
-    pub(crate) async fn report_limits(&self, reports: Vec<LimitReport>) -> bool {
+    /// Reports facts. Returns whether the host has them.
+    pub(crate) async fn report_facts(&self, reports: Vec<FactReport>) -> bool {
         let Some(client) = self.open_client().await else {
             return false;
         };
         let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
-        client.report_limits(context, reports).await.is_ok()
+        client.report_facts(context, reports).await.is_ok()
     }
 
-    /// Waits for a change of the limits of backend servers. Returns `None` if the host does not answer, and `Some(None)`
-    /// if nothing changes within `wait`.
-    pub(crate) async fn wait_for_limits(
-        &self,
-        known: Option<NoticeVersion>,
-        wait: Duration,
-    ) -> Option<Option<(NoticeVersion, Vec<LimitReport>)>> {
+    /// Waits for a change of the facts. Returns `None` if the host does not answer, and `Some(None)` if nothing changes
+    /// within `wait`.
+    pub(crate) async fn wait_for_facts(&self, known: KnownFacts, wait: Duration) -> Option<Option<FactPage>> {
         let client = self.open_client().await?;
         let limit = wait + UNSYNCED_CALL_TIMEOUT;
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let waiting = client.limit_reports(context_with_timeout(limit), known, wait_ms);
+        let waiting = client.facts(context_with_timeout(limit), known, wait_ms);
         waiting.await.ok()
     }
 
@@ -284,9 +276,7 @@
     /// Returns a client on the open connection if the host has answered the latest call about permits. A slow host may
     /// still answer the other calls on the connection, so that it stays open.
     async fn permit_client(&self) -> Option<LedgerPortClient> {
-        let failed_at = *self.permit_failure();
-        let is_paused = failed_at.is_some_and(|failed_at| failed_at.elapsed() < PERMIT_PAUSE);
-        if is_paused {
+        if self.is_away() {
             return None;
         }
         self.open_client().await
@@ -527,14 +517,11 @@
 }
 
 /// Fetches snapshots that are newer than the known revisions from a host that is known by its address only.
-pub(crate) async fn fetch_snapshots_at(
-    address: SocketAddr,
-    known: &[(String, u64)],
-) -> Option<Vec<KindSnapshot>> {
+pub(crate) async fn fetch_snapshots_at(address: SocketAddr, known: &[(String, u64)]) -> Option<SnapshotPage> {
     let stream = timeout(CONNECT_TIMEOUT, open_stream(address)).await.ok()?.ok()?;
     let client = connect_host(stream);
     client
-        .snapshots(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
+        .snapshot_page(context_with_timeout(UNSYNCED_CALL_TIMEOUT), known.to_vec())
         .await
         .ok()?
         .ok()
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -17,11 +17,12 @@
 
 use crate::crash::{CrashReport, NoticePage};
 use crate::digest::BucketDigests;
+use crate::fact::{FactPage, FactReport, KnownFacts};
 use crate::limit::LimitReport;
 use crate::notice::NoticeVersion;
-use crate::permit::{PermitAnswer, PermitRequest};
+use crate::permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest};
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
-use crate::snapshot::KindSnapshot;
+use crate::snapshot::{KindSnapshot, SnapshotPage};
 
 /// Largest size of a message: a chain of turns at the limits for callers.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
@@ -119,12 +120,15 @@
     /// Returns the software that produces the events of a turn's stream; `None` if the host has no record of it.
     async fn stream_build(program: ProgramKey, turn: TurnKey) -> PortResult<Option<StreamBuild>>;
 
-    /// Decides on the permit to send one request to a backend server that limits them.
+    /// Decides on the permit to send one request to a backend server that limits them; entries of earlier versions
+    /// call it.
     async fn permit(request: PermitRequest) -> PermitAnswer;
 
     /// Reports that a backend server has lifted its limit some milliseconds ago.
     async fn lift_limit(instance: InstanceKey, heard_ms_ago: u64);
 
+    // Entries of earlier versions make the calls about crashes and limits that follow, up to `limit_reports`.
+
     /// Reports backend servers that have crashed under requests.
     async fn report_crashes(reports: Vec<CrashReport>);
 
@@ -144,6 +148,24 @@
         known: Option<NoticeVersion>,
         wait_ms: u64,
     ) -> Option<(NoticeVersion, Vec<LimitReport>)>;
+
+    /// Returns whether the host stores a turn with the same id that belongs to another workspace.
+    async fn has_foreign_turn(turn: TurnKey) -> PortResult<bool>;
+
+    /// Decides on requests for permits, in their order.
+    async fn permits(asks: Vec<PermitAsk>) -> Vec<PermitAnswer>;
+
+    /// Takes back the permit of a request that was not sent.
+    async fn give_back(key: PermitKey);
+
+    /// Returns the snapshots that are newer than the reader's revisions of their kinds, and the age of what the host knows.
+    async fn snapshot_page(known: Vec<(String, u64)>) -> PortResult<SnapshotPage>;
+
+    /// Reports facts for the other entries.
+    async fn report_facts(reports: Vec<FactReport>);
+
+    /// Returns the facts once some differ from the known ones; `None` if none do within `wait_ms`.
+    async fn facts(known: KnownFacts, wait_ms: u64) -> Option<FactPage>;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -63,6 +63,12 @@
     pub fn instance(&self) -> InstanceKey {
         InstanceKey::from_start(&self.name, self.started_at_ms)
     }
+
+    /// Returns whether this start of the server came before the one at `started_at_ms`, as far as both are known.
+    pub(crate) fn is_earlier_start(&self, started_at_ms: Option<u64>) -> bool {
+        let both = self.started_at_ms.zip(started_at_ms);
+        both.is_some_and(|(own_ms, other_ms)| own_ms < other_ms)
+    }
 }
 
 /// A listed incarnation with its key.
@@ -81,6 +87,7 @@
     departures: DepartureList,
     next_key: u32,
     revision: u64,
+    generation: u64,
 }
 
 impl ServerDirectory {
@@ -95,6 +102,11 @@
         self.revision = revision;
     }
 
+    /// Returns a number that changes with every change of the listed servers.
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns whether a server has a registration; `false` also for one that stays in use without it.
     pub fn is_registered(&self, name: &str) -> bool {
         self.position_of(name)
@@ -157,7 +169,11 @@
         let expired = self.servers.extract_if(.., |listed| {
             listed.expires_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
         });
-        expired.map(|listed| listed.server).collect()
+        let expired: Vec<Arc<BackendServer>> = expired.map(|listed| listed.server).collect();
+        if !expired.is_empty() {
+            self.generation += 1;
+        }
+        expired
     }
 
     /// Returns whether a registration is older than one of the same incarnation that said that the server leaves, and
@@ -183,11 +199,13 @@
             return None;
         }
         Arc::make_mut(&mut listed.server).state = ServerState::Leaving;
+        self.generation += 1;
         Some(Arc::clone(&listed.server))
     }
 
     /// Adds an incarnation or updates the one that is listed under its name. Returns the server if its
-    /// registration is new or changed.
+    /// registration is new or changed. A registration of an earlier start than the listed one arrives late and is
+    /// ignored.
     pub fn upsert(&mut self, mut server: BackendServer) -> Option<Arc<BackendServer>> {
         if self.departures.notice(&server) == Some(DepartureNotice::Answer) {
             server.state = ServerState::Leaving;
@@ -195,6 +213,9 @@
         match self.position_of(&server.name) {
             Ok(index) => {
                 let listed = &mut self.servers[index];
+                if server.is_earlier_start(listed.server.started_at_ms) {
+                    return None;
+                }
                 listed.expires_at_ms = None;
                 if *listed.server == server {
                     return None;
@@ -206,6 +227,7 @@
                     listed.key = ServerKey(self.next_key);
                     self.next_key += 1;
                 }
+                self.generation += 1;
                 listed.server = Arc::new(server);
                 Some(Arc::clone(&listed.server))
             }
@@ -219,6 +241,7 @@
                     expires_at_ms: None,
                 };
                 self.servers.insert(index, listed);
+                self.generation += 1;
                 Some(server)
             }
         }
@@ -228,6 +251,7 @@
     pub fn remove(&mut self, name: &str) {
         if let Ok(index) = self.position_of(name) {
             self.servers.remove(index);
+            self.generation += 1;
         }
     }
 
--- a/components/routing/tests/limit.rs
+++ b/components/routing/tests/limit.rs
@@ -54,6 +54,7 @@
             paces,
         }),
         limits: Some(limits),
+        memory: None,
         risks: &[],
         left_ms: 0,
         draw: 7,
--- a/components/routing/tests/pace.rs
+++ b/components/routing/tests/pace.rs
@@ -318,6 +318,7 @@
             paces,
         }),
         limits: None,
+        memory: None,
         risks: &[],
         left_ms: 0,
         draw: draw.wrapping_mul(0x9e37_79b9_7f4a_7c15),
