--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -523,7 +523,8 @@
         let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
-        let mut watch = self.entry.watch_run(&self.plan.service, key);
+        let is_stream = self.plan.prompt.is_some();
+        let mut watch = self.entry.watch_run(&self.plan.service, key, is_stream);
         let sending = self.entry.pool.send(&server, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
