--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -281,8 +281,7 @@
         Some(())
     }
 
-    /// Wakes the entries that wait for a change of the facts. Calls may overtake one another, so that the numbers only
-    /// grow.
+    /// Wakes the entries that wait for a change of the facts.
     fn wake_followers(&self, set: impl FnOnce(&mut FactChanges)) {
         self.shared.fact_changes.send_if_modified(|changes| {
             let before = *changes;
@@ -301,22 +300,19 @@
 
     fn record_limits(&self, reports: &[LimitReport]) {
         let now_ms = self.uptime_us() / 1_000;
-        let changes = {
-            let mut limits = self.limits();
-            limits.record(reports, now_ms);
-            limits.changes()
-        };
-        self.wake_followers(|known| known.limits = known.limits.max(changes));
+        // Followers are woken under the lock, so that none sees facts that are newer than their number of changes.
+        let mut limits = self.limits();
+        limits.record(reports, now_ms);
+        let changes = limits.changes();
+        self.wake_followers(|known| known.limits = changes);
     }
 
     /// Changes what is known of crashes, and wakes the entries that wait for a change of the notices.
     fn change_crashes(&self, change: impl FnOnce(&mut CrashTable)) {
-        let changes = {
-            let mut crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
-            change(&mut crashes);
-            crashes.changes()
-        };
-        self.wake_followers(|known| known.suspects = known.suspects.max(changes));
+        let mut crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut crashes);
+        let changes = crashes.changes();
+        self.wake_followers(|known| known.suspects = changes);
     }
 
     fn notice_page(&self) -> NoticePage {
