--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -37,5 +37,4 @@
 pub use log::{LogGuard, open_log};
 pub use metrics::ProcessMetrics;
 pub use net::{connect, set_connection_timeouts};
-pub use quota::quota_retry_after_ms;
 pub use state::{EntryState, StopPhase, whole_millis};
