--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -373,20 +373,7 @@
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
-        let demand = request.prompt.map(TurnPrompt::demand);
-        let memory = self
-            .server_tokens(request.service)
-            .zip(demand)
-            .map(|(server_tokens, demand)| MemoryQuery {
-                tracker: &model.memory,
-                demand,
-                server_tokens,
-                open_turns: self.open_turns.load(Ordering::Relaxed),
-                slots: directory
-                    .ready(request.service)
-                    .map(|(_, server)| u64::from(server.capacity))
-                    .sum(),
-            });
+        let memory = self.memory_query(&directory, model, &request);
         let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
         // A prompt stays where it is cached; an object goes to the server on which all entries agree.
@@ -474,6 +461,27 @@
         profile.cache_tokens.filter(|_| self.memory.is_bounded())
     }
 
+    /// Returns the inputs to the question which servers have the memory for a turn, if memory is counted.
+    fn memory_query<'a>(
+        &self,
+        directory: &ServerDirectory,
+        model: &'a ModelObservation,
+        request: &PickRequest<'_>,
+    ) -> Option<MemoryQuery<'a>> {
+        let demand = request.prompt?.demand();
+        let server_tokens = self.server_tokens(request.service)?;
+        let capacities = directory
+            .ready(request.service)
+            .map(|(_, server)| u64::from(server.capacity));
+        Some(MemoryQuery {
+            tracker: &model.memory,
+            demand,
+            server_tokens,
+            open_turns: self.open_turns.load(Ordering::Relaxed),
+            slots: capacities.sum(),
+        })
+    }
+
     /// Logs that no server was left for a request whose memory is counted.
     fn log_unplaced(&self, service: &str, memory: MemoryQuery<'_>) {
         self.metrics.memory.with_label_values(&["unplaced"]).inc();
