--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -17,11 +17,12 @@
 use slog::info;
 use tokio::time::{timeout, timeout_at};
 
-use crate::answer::{AnswerBody, full_body};
+use crate::answer::AnswerBody;
 use crate::crash::{LostRun, investigate};
 use crate::dialect::{AnswerKind, AttemptContext};
 use crate::limits::AnswerTrace;
 use crate::long_answer::LongAnswer;
+use crate::memory::CallerConnection;
 use crate::models::TurnPrompt;
 use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
@@ -107,6 +108,8 @@
     pub(crate) last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that the caller takes up again.
     pub(crate) resumes: Option<String>,
+    /// Connection of the caller, if its memory is bounded.
+    pub(crate) connection: Option<Arc<CallerConnection>>,
 }
 
 /// Head of a backend server's answer, with the connection from which its body is read.
@@ -126,6 +129,8 @@
     pub(crate) view: DirectoryView,
     /// When the attempt was handed to a connection.
     pub(crate) sent_at: Instant,
+    /// Number of prompt tokens that the server is expected to read.
+    pub(crate) read_tokens: u64,
 }
 
 /// Sends one request to backend servers until one answers or no further attempt is allowed.
@@ -269,7 +274,11 @@
                 Ok(None) => {
                     lease.finish();
                     self.entry.record_success(self.plan.content);
-                    return Ok((head, full_body(read.freeze())));
+                    let mut answer = read.freeze();
+                    if let Some(connection) = &self.plan.connection {
+                        answer = connection.hold_answer(answer);
+                    }
+                    return Ok((head, AnswerBody::full(answer)));
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -293,6 +302,7 @@
             lease,
             _load: load,
             deadline: self.plan.deadline,
+            connection: self.plan.connection.clone(),
         };
         Ok((head, long.into_body()))
     }
@@ -317,6 +327,7 @@
     fn lose_answer(&mut self, server: ServerKey) -> CallError {
         self.was_lost = true;
         self.entry.avoid(server);
+        self.entry.record_broken_run(&self.plan.service, server);
         CallError::unknown("the answer of the backend server could not be read to its end")
     }
 
@@ -440,6 +451,7 @@
             tried: &excluded,
             build: self.plan.bond.required(),
             max_wait_ms: self.permits.may_ask().then(|| self.max_permit_wait_ms()),
+            left_ms: self.limits().left_ms,
         })
     }
 
@@ -504,17 +516,23 @@
             server,
             load,
             view,
+            read_tokens,
             ..
         } = picked;
         let sent_at = Instant::now();
         let sent_at_ms = self.entry.now_ms();
         let left = self.plan.deadline.saturating_duration_since(sent_at);
         let request = self.request(&server, left, slot);
+        let mut watch = self.entry.watch_run(&self.plan.service, key);
         let sending = self.entry.pool.send(&server, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(SendError::NotSent(_))) => return Err(AttemptOutcome::NotSent),
+            Ok(Err(SendError::NotSent(_))) => {
+                watch.fail();
+                return Err(AttemptOutcome::NotSent);
+            }
             Ok(Err(SendError::Lost(_))) => {
+                watch.fail();
                 self.investigate_loss(&server);
                 return Err(AttemptOutcome::Lost);
             }
@@ -539,9 +557,13 @@
             self.entry.record_limit(key, &server, notice, trace);
         }
         match kind {
-            AnswerKind::Answered => {}
+            AnswerKind::Answered if status.is_server_error() => watch.fail(),
+            AnswerKind::Answered => watch.answer(),
             // The connection may deliver the answer to an earlier request instead of the expected one.
-            AnswerKind::Foreign => return Err(AttemptOutcome::Lost),
+            AnswerKind::Foreign => {
+                watch.fail();
+                return Err(AttemptOutcome::Lost);
+            }
             AnswerKind::Refused => {
                 finish_refusal(answer);
                 return Err(AttemptOutcome::Refused);
@@ -557,8 +579,7 @@
             self.plan.bond = VersionBond::Bound(build);
         }
         self.entry.metrics.attempts.with_label_values(&["answered"]).inc();
-        self.entry
-            .record_affinity(self.plan.affinity, self.plan.program, key);
+        self.record_session(key, &server);
         let mut head = response::Response::new(()).into_parts().0;
         head.status = status;
         head.headers = headers.clone();
@@ -569,12 +590,27 @@
                 server,
                 view,
                 sent_at,
+                read_tokens,
             },
             answer,
             load,
         })
     }
 
+    /// Records which server holds the session, and why it has changed.
+    fn record_session(&self, key: ServerKey, server: &BackendServer) {
+        let before = self
+            .entry
+            .record_affinity(self.plan.affinity, self.plan.program, key);
+        let Some(before) = before else { return };
+        let cause = self.entry.move_cause(before, key, &self.tried);
+        self.entry.metrics.session_moves.with_label_values(&[cause]).inc();
+        if before != key && self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "session changed its server"; "request" => &self.plan.attempt_id,
+                "server" => &server.name, "cause" => cause);
+        }
+    }
+
     fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<Full<Bytes>> {
         let mut parts = request::Request::new(()).into_parts().0;
         parts.method = self.plan.method.clone();
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -21,6 +21,12 @@
     pub(crate) attempts: IntCounterVec,
     /// Permits for limited backend servers by outcome.
     pub(crate) permits: IntCounterVec,
+    /// What was done to keep the memory for callers within its bounds, by outcome.
+    pub(crate) memory: IntCounterVec,
+    /// Bytes held for callers.
+    pub(crate) held_bytes: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
     /// Permits within the quotas of workspaces by outcome.
     pub(crate) quota_permits: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
@@ -37,8 +43,12 @@
     pub(crate) configuration_confirmed: IntGauge,
     /// Backend servers in the directory.
     pub(crate) backend_servers: IntGauge,
+    /// Requests of known sessions by the cause for which they changed their server.
+    pub(crate) session_moves: IntCounterVec,
     /// Objects of the platform's store that cannot be decoded, by kind.
     pub(crate) unreadable_objects: IntCounterVec,
+    /// Changes of the backend servers that this entry holds to be at fault.
+    pub(crate) server_faults: IntCounterVec,
     /// Turns stored on this ledger host.
     pub(crate) kept_turns: IntGauge,
 }
@@ -63,6 +73,18 @@
             access: counters("access_total", "Requests by what their API key showed"),
             attempts: counters("attempts_total", "Attempts at backend servers by outcome"),
             permits: counters("permits_total", "Permits for limited backend servers by outcome"),
+            memory: counters(
+                "memory_total",
+                "Refusals and closed connections that keep memory in bounds by outcome",
+            ),
+            held_bytes: register(
+                &registry,
+                IntGauge::new("held_bytes", "Bytes held for callers' connections"),
+            ),
+            caller_connections: register(
+                &registry,
+                IntGauge::new("caller_connections", "Open connections of callers"),
+            ),
             quota_permits: counters(
                 "quota_permits_total",
                 "Permits within the quotas of workspaces by outcome",
@@ -92,6 +114,16 @@
                 &registry,
                 IntGauge::new("backend_servers", "Listed backend servers"),
             ),
+            session_moves: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "session_moves_total",
+                        "Requests of known sessions by why they changed their server",
+                    ),
+                    &["cause"],
+                ),
+            ),
             unreadable_objects: register(
                 &registry,
                 IntCounterVec::new(
@@ -102,6 +134,10 @@
                     &["kind"],
                 ),
             ),
+            server_faults: counters(
+                "server_faults_total",
+                "Backend servers held to be at fault, by begin and end",
+            ),
             kept_turns: register(
                 &registry,
                 IntGauge::new("kept_turns", "Turns kept by this ledger host"),
--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -1,8 +1,8 @@
-//! What an entry observes of the model services: the prefixes of prompts and the pace of the servers.
+//! What an entry observes of the services: the prefixes of prompts, and the pace and the failures of the servers.
 
 use routing::{
-    PaceSample, PaceTracker, PrefixTracker, PromptPrefix, PromptQuery, ServerDirectory, ServerKey,
-    prefix_servers,
+    AssignmentTable, HealthTracker, MemoryDemand, MemoryTracker, PaceSample, PaceTracker, PrefixTracker,
+    PromptPrefix, PromptQuery, ServerDirectory, ServerKey, ServerRisk, StartSample, prefix_servers,
 };
 
 /// Prompt of a turn, as the request and the configuration describe it.
@@ -14,17 +14,42 @@
     pub(crate) tokens: u64,
     /// Number of output tokens that the caller expects.
     pub(crate) stream_tokens: Option<u64>,
+    /// Largest number of output tokens.
+    pub(crate) max_tokens: u64,
     /// Largest number of tokens in one event of the service's streams.
     pub(crate) tokens_per_event: u64,
     /// Tokens that a server of the service can hold in its cache, if the configuration states them.
     pub(crate) cache_tokens: Option<u64>,
 }
 
-/// What the entry has observed of a model service.
+impl TurnPrompt {
+    /// Returns the memory that the turn needs at its server.
+    pub(crate) fn demand(self) -> MemoryDemand {
+        let output_tokens = self.stream_tokens.unwrap_or(self.max_tokens);
+        MemoryDemand::new(self.prefix, self.tokens, output_tokens)
+    }
+}
+
+/// Change of a server's standing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum FaultChange {
+    /// The server is held to be at fault from now on.
+    Begun(ServerRisk),
+    /// The server counts as sound again, or is no longer listed.
+    Ended(ServerKey),
+}
+
+/// What the entry has observed of a service.
 #[derive(Debug, Default)]
 pub(crate) struct ModelObservation {
+    /// Failures and silence of the servers.
+    pub(crate) health: HealthTracker,
+    /// Servers that are held to be at fault, sorted.
+    faulty: Vec<ServerKey>,
     prefixes: PrefixTracker,
     paces: PaceTracker,
+    /// Memory that the entry's requests need at the servers.
+    pub(crate) memory: MemoryTracker,
 }
 
 impl ModelObservation {
@@ -33,27 +58,57 @@
         self.prefixes.record(prefix, now_ms);
     }
 
+    /// Returns the servers that are held to be at fault, sorted by key, and those for which that has changed since the
+    /// last call.
+    pub(crate) fn risks(
+        &mut self,
+        directory: &ServerDirectory,
+        service: &str,
+        now_ms: u64,
+    ) -> (Vec<ServerRisk>, Vec<FaultChange>) {
+        let risks = self.health.risks(directory, service, now_ms);
+        let began = risks
+            .iter()
+            .filter(|risk| self.faulty.binary_search(&risk.key).is_err());
+        let began = began.map(|risk| FaultChange::Begun(*risk));
+        let is_held = |key: &ServerKey| risks.binary_search_by_key(key, |risk| risk.key).is_ok();
+        let ended = self.faulty.iter().filter(|key| !is_held(key));
+        let changes = began.chain(ended.map(|key| FaultChange::Ended(*key))).collect();
+        self.faulty = risks.iter().map(|risk| risk.key).collect();
+        (risks, changes)
+    }
+
     /// Records the pace of a stream that a backend server has sent.
     pub(crate) fn record_pace(&mut self, key: ServerKey, sample: PaceSample, now_ms: u64) {
         self.paces.record(key, sample, now_ms);
     }
 
+    /// Records the beginning of a stream of a backend server.
+    pub(crate) fn record_start(&mut self, key: ServerKey, sample: StartSample, now_ms: u64) {
+        self.paces.record_start(key, sample, now_ms);
+    }
+
     /// Returns the expected time of a whole stream of a server in microseconds.
     pub(crate) fn stream_us(&self, key: ServerKey, now_ms: u64) -> u64 {
         self.paces.stream_us(key, None, now_ms)
     }
 
-    /// Returns the sorted servers on which the prefix of a turn is placed, or `None` if every server can hold it.
+    /// Returns the sorted servers on which the prefix of a turn is placed, or `None` if every server can hold it. With
+    /// a table, servers are chosen in proportion to their sizes.
     pub(crate) fn prefix_servers(
         &self,
         directory: &ServerDirectory,
         service: &str,
         prompt: TurnPrompt,
+        table: Option<&mut AssignmentTable>,
     ) -> Option<Vec<ServerKey>> {
         let prefix = prompt.prefix?;
         let servers = directory.ready(service).count();
         let copies = self.prefixes.copies(prefix, servers, prompt.cache_tokens?)?;
-        Some(prefix_servers(directory, service, prefix, copies))
+        Some(match table {
+            Some(table) => table.first(prefix.key, copies),
+            None => prefix_servers(directory, service, prefix, copies),
+        })
     }
 
     /// Returns the inputs to the choice of a server for a turn.
@@ -100,6 +155,7 @@
     pub(crate) fn remove_unlisted(&mut self, directory: &ServerDirectory) {
         for (_, model) in &mut self.services {
             model.paces.remove_unlisted(directory);
+            model.health.remove_unlisted(directory);
         }
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,19 +1,23 @@
 //! Relays a backend server's event stream to the caller.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::{BodyExt as _, Either, StreamBody};
+use http_body_util::BodyExt as _;
 use hyper::body::{Frame, Incoming};
 use ledger::{LedgerClient, ProgramKey, TurnKey, TurnRecord};
-use routing::{EventAssembler, PaceSample, RunPolicy, ServerKey, StreamEvent};
+use routing::{EventAssembler, PaceSample, RunPolicy, ServerKey, StartSample, StreamEvent};
 use slog::{info, warn};
 use tokio::time::timeout_at;
 
 use crate::answer::{AnswerBody, EventStream, StreamBroken};
 use crate::dispatch::{AcceptedAnswer, Dispatcher, SentAttempt};
+use crate::holders::HeldUse;
+use crate::memory::{CallerConnection, MemoryLease};
 use crate::pool::ConnectionLease;
+use crate::read_ahead::read_ahead;
 use crate::state::{LoadGuard, whole_millis};
 
 /// Time from its first event for which a run may still have just begun: a server that a request crashes does so at the
@@ -76,6 +80,7 @@
     pub(crate) input: Bytes,
     pub(crate) retention_ms: u64,
     output: Vec<u8>,
+    output_memory: Option<MemoryLease>,
 }
 
 impl PendingTurn {
@@ -93,6 +98,23 @@
             input,
             retention_ms,
             output: Vec::new(),
+            output_memory: None,
+        }
+    }
+
+    /// Returns the turn with its output counted as memory held for a connection.
+    pub(crate) fn held_for(self, connection: Option<&Arc<CallerConnection>>) -> Self {
+        let output_memory = connection.map(|connection| connection.hold(0, HeldUse::Working));
+        Self {
+            output_memory,
+            ..self
+        }
+    }
+
+    fn append_event(&mut self, event: &StreamEvent) {
+        event.append_data(&mut self.output);
+        if let Some(memory) = &mut self.output_memory {
+            memory.grow_to(self.output.capacity() as u64);
         }
     }
 
@@ -205,6 +227,7 @@
 
     /// Returns the body of the answer, which drives the relay.
     pub(crate) fn into_body(self) -> AnswerBody {
+        let connection = self.dispatcher.plan.connection.clone();
         let events: EventStream = Box::pin(stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
             match relay.next().await {
@@ -219,7 +242,7 @@
                 }
             }
         }));
-        Either::Right(StreamBody::new(events))
+        AnswerBody::stream(read_ahead(events, connection))
     }
 
     /// Returns the bytes of the next event, or `None` when the stream has ended completely.
@@ -272,18 +295,36 @@
         }
         self.events += 1;
         self.pace.count_event();
+        if self.pace.events == 1 {
+            self.record_start();
+        }
         self.first_event.get_or_insert_with(|| self.arrived.elapsed());
         if event.has_data() {
             if let Some(reservation) = &mut self.reservation {
                 reservation.spent += self.tokens_per_event;
             }
             if let Some(turn) = &mut self.pending_turn {
-                event.append_data(&mut turn.output);
+                turn.append_event(&event);
             }
         }
         Some(event.bytes)
     }
 
+    /// Records the time until the first event of the present source.
+    fn record_start(&self) {
+        let plan = &self.dispatcher.plan;
+        let Some(source) = self.source.as_ref().filter(|_| plan.prompt.is_some()) else {
+            return;
+        };
+        let first_us = u64::try_from(self.attempt.sent_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let sample = StartSample {
+            first_us,
+            read_tokens: self.attempt.read_tokens,
+        };
+        let entry = &self.dispatcher.entry;
+        entry.record_start(&plan.service, source.server, sample);
+    }
+
     /// Returns the connection to the pool, settles the tokens and stores the turn.
     async fn finish(&mut self) -> Result<(), StreamBroken> {
         if let Some(source) = self.source.take() {
@@ -322,7 +363,10 @@
 
     /// Resumes the stream at another backend server after the last complete event.
     async fn resume(&mut self) -> Result<(), StreamBroken> {
-        self.source = None;
+        if let Some(source) = self.source.take() {
+            let service = &self.dispatcher.plan.service;
+            self.dispatcher.entry.record_broken_run(service, source.server);
+        }
         self.assembler.discard_partial();
         let may_resume =
             self.dispatcher.plan.run_policy == RunPolicy::Resumable && self.dispatcher.may_repeat();
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,21 +11,24 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker, PaceSample,
-    RouteTable, ServerDirectory, ServerKey, ServerLimit, ServerQuery, choose_backend, limited_slots,
-    may_be_full,
+    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker,
+    MemoryDemand, MemoryQuery, PaceSample, RouteTable, RunOutcome, ServerDirectory, ServerKey, ServerLimit,
+    ServerQuery, ServerState, StartSample, choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::timeout;
 
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
 use crate::dialect::WireDialect;
+use crate::holders::MemoryBounds;
+use crate::homes::{HomeServers, home_server};
 use crate::knowledge::ConfigurationKnowledge;
 use crate::log::LineLimiter;
+use crate::memory::MemoryBudget;
 use crate::metrics::ProcessMetrics;
-use crate::models::{ModelObservation, ModelObservations, TurnPrompt};
+use crate::models::{FaultChange, ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
 
 /// Capacity of each of the two maps of an [`AffinityMap`], in sessions and programs.
@@ -49,6 +52,9 @@
 /// Longest time for which a turn waits for the ledger hosts after a start of the entry.
 const LEDGER_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Limit on the connections that are open only for a refusal; further ones are reset.
+const MAX_REFUSING_CONNECTIONS: usize = 32;
+
 /// Largest load in thousandths of the slots that the choice of a server distinguishes.
 const MAX_LOAD_PERMILLE: u64 = 2_000;
 
@@ -100,14 +106,19 @@
     pub(crate) ledger: LedgerClient,
     pub(crate) chains: ChainCache,
     pub(crate) crashes: CrashRegister,
-    pub(crate) metrics: ProcessMetrics,
-    pub(crate) line_limiter: LineLimiter,
+    pub(crate) memory: Arc<MemoryBudget>,
+    /// Connections that are open only for a refusal.
+    pub(crate) refusing: Semaphore,
+    pub(crate) metrics: Arc<ProcessMetrics>,
+    pub(crate) line_limiter: Arc<LineLimiter>,
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) directory: Mutex<ServerDirectory>,
     loads: Mutex<LoadTracker>,
     pub(crate) limits: Mutex<LimitTracker>,
     affinity: Mutex<AffinityMap>,
+    /// Home servers; `None` if sessions without a known server go to any.
+    homes: Option<Mutex<HomeServers>>,
     models: Mutex<ModelObservations>,
     /// Open turns of all entries at the last reservation.
     open_turns: AtomicU64,
@@ -128,6 +139,16 @@
     /// Longest time for which the request can wait for a limited server, in milliseconds; `None` if such servers are
     /// the last choice.
     pub(crate) max_wait_ms: Option<u64>,
+    /// Time until the deadline of the request, in milliseconds.
+    pub(crate) left_ms: u64,
+}
+
+impl PickRequest<'_> {
+    /// Returns the key of which the request is at home at a server: that of its program, since the prompts of a program's
+    /// sessions begin alike, or else of its session or object.
+    pub(crate) fn home_key(&self) -> Option<u64> {
+        self.program.map(program_affinity).or(self.affinity)
+    }
 }
 
 /// The server that was chosen for a request, and what the directory showed then.
@@ -141,6 +162,8 @@
     pub(crate) wait_ms: u64,
     /// Time in milliseconds by which it may take the request later and stay the best choice; `None` without another.
     pub(crate) spare_ms: Option<u64>,
+    /// Number of prompt tokens that the server is expected to read.
+    pub(crate) read_tokens: u64,
 }
 
 /// State of the directory when a server was chosen. The log shows it, so that a request at a server that had left
@@ -158,11 +181,49 @@
 pub(crate) struct LoadGuard {
     entry: Arc<EntryState>,
     key: ServerKey,
+    /// Memory that is counted at the server, and the service of that.
+    memory: Option<(String, MemoryDemand)>,
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         lock(&self.entry.loads).end(self.key);
+        if let Some((service, demand)) = &self.memory {
+            let mut models = lock(&self.entry.models);
+            models.of_service(service).memory.end(self.key, *demand);
+        }
+    }
+}
+
+/// A request whose answer from a backend server has not begun. Dropping it records how it has ended.
+#[derive(Debug)]
+pub(crate) struct RunWatch {
+    entry: Arc<EntryState>,
+    service: String,
+    key: ServerKey,
+    sent_at_ms: u64,
+    outcome: Option<RunOutcome>,
+}
+
+impl RunWatch {
+    /// Records that the answer has begun.
+    pub(crate) fn answer(mut self) {
+        let after_ms = self.entry.now_ms().saturating_sub(self.sent_at_ms);
+        self.outcome = Some(RunOutcome::Answered { after_ms });
+    }
+
+    /// Records that the server has given no usable answer.
+    pub(crate) const fn fail(&mut self) {
+        self.outcome = Some(RunOutcome::Failed);
+    }
+}
+
+impl Drop for RunWatch {
+    fn drop(&mut self) {
+        let now_ms = self.entry.now_ms();
+        let mut models = lock(&self.entry.models);
+        let health = &mut models.of_service(&self.service).health;
+        health.end(self.key, self.sent_at_ms, self.outcome, now_ms);
     }
 }
 
@@ -174,6 +235,9 @@
         ledger: LedgerClient,
         log: Logger,
     ) -> Self {
+        let metrics = Arc::new(ProcessMetrics::new());
+        let line_limiter = Arc::new(LineLimiter::new());
+        let memory = MemoryBudget::new(Arc::clone(&metrics), Arc::clone(&line_limiter), log.clone());
         Self {
             dialect,
             failure_domain,
@@ -184,20 +248,30 @@
             ledger,
             chains: ChainCache::default(),
             crashes: CrashRegister::default(),
-            metrics: ProcessMetrics::new(),
-            line_limiter: LineLimiter::new(),
+            memory: Arc::new(memory),
+            refusing: Semaphore::new(MAX_REFUSING_CONNECTIONS),
+            metrics,
+            line_limiter,
             log,
             phase: watch::Sender::new(StopPhase::Serving),
             directory: Mutex::default(),
             loads: Mutex::default(),
             limits: Mutex::default(),
             affinity: Mutex::default(),
+            homes: None,
             models: Mutex::default(),
             open_turns: AtomicU64::new(0),
             started: Instant::now(),
         }
     }
 
+    /// Has sessions, objects and prefixes stay at home servers, on which all entries agree.
+    #[must_use]
+    pub fn with_home_servers(mut self) -> Self {
+        self.homes = Some(Mutex::new(HomeServers::new(self.failure_domain.clone())));
+        self
+    }
+
     /// Returns the client of the ledger hosts.
     pub const fn ledger(&self) -> &LedgerClient {
         &self.ledger
@@ -209,10 +283,22 @@
     }
 
     /// Returns the metrics that the entry records and that its metrics listener serves.
-    pub const fn metrics(&self) -> &ProcessMetrics {
+    pub fn metrics(&self) -> &ProcessMetrics {
         &self.metrics
     }
 
+    /// Bounds what the entry holds for its callers, from the next connection on.
+    pub fn bound_memory(&self, bounds: MemoryBounds) {
+        self.memory.set_bounds(bounds);
+    }
+
+    /// Closes connections of callers whose requests do not arrive within the header timeout.
+    pub fn close_late_callers(&self) {
+        if let Some(table) = &*self.table.load() {
+            self.memory.close_late_heads(table.limits().header_timeout_ms);
+        }
+    }
+
     /// Puts a configuration in force if it is newer than the current one. Returns the version that was in
     /// force before.
     ///
@@ -300,15 +386,7 @@
 
     /// Chooses a backend server and counts the request as its load.
     pub(crate) fn pick(self: &Arc<Self>, request: PickRequest<'_>) -> Option<PickedServer> {
-        let preferred = {
-            let affinity = lock(&self.affinity);
-            let of_session = request.affinity.and_then(|session| affinity.get(session));
-            of_session.or_else(|| {
-                request
-                    .program
-                    .and_then(|program| affinity.get(program_affinity(program)))
-            })
-        };
+        let remembered = self.last_server(request.affinity, request.program);
         let mut directory = lock(&self.directory);
         for server in directory.expire(self.now_ms()) {
             info!(self.log, "backend server without a registration dropped"; "server" => &server.name,
@@ -321,15 +399,40 @@
         {
             model.record_prefix(prefix, self.now_ms());
         }
-        let placed = request
-            .prompt
-            .and_then(|prompt| model.prefix_servers(&directory, request.service, prompt));
+        let mut homes = self.homes.as_ref().map(lock);
+        let mut table = homes
+            .as_mut()
+            .map(|homes| homes.of_service(&directory, request.service));
+        let placed = request.prompt.and_then(|prompt| {
+            let table = table.as_deref_mut().map(|table| &mut table.assignments);
+            model.prefix_servers(&directory, request.service, prompt, table)
+        });
+        let (risks, changes) = model.risks(&directory, request.service, self.now_ms());
+        self.report_faults(&directory, &changes);
         let load_permille = self.load_permille(&directory, model, request.service);
         let prompt = request
             .prompt
             .map(|prompt| model.prompt_query(prompt, placed.as_deref(), load_permille));
+        let demand = request.prompt.map(TurnPrompt::demand);
+        let memory = self
+            .server_tokens(request.service)
+            .zip(demand)
+            .map(|(server_tokens, demand)| MemoryQuery {
+                tracker: &model.memory,
+                demand,
+                server_tokens,
+                open_turns: self.open_turns.load(Ordering::Relaxed),
+                slots: directory
+                    .ready(request.service)
+                    .map(|(_, server)| u64::from(server.capacity))
+                    .sum(),
+            });
         let limits = lock(&self.limits);
         let mut loads = lock(&self.loads);
+        // A prompt stays where it is cached; an object goes to the server on which all entries agree.
+        let kept = remembered.filter(|key| request.prompt.is_some() && directory.is_ready(*key));
+        let home = || home_server(table.as_deref()?, &loads, &request, placed.as_deref());
+        let preferred = kept.or_else(home).or(remembered);
         let query = ServerQuery {
             service: request.service,
             failure_domain: &self.failure_domain,
@@ -341,14 +444,27 @@
                 limits: &limits,
                 max_wait_ms: request.max_wait_ms,
             }),
+            memory,
+            risks: &risks,
+            left_ms: request.left_ms,
             draw: rand::random(),
             now_ms: self.now_ms(),
         };
-        let pick = choose_backend(&directory, &loads, &query)?;
+        let Some(pick) = choose_backend(&directory, &loads, &query) else {
+            if let Some(memory) = query.memory {
+                self.log_unplaced(request.service, memory);
+            }
+            return None;
+        };
+        let demand = memory.map(|memory| memory.demand);
         loads.begin(pick.key);
+        if let Some(demand) = demand {
+            model.memory.begin(pick.key, demand);
+        }
         let guard = LoadGuard {
             entry: Arc::clone(self),
             key: pick.key,
+            memory: demand.map(|demand| (request.service.to_owned(), demand)),
         };
         Some(PickedServer {
             key: pick.key,
@@ -360,9 +476,28 @@
             },
             wait_ms: pick.wait_ms,
             spare_ms: pick.spare_ms,
+            read_tokens: pick.read_tokens,
         })
     }
 
+    /// Logs and counts backend servers that are held to be at fault from now on, or no longer.
+    fn report_faults(&self, directory: &ServerDirectory, changes: &[FaultChange]) {
+        for change in changes {
+            let (key, label, permille) = match change {
+                FaultChange::Begun(risk) => (risk.key, "begin", risk.permille),
+                FaultChange::Ended(key) => (*key, "end", 0),
+            };
+            self.metrics.server_faults.with_label_values(&[label]).inc();
+            let listed = directory.all().find(|(listed, _)| *listed == key);
+            if let Some((_, server)) = listed
+                && self.line_limiter.try_acquire()
+            {
+                info!(self.log, "backend server held to be at fault"; "server" => &server.name,
+                    "service" => &server.service, "change" => label, "risk_permille" => permille);
+            }
+        }
+    }
+
     /// Returns whether a chosen server still takes new work.
     pub(crate) fn takes_work(&self, key: ServerKey) -> bool {
         lock(&self.directory).is_ready(key)
@@ -393,7 +528,24 @@
         load.slots_permille().min(MAX_LOAD_PERMILLE)
     }
 
-    /// Returns the slots of the servers of a service.
+    /// Returns the memory of each server of a service in tokens, if it is counted.
+    fn server_tokens(&self, service: &str) -> Option<u64> {
+        let table = self.table.load();
+        let profile = table.as_ref()?.service(service)?;
+        profile.cache_tokens.filter(|_| self.memory.is_bounded())
+    }
+
+    /// Logs that no server was left for a request whose memory is counted.
+    fn log_unplaced(&self, service: &str, memory: MemoryQuery<'_>) {
+        self.metrics.memory.with_label_values(&["unplaced"]).inc();
+        if self.line_limiter.try_acquire() {
+            info!(self.log, "no backend server left for a request"; "service" => service,
+                "own_tokens" => memory.demand.own_tokens, "server_tokens" => memory.server_tokens,
+                "open_turns" => memory.open_turns);
+        }
+    }
+
+    /// Returns the slots of the servers of a service, as far as their memory allows requests of average size.
     fn engine_slots(
         &self,
         directory: &ServerDirectory,
@@ -402,11 +554,15 @@
     ) -> Vec<EngineSlots> {
         let limits = lock(&self.limits);
         let now_ms = self.now_ms();
+        let memory_slots = self
+            .server_tokens(service)
+            .and_then(|server_tokens| model.memory.mean_slots(server_tokens))
+            .map_or(u32::MAX, |slots| u32::try_from(slots).unwrap_or(u32::MAX).max(1));
         let servers = directory.ready(service).map(|(key, server)| {
             let slots_of =
                 |limit: ServerLimit| limited_slots(server.capacity, limit.rate, model.stream_us(key, now_ms));
             EngineSlots {
-                capacity: server.capacity,
+                capacity: server.capacity.min(memory_slots),
                 limited: limits.limit(key).map(slots_of),
             }
         });
@@ -421,17 +577,79 @@
             .record_pace(key, sample, now_ms);
     }
 
+    /// Watches a request that is sent to a backend server until its answer begins.
+    pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey) -> RunWatch {
+        let sent_at_ms = self.now_ms();
+        let mut models = lock(&self.models);
+        models.of_service(service).health.begin(key, sent_at_ms);
+        RunWatch {
+            entry: Arc::clone(self),
+            service: service.to_owned(),
+            key,
+            sent_at_ms,
+            outcome: None,
+        }
+    }
+
+    /// Records that a backend server has failed to bring an answer to its end.
+    pub(crate) fn record_broken_run(&self, service: &str, key: ServerKey) {
+        let now_ms = self.now_ms();
+        let mut models = lock(&self.models);
+        let health = &mut models.of_service(service).health;
+        health.record(key, RunOutcome::Failed, now_ms);
+    }
+
+    /// Records the beginning of a stream of a backend server.
+    pub(crate) fn record_start(&self, service: &str, key: ServerKey, sample: StartSample) {
+        let now_ms = self.now_ms();
+        lock(&self.models)
+            .of_service(service)
+            .record_start(key, sample, now_ms);
+    }
+
     /// Records the open turns of all entries that the ledger hosts have reported.
     pub(crate) fn record_open_turns(&self, open_turns: u64) {
         self.open_turns.store(open_turns, Ordering::Relaxed);
     }
 
-    /// Records the backend server that holds the prompt of a session and of its program.
-    pub(crate) fn record_affinity(&self, affinity: Option<u64>, program: Option<ProgramKey>, key: ServerKey) {
+    /// Records the backend server that holds the prompt of a session and of its program. Returns the one that held it
+    /// before.
+    pub(crate) fn record_affinity(
+        &self,
+        affinity: Option<u64>,
+        program: Option<ProgramKey>,
+        key: ServerKey,
+    ) -> Option<ServerKey> {
         let mut map = lock(&self.affinity);
+        let before = affinity.and_then(|session| map.get(session));
         for session in affinity.into_iter().chain(program.map(program_affinity)) {
             map.set(session, key);
         }
+        before
+    }
+
+    /// Returns why a session has changed its server, after the `tried` servers have not served its request.
+    pub(crate) fn move_cause(&self, before: ServerKey, key: ServerKey, tried: &[ServerKey]) -> &'static str {
+        if before == key {
+            "none"
+        } else if tried.contains(&before) {
+            "failed"
+        } else {
+            let directory = lock(&self.directory);
+            let mut listed = directory.all();
+            match listed.find(|(listed, _)| *listed == before) {
+                None => "removed",
+                Some((_, server)) if server.state == ServerState::Leaving => "leaving",
+                Some(_) => "balance",
+            }
+        }
+    }
+
+    /// Returns the last server of a session, or else of its program.
+    fn last_server(&self, affinity: Option<u64>, program: Option<ProgramKey>) -> Option<ServerKey> {
+        let map = lock(&self.affinity);
+        let of_session = affinity.and_then(|session| map.get(session));
+        of_session.or_else(|| program.and_then(|program| map.get(program_affinity(program))))
     }
 
     /// Returns the load of all ready servers of the services while `open_turns` turns are in progress.
@@ -480,7 +698,7 @@
     /// Returns the Retry-After delay of a refused request in milliseconds. It is longer soon after a start,
     /// because the whole system may have lost power and other entries cannot serve any sooner.
     pub(crate) fn retry_after_ms(&self, code: ResultCode) -> u64 {
-        if code == ResultCode::QueueFull {
+        if matches!(code, ResultCode::QueueFull | ResultCode::MemoryExhausted) {
             return rand::random_range(BUSY_RETRY_AFTER_MS);
         }
         if self.started.elapsed() < RECOVERY_PERIOD {
--- a/components/routing/tests/directory.rs
+++ b/components/routing/tests/directory.rs
@@ -29,6 +29,9 @@
         tried,
         build: None,
         limits: None,
+        memory: None,
+        risks: &[],
+        left_ms: 0,
         draw: 7,
         now_ms: 0,
     }
