Compare servers by their runs only where the platform says that health checks do not show them

Change: an entry compares servers by their runs only if `contracts` of its settings has `health`; else it keeps the mean of a service. Not measured: deployments with `health` are served as before this change.

--- a/components/gateway/src/models.rs
+++ b/components/gateway/src/models.rs
@@ -83,6 +83,11 @@
         self.paces.record(key, sample, now_ms);
     }
 
+    /// Records the pace of a stream for the service as a whole.
+    pub(crate) fn record_mean_pace(&mut self, sample: PaceSample) {
+        self.paces.record_mean(sample);
+    }
+
     /// Records the beginning of a stream of a backend server.
     pub(crate) fn record_start(&mut self, key: ServerKey, sample: StartSample, now_ms: u64) {
         self.paces.record_start(key, sample, now_ms);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -120,6 +120,9 @@
     /// Home servers; `None` if sessions without a known server go to any.
     homes: Option<Mutex<HomeServers>>,
     models: Mutex<ModelObservations>,
+    /// Whether servers are compared by how their runs begin, go on and fail. Where servers cannot fail or slow down
+    /// unnoticed by health checks, such differences are mostly chance.
+    compares_runs: bool,
     /// Open turns of all entries at the last reservation.
     open_turns: AtomicU64,
     started: Instant,
@@ -221,6 +224,9 @@
 
 impl Drop for RunWatch {
     fn drop(&mut self) {
+        if !self.entry.compares_runs {
+            return;
+        }
         let now_ms = self.entry.now_ms();
         let mut models = lock(&self.entry.models);
         let health = &mut models.of_service(&self.service).health;
@@ -265,6 +271,7 @@
             affinity: Mutex::default(),
             homes: None,
             models: Mutex::default(),
+            compares_runs: false,
             open_turns: AtomicU64::new(0),
             started: Instant::now(),
         }
@@ -277,6 +284,13 @@
         self
     }
 
+    /// Has servers compared by how their runs begin, go on and fail, if `compares_runs` is set.
+    #[must_use]
+    pub const fn with_compared_runs(mut self, compares_runs: bool) -> Self {
+        self.compares_runs = compares_runs;
+        self
+    }
+
     /// Returns the client of the ledger hosts.
     pub const fn ledger(&self) -> &LedgerClient {
         &self.ledger
@@ -585,16 +599,20 @@
     /// Records the pace of a stream that a backend server has sent.
     pub(crate) fn record_pace(&self, service: &str, key: ServerKey, sample: PaceSample) {
         let now_ms = self.now_ms();
-        lock(&self.models)
-            .of_service(service)
-            .record_pace(key, sample, now_ms);
+        let mut models = lock(&self.models);
+        let model = models.of_service(service);
+        if self.compares_runs {
+            model.record_pace(key, sample, now_ms);
+        } else {
+            model.record_mean_pace(sample);
+        }
     }
 
     /// Watches a request that is sent to a backend server until its answer begins. Silence tells of a fault only where
     /// answers are streams: other requests may take long by themselves.
     pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey, is_stream: bool) -> RunWatch {
         let sent_at_ms = self.now_ms();
-        if is_stream {
+        if is_stream && self.compares_runs {
             let mut models = lock(&self.models);
             models.of_service(service).health.begin(key, sent_at_ms);
         }
@@ -610,6 +628,9 @@
 
     /// Records that a backend server has failed to bring an answer to its end.
     pub(crate) fn record_broken_run(&self, service: &str, key: ServerKey) {
+        if !self.compares_runs {
+            return;
+        }
         let now_ms = self.now_ms();
         let mut models = lock(&self.models);
         let health = &mut models.of_service(service).health;
@@ -618,6 +639,9 @@
 
     /// Records the beginning of a stream of a backend server.
     pub(crate) fn record_start(&self, service: &str, key: ServerKey, sample: StartSample) {
+        if !self.compares_runs {
+            return;
+        }
         let now_ms = self.now_ms();
         lock(&self.models)
             .of_service(service)
--- a/components/routing/src/pace.rs
+++ b/components/routing/src/pace.rs
@@ -114,12 +114,17 @@
 impl PaceTracker {
     /// Adds the pace of a stream that a server has sent.
     pub fn record(&mut self, key: ServerKey, sample: PaceSample, now_ms: u64) {
-        self.mean_event_us = blend(self.mean_event_us, sample.event_us, MEAN_SHARE);
-        self.mean_events_scaled = blend(self.mean_events_scaled, sample.events * EVENT_SCALE, MEAN_SHARE);
+        self.record_mean(sample);
         let pace = self.pace_mut(key);
         pace.events.record(sample.event_us, EVENT_LIFE_MS, now_ms);
     }
 
+    /// Adds the pace of a stream to the mean of the service only, so that no server is preferred for it.
+    pub fn record_mean(&mut self, sample: PaceSample) {
+        self.mean_event_us = blend(self.mean_event_us, sample.event_us, MEAN_SHARE);
+        self.mean_events_scaled = blend(self.mean_events_scaled, sample.events * EVENT_SCALE, MEAN_SHARE);
+    }
+
     /// Adds the beginning of a stream of a server.
     pub fn record_start(&mut self, key: ServerKey, sample: StartSample, now_ms: u64) {
         let event_us = self.event_us(key, now_ms).max(1);
