Let the bound on new programs fall while an overload refuses many of them

Cause: on engines of 48 and 64 slots new programs were admitted up to 50 to 80 % of the slots, where every turn takes two to three times its time, so that in a lasting burst four in ten programs ended late and the engines worked for them.

Change: AdmissionControl, pure, in routing: a pressure that follows the share of new programs that the load refuses and moves the bound between 2.1 and 1.55 times a turn's duration on an idle engine, within the mean time that programs state they have. Programs that are late before they begin are refused meanwhile. Same code in the lab.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -33,6 +33,8 @@
     pub caller_timeout: Option<Duration>,
     /// Program that the request belongs to.
     pub program: Option<ProgramKey>,
+    /// Time until the program is to have ended, zero once that has passed; `None` if it is not stated.
+    pub program_left: Option<Duration>,
     /// Hash of the session or object whose requests are best served by one backend server.
     pub affinity: Option<u64>,
     /// Tokens that all turns of the program may generate together.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use ledger::{
     LedgerError, ProgramKey, QuotaClass, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord,
 };
-use routing::{EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute, admits_program};
+use routing::{EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
@@ -520,13 +520,15 @@
             .map_err(unavailable)?
         {
             ReserveOutcome::Reserved { is_first, open_turns } => {
-                self.entry.record_open_turns(open_turns);
+                let load = self
+                    .entry
+                    .record_open_turns(open_turns, self.table.model_services());
                 // A turn that continues a stored turn does not count as the start of a program, whichever
                 // program it belongs to.
                 let begins_program = is_first && limit.is_some() && self.facts.previous_turn.is_none();
                 let reservation = TurnReservation::new(ledger.clone(), program, turn, begins_program);
                 if begins_program {
-                    self.admit(program, open_turns)?;
+                    self.admit(program, load)?;
                 }
                 Ok(Some(reservation))
             }
@@ -539,15 +541,23 @@
         }
     }
 
-    /// Refuses a new program while too many slots of the engines are in use.
-    fn admit(&self, program: ProgramKey, open_turns: u64) -> Result<(), CallError> {
-        let load = self.entry.engine_load(self.table.model_services(), open_turns);
-        if admits_program(program.uniform_hash(), load) {
+    /// Refuses a new program while the turns on the engines take too long.
+    fn admit(&self, program: ProgramKey, load: EngineLoad) -> Result<(), CallError> {
+        let (is_admitted, (lowest, highest)) =
+            self.entry.admit_program(program, self.facts.program_left, load);
+        if is_admitted {
             return Ok(());
         }
-        let EngineLoad { slots, engines, .. } = load;
+        let EngineLoad {
+            open_turns,
+            slots,
+            engines,
+        } = load;
         let cause = format!(
-            "new program refused: {open_turns} turns are in progress on {slots} slots of {engines} engines"
+            "new program refused: {open_turns} turns are in progress on {slots} slots of {engines} engines, so that a turn \
+             takes {} thousandths of its time on an idle engine; refused are some programs from {lowest} and all from \
+             {highest}",
+            load.turn_permille()
         );
         Err(CallError::not_run(ResultCode::QueueFull, cause))
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,9 +11,9 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    AccessBounds, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker, LoadTracker,
-    MemoryDemand, MemoryQuery, PaceSample, RouteTable, RunOutcome, ServerDirectory, ServerKey, ServerLimit,
-    ServerQuery, ServerState, StartSample, choose_backend, limited_slots, may_be_full,
+    AccessBounds, AdmissionControl, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker,
+    LoadTracker, MemoryDemand, MemoryQuery, PaceSample, RouteTable, RunOutcome, ServerDirectory, ServerKey,
+    ServerLimit, ServerQuery, ServerState, StartSample, choose_backend, limited_slots, may_be_full,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, Semaphore, watch};
@@ -123,6 +123,7 @@
     /// Whether servers are compared by how their runs begin, go on and fail. Where servers cannot fail or slow down
     /// unnoticed by health checks, such differences are mostly chance.
     compares_runs: bool,
+    admission: Mutex<AdmissionControl>,
     /// Open turns of all entries at the last reservation.
     open_turns: AtomicU64,
     started: Instant,
@@ -272,6 +273,7 @@
             homes: None,
             models: Mutex::default(),
             compares_runs: false,
+            admission: Mutex::default(),
             open_turns: AtomicU64::new(0),
             started: Instant::now(),
         }
@@ -648,9 +650,17 @@
             .record_start(key, sample, now_ms);
     }
 
-    /// Records the open turns of all entries that the ledger hosts have reported.
-    pub(crate) fn record_open_turns(&self, open_turns: u64) {
+    /// Records the open turns of all entries that the ledger hosts have reported, and returns the load of the services'
+    /// servers that follows.
+    pub(crate) fn record_open_turns<'a>(
+        &self,
+        open_turns: u64,
+        services: impl Iterator<Item = &'a str>,
+    ) -> EngineLoad {
         self.open_turns.store(open_turns, Ordering::Relaxed);
+        let load = self.engine_load(services, open_turns);
+        lock(&self.admission).observe(load, self.now_ms());
+        load
     }
 
     /// Records the backend server that holds the prompt of a session and of its program. Returns the one that held it
@@ -694,11 +704,7 @@
     }
 
     /// Returns the load of all ready servers of the services while `open_turns` turns are in progress.
-    pub(crate) fn engine_load<'a>(
-        &self,
-        services: impl Iterator<Item = &'a str>,
-        open_turns: u64,
-    ) -> EngineLoad {
+    fn engine_load<'a>(&self, services: impl Iterator<Item = &'a str>, open_turns: u64) -> EngineLoad {
         let directory = lock(&self.directory);
         let mut models = lock(&self.models);
         let engines = services.flat_map(|service| {
@@ -708,6 +714,19 @@
         EngineLoad::of_engines(open_turns, &engines.collect::<Vec<_>>())
     }
 
+    /// Decides whether a new program may start. Returns also the predicted durations of a turn at which the first and the
+    /// last programs are rejected, in thousandths of the duration on an idle engine.
+    pub(crate) fn admit_program(
+        &self,
+        program: ProgramKey,
+        left: Option<Duration>,
+        load: EngineLoad,
+    ) -> (bool, (u64, u64)) {
+        let mut admission = lock(&self.admission);
+        let is_admitted = admission.admit(program.uniform_hash(), left.map(whole_millis), load);
+        (is_admitted, admission.bounds_permille(load))
+    }
+
     /// Records that a backend server has said in its answer to a request that it leaves. The answer is known before
     /// the discovery service lists the server as leaving, or instead.
     pub(crate) fn record_departure(&self, key: ServerKey, request: &str) {
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -7,8 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use routing::{
-    BackendServer, EngineLoad, LoadTracker, ServerDirectory, ServerKey, ServerQuery, ServerState,
-    admits_program, choose_backend,
+    AdmissionControl, BackendServer, EngineLoad, LoadTracker, ServerDirectory, ServerKey, ServerQuery,
+    ServerState, choose_backend,
 };
 use serde::{Deserialize, Serialize};
 
@@ -67,6 +67,8 @@
     events: BinaryHeap<Reverse<(u64, LabEvent)>>,
     directory: ServerDirectory,
     load_trackers: Vec<LoadTracker>,
+    /// Admission control of each entry.
+    controls: Vec<AdmissionControl>,
     engines: Vec<EngineQueue>,
     programs: Vec<ProgramState>,
     rng: StdRng,
@@ -82,6 +84,7 @@
         events: BinaryHeap::new(),
         directory: directory_of(site.engines),
         load_trackers: (0..site.entries).map(|_| LoadTracker::default()).collect(),
+        controls: vec![AdmissionControl::default(); site.entries],
         engines: vec![EngineQueue::default(); site.engines],
         programs: Vec::new(),
         rng: StdRng::seed_from_u64(seed),
@@ -167,22 +170,24 @@
         }
     }
 
-    fn is_refused(&self, program: usize) -> bool {
-        let state = &self.programs[program];
-        if state.turns_left != self.kind(program).turns {
-            return false;
-        }
+    fn is_refused(&mut self, program: usize) -> bool {
+        let ends_at_us = self.programs[program].started_at_us + self.aim_us(program);
+        let left_ms = ends_at_us.saturating_sub(self.now_us) / 1_000;
+        let is_first = self.programs[program].turns_left == self.kind(program).turns;
         let load: usize = self.engines.iter().map(EngineQueue::load).sum();
         match self.policy {
             LabPolicy::Open | LabPolicy::Stages => false,
-            LabPolicy::Bound(limit) => load >= limit as usize * self.engines.len(),
+            LabPolicy::Bound(limit) => is_first && load >= limit as usize * self.engines.len(),
             LabPolicy::Admission => {
                 let load = EngineLoad {
                     open_turns: load as u64,
                     slots: (self.site.engine.slots * self.engines.len()) as u64,
                     engines: self.engines.len() as u64,
                 };
-                !admits_program(state.draw, load)
+                let state = &self.programs[program];
+                let control = &mut self.controls[state.entry];
+                control.observe(load, self.now_us / 1_000);
+                is_first && !control.admit(state.draw, Some(left_ms), load)
             }
         }
     }
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -11,18 +11,31 @@
 //! slows them, and a short queue costs little, because a slot becomes free soon. The load is therefore judged by
 //! the predicted duration of a turn and not only by the share of occupied slots.
 
+use std::ops::RangeInclusive;
+
 use crate::pace::STEP_GROWTH_PERMILLE;
 
-/// Percentage of occupied slots below which no program is rejected.
-const SHED_START_PERCENT: u64 = 50;
-/// Percentage of occupied slots below which some programs are admitted.
-const SHED_ALL_PERCENT: u64 = 80;
-/// Predicted duration of a turn, in thousandths of its duration on an idle engine, below which no program is
-/// rejected.
-const SHED_START_PERMILLE: u64 = 1_420;
-/// Predicted duration of a turn, in thousandths of its duration on an idle engine, below which some programs are
-/// admitted.
-const SHED_ALL_PERMILLE: u64 = 1_670;
+/// Middle of the range of predicted turn durations in which some programs are rejected while an overload lasts, in
+/// thousandths of the duration on an idle engine.
+const LASTING_BOUND_PERMILLE: u64 = 1_550;
+/// Largest value of the same when an overload begins.
+const BURST_BOUND_PERMILLE: u64 = 2_100;
+/// Share of the slots that a burst may fill, in thousandths. On engines with few slots a burst that fills them makes turns
+/// wait, so that the bound is that of a lasting overload from the beginning.
+const BURST_SLOTS_PERMILLE: u64 = 667;
+/// Divisor of the middle of the range that gives half of its width.
+const HALF_WIDTH_DIVISOR: u64 = 8;
+/// Highest pressure.
+const MAX_PRESSURE: u64 = 1_000_000;
+/// Weight of refused programs in the pressure, against that of admitted ones: the pressure rises while more than one of
+/// nine programs is refused.
+const REFUSAL_WEIGHT: u64 = 8;
+/// Range of the time in milliseconds within which programs are to end.
+const HORIZON_MS: RangeInclusive<u64> = 500..=20_000;
+/// The same until the first program has stated its deadline.
+const START_HORIZON_MS: u64 = 3_000;
+/// Divisor of the weight of a new program in the mean horizon.
+const HORIZON_SHARE: u64 = 16;
 
 /// Load of all engines that serve the programs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -92,13 +105,74 @@
     }
 }
 
-/// Returns whether a new program may start. `draw` is a number that stays the same for a program and is uniformly
-/// distributed over its range. Without any slots, every program is admitted here.
-pub fn admits_program(draw: u32, load: EngineLoad) -> bool {
-    if load.slots == 0 {
-        return true;
+/// Decides on new programs.
+///
+/// A short or slight burst is admitted, since the time that programs have to spare absorbs it. In a strong one that lasts,
+/// turns that wait behind all others end late: while many programs are refused, a pressure rises within the time in which
+/// programs are to end, and the bound falls with it.
+#[derive(Debug, Clone)]
+pub struct AdmissionControl {
+    /// Share of refused programs over the last horizon, as far as it exceeds what slight bursts cause.
+    pressure: u64,
+    /// Mean time until the deadline of a new program, in milliseconds.
+    horizon_ms: u64,
+    observed_at_ms: u64,
+}
+
+impl Default for AdmissionControl {
+    fn default() -> Self {
+        Self {
+            pressure: 0,
+            horizon_ms: START_HORIZON_MS,
+            observed_at_ms: 0,
+        }
+    }
+}
+
+impl AdmissionControl {
+    /// Returns whether a new program may start. `draw` is a number that stays the same for a program and is uniformly
+    /// distributed over its range; `left_ms` is the time until the program's deadline, if that is known. Without any
+    /// slots, every program is admitted here.
+    pub fn admit(&mut self, draw: u32, left_ms: Option<u64>, load: EngineLoad) -> bool {
+        if let Some(left_ms) = left_ms {
+            let horizon_ms = (self.horizon_ms * (HORIZON_SHARE - 1) + left_ms) / HORIZON_SHARE;
+            self.horizon_ms = horizon_ms.clamp(*HORIZON_MS.start(), *HORIZON_MS.end());
+        }
+        let (lowest, highest) = self.bounds_permille(load);
+        let bound = lowest + (highest - lowest) * u64::from(draw) / u64::from(u32::MAX);
+        let turn_permille = load.turn_permille();
+        // A program that is late already would make others late.
+        let is_too_late = left_ms == Some(0) && turn_permille >= lowest;
+        load.slots == 0 || (turn_permille < bound && !is_too_late)
+    }
+
+    /// Records the load at the beginning of a turn of any program. The pressure follows the share of all new programs that
+    /// the load refuses: decisions on single programs would tell an entry less, since one of many entries makes few.
+    pub fn observe(&mut self, load: EngineLoad, now_ms: u64) {
+        let (lowest, highest) = self.bounds_permille(load);
+        let excess = load.turn_permille().clamp(lowest, highest) - lowest;
+        let refused_permille = excess * 1_000 / (highest - lowest);
+        let elapsed_ms = now_ms.saturating_sub(self.observed_at_ms).min(self.horizon_ms);
+        self.observed_at_ms = now_ms;
+        let change = elapsed_ms * MAX_PRESSURE / self.horizon_ms;
+        let rise = change * refused_permille * REFUSAL_WEIGHT / 1_000;
+        let fall = change * (1_000 - refused_permille) / 1_000;
+        self.pressure = (self.pressure + rise).saturating_sub(fall).min(MAX_PRESSURE);
+    }
+
+    /// Returns the predicted durations of a turn at which the first and the last programs are rejected on such engines, in
+    /// thousandths of the duration on an idle engine.
+    pub fn bounds_permille(&self, engines: EngineLoad) -> (u64, u64) {
+        let filled = EngineLoad {
+            open_turns: engines.slots * BURST_SLOTS_PERMILLE / 1_000,
+            ..engines
+        };
+        let burst_bound = filled
+            .turn_permille()
+            .clamp(LASTING_BOUND_PERMILLE, BURST_BOUND_PERMILLE);
+        let fall = (burst_bound - LASTING_BOUND_PERMILLE) * self.pressure / MAX_PRESSURE;
+        let middle = burst_bound - fall;
+        let half_width = middle / HALF_WIDTH_DIVISOR;
+        (middle - half_width, middle + half_width)
     }
-    let between = |start: u64, all: u64| start + (all - start) * u64::from(draw) / u64::from(u32::MAX);
-    let has_free_slots = load.open_turns * 100 < load.slots * between(SHED_START_PERCENT, SHED_ALL_PERCENT);
-    has_free_slots || load.turn_permille() < between(SHED_START_PERMILLE, SHED_ALL_PERMILLE)
 }
