Split the entry's state by question

Cause: gateway/src/state.rs had 818 lines on who may begin, which server a session had, and what runs tell of servers.

Change, without a change of behaviour: admission.rs (who may begin: load of the engines, decision on new programs), affinity.rs (what is remembered of sessions, a map without knowledge of the entry) and runs.rs (what is learnt from runs). state.rs has 600 lines. Moved lines are the same but for visibility and the two methods of the affinity map. No file of the three is imported by another one in a circle.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,6 +3,8 @@
 //! The names of the headers on both sides are defined by a [`WireDialect`].
 
 mod access;
+mod admission;
+mod affinity;
 mod answer;
 mod caller_stream;
 mod chains;
@@ -26,6 +28,7 @@
 mod quota;
 mod read_ahead;
 mod relay;
+mod runs;
 mod state;
 
 pub use dialect::{
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! State that the tasks of an entry share.
 
-use std::collections::HashMap;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,14 +10,14 @@
 use errors::ResultCode;
 use ledger::{LedgerClient, ProgramKey};
 use routing::{
-    AccessBounds, AdmissionControl, BackendServer, EngineLoad, EngineSlots, LimitQuery, LimitTracker,
-    LoadTracker, MemoryDemand, MemoryQuery, PaceSample, RouteTable, RunOutcome, ServerDirectory, ServerKey,
-    ServerLimit, ServerQuery, ServerState, StartSample, choose_backend, limited_slots, may_be_full,
+    AccessBounds, AdmissionControl, BackendServer, LimitQuery, LimitTracker, LoadTracker, MemoryDemand,
+    MemoryQuery, RouteTable, ServerDirectory, ServerKey, ServerQuery, ServerState, choose_backend,
 };
 use slog::{Logger, info};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::timeout;
 
+use crate::affinity::{AffinityMap, program_affinity};
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
 use crate::dialect::WireDialect;
@@ -31,9 +30,6 @@
 use crate::models::{FaultChange, ModelObservation, ModelObservations, TurnPrompt};
 use crate::pool::ServerPool;
 
-/// Capacity of each of the two maps of an [`AffinityMap`], in sessions and programs.
-const AFFINITY_CAPACITY: usize = 20_000;
-
 /// Retry-After delay of a refused request in milliseconds: about the time in which a busy queue serves a few
 /// turns.
 const RETRY_AFTER_MS: u64 = 200;
@@ -55,9 +51,6 @@
 /// Limit on the connections that are open only for a refusal; further ones are reset.
 const MAX_REFUSING_CONNECTIONS: usize = 32;
 
-/// Largest load in thousandths of the slots that the choice of a server distinguishes.
-const MAX_LOAD_PERMILLE: u64 = 2_000;
-
 /// Phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -70,29 +63,6 @@
     Closing,
 }
 
-/// Last backend server of each session and program, in two maps: when `newer` is full, it replaces `older`.
-#[derive(Debug, Default)]
-struct AffinityMap {
-    newer: HashMap<u64, ServerKey>,
-    older: HashMap<u64, ServerKey>,
-}
-
-impl AffinityMap {
-    fn get(&self, session: u64) -> Option<ServerKey> {
-        self.newer
-            .get(&session)
-            .or_else(|| self.older.get(&session))
-            .copied()
-    }
-
-    fn set(&mut self, session: u64, key: ServerKey) {
-        if self.newer.len() >= AFFINITY_CAPACITY {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        self.newer.insert(session, key);
-    }
-}
-
 /// State that the tasks of an entry share.
 #[derive(Debug)]
 pub struct EntryState {
@@ -114,18 +84,18 @@
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) directory: Mutex<ServerDirectory>,
-    loads: Mutex<LoadTracker>,
+    pub(crate) loads: Mutex<LoadTracker>,
     pub(crate) limits: Mutex<LimitTracker>,
     affinity: Mutex<AffinityMap>,
     /// Home servers; `None` if sessions without a known server go to any.
     homes: Option<Mutex<HomeServers>>,
-    models: Mutex<ModelObservations>,
+    pub(crate) models: Mutex<ModelObservations>,
     /// Whether servers are compared by how their runs begin, go on and fail. Where servers cannot fail or slow down
     /// unnoticed by health checks, such differences are mostly chance.
-    compares_runs: bool,
-    admission: Mutex<AdmissionControl>,
+    pub(crate) compares_runs: bool,
+    pub(crate) admission: Mutex<AdmissionControl>,
     /// Open turns of all entries at the last reservation.
-    open_turns: AtomicU64,
+    pub(crate) open_turns: AtomicU64,
     started: Instant,
 }
 
@@ -199,46 +169,6 @@
     }
 }
 
-/// A request whose answer from a backend server has not begun. Dropping it records how it has ended.
-#[derive(Debug)]
-pub(crate) struct RunWatch {
-    entry: Arc<EntryState>,
-    service: String,
-    key: ServerKey,
-    sent_at_ms: u64,
-    is_stream: bool,
-    outcome: Option<RunOutcome>,
-}
-
-impl RunWatch {
-    /// Records that the answer has begun.
-    pub(crate) fn answer(mut self) {
-        let after_ms = self.entry.now_ms().saturating_sub(self.sent_at_ms);
-        self.outcome = Some(RunOutcome::Answered { after_ms });
-    }
-
-    /// Records that the server has given no usable answer.
-    pub(crate) const fn fail(&mut self) {
-        self.outcome = Some(RunOutcome::Failed);
-    }
-}
-
-impl Drop for RunWatch {
-    fn drop(&mut self) {
-        if !self.entry.compares_runs {
-            return;
-        }
-        let now_ms = self.entry.now_ms();
-        let mut models = lock(&self.entry.models);
-        let health = &mut models.of_service(&self.service).health;
-        if self.is_stream {
-            health.end(self.key, self.sent_at_ms, self.outcome, now_ms);
-        } else if let Some(outcome) = self.outcome {
-            health.record(self.key, outcome, now_ms);
-        }
-    }
-}
-
 impl EntryState {
     /// Creates the state of an entry that has neither a configuration nor backend servers yet.
     pub fn new(
@@ -407,7 +337,7 @@
 
     /// Chooses a backend server and counts the request as its load.
     pub(crate) fn pick(self: &Arc<Self>, request: PickRequest<'_>) -> Option<PickedServer> {
-        let remembered = self.last_server(request.affinity, request.program);
+        let remembered = lock(&self.affinity).last_server(request.affinity, request.program);
         let mut directory = lock(&self.directory);
         for server in directory.expire(self.now_ms()) {
             info!(self.log, "backend server without a registration dropped"; "server" => &server.name,
@@ -519,25 +449,8 @@
             .any(|(_, server)| server.build() == build)
     }
 
-    /// Returns whether a server with this capacity may have no free slot at the present load of its service.
-    pub(crate) fn may_be_full(&self, service: &str, capacity: u32) -> bool {
-        let directory = lock(&self.directory);
-        let mut models = lock(&self.models);
-        may_be_full(
-            self.load_permille(&directory, models.of_service(service), service),
-            capacity,
-        )
-    }
-
-    /// Returns the share of the slots of a service that are in use, in thousandths.
-    fn load_permille(&self, directory: &ServerDirectory, model: &ModelObservation, service: &str) -> u64 {
-        let engines = self.engine_slots(directory, model, service);
-        let load = EngineLoad::of_engines(self.open_turns.load(Ordering::Relaxed), &engines);
-        load.slots_permille().min(MAX_LOAD_PERMILLE)
-    }
-
     /// Returns the memory of each server of a service in tokens, if it is counted.
-    fn server_tokens(&self, service: &str) -> Option<u64> {
+    pub(crate) fn server_tokens(&self, service: &str) -> Option<u64> {
         let table = self.table.load();
         let profile = table.as_ref()?.service(service)?;
         profile.cache_tokens.filter(|_| self.memory.is_bounded())
@@ -574,95 +487,6 @@
         }
     }
 
-    /// Returns the slots of the servers of a service, as far as their memory allows requests of average size.
-    fn engine_slots(
-        &self,
-        directory: &ServerDirectory,
-        model: &ModelObservation,
-        service: &str,
-    ) -> Vec<EngineSlots> {
-        let limits = lock(&self.limits);
-        let now_ms = self.now_ms();
-        let memory_slots = self
-            .server_tokens(service)
-            .and_then(|server_tokens| model.memory.mean_slots(server_tokens))
-            .map_or(u32::MAX, |slots| u32::try_from(slots).unwrap_or(u32::MAX).max(1));
-        let servers = directory.ready(service).map(|(key, server)| {
-            let slots_of =
-                |limit: ServerLimit| limited_slots(server.capacity, limit.rate, model.stream_us(key, now_ms));
-            EngineSlots {
-                capacity: server.capacity.min(memory_slots),
-                limited: limits.limit(key).map(slots_of),
-            }
-        });
-        servers.collect()
-    }
-
-    /// Records the pace of a stream that a backend server has sent.
-    pub(crate) fn record_pace(&self, service: &str, key: ServerKey, sample: PaceSample) {
-        let now_ms = self.now_ms();
-        let mut models = lock(&self.models);
-        let model = models.of_service(service);
-        if self.compares_runs {
-            model.record_pace(key, sample, now_ms);
-        } else {
-            model.record_mean_pace(sample);
-        }
-    }
-
-    /// Watches a request that is sent to a backend server until its answer begins. Silence tells of a fault only where
-    /// answers are streams: other requests may take long by themselves.
-    pub(crate) fn watch_run(self: &Arc<Self>, service: &str, key: ServerKey, is_stream: bool) -> RunWatch {
-        let sent_at_ms = self.now_ms();
-        if is_stream && self.compares_runs {
-            let mut models = lock(&self.models);
-            models.of_service(service).health.begin(key, sent_at_ms);
-        }
-        RunWatch {
-            entry: Arc::clone(self),
-            service: service.to_owned(),
-            key,
-            sent_at_ms,
-            is_stream,
-            outcome: None,
-        }
-    }
-
-    /// Records that a backend server has failed to bring an answer to its end.
-    pub(crate) fn record_broken_run(&self, service: &str, key: ServerKey) {
-        if !self.compares_runs {
-            return;
-        }
-        let now_ms = self.now_ms();
-        let mut models = lock(&self.models);
-        let health = &mut models.of_service(service).health;
-        health.record(key, RunOutcome::Failed, now_ms);
-    }
-
-    /// Records the beginning of a stream of a backend server.
-    pub(crate) fn record_start(&self, service: &str, key: ServerKey, sample: StartSample) {
-        if !self.compares_runs {
-            return;
-        }
-        let now_ms = self.now_ms();
-        lock(&self.models)
-            .of_service(service)
-            .record_start(key, sample, now_ms);
-    }
-
-    /// Records the open turns of all entries that the ledger hosts have reported, and returns the load of the services'
-    /// servers that follows.
-    pub(crate) fn record_open_turns<'a>(
-        &self,
-        open_turns: u64,
-        services: impl Iterator<Item = &'a str>,
-    ) -> EngineLoad {
-        self.open_turns.store(open_turns, Ordering::Relaxed);
-        let load = self.engine_load(services, open_turns);
-        lock(&self.admission).observe(load, self.now_ms());
-        load
-    }
-
     /// Records the backend server that holds the prompt of a session and of its program. Returns the one that held it
     /// before.
     pub(crate) fn record_affinity(
@@ -671,12 +495,7 @@
         program: Option<ProgramKey>,
         key: ServerKey,
     ) -> Option<ServerKey> {
-        let mut map = lock(&self.affinity);
-        let before = affinity.and_then(|session| map.get(session));
-        for session in affinity.into_iter().chain(program.map(program_affinity)) {
-            map.set(session, key);
-        }
-        before
+        lock(&self.affinity).record(affinity, program, key)
     }
 
     /// Returns why a session has changed its server, after the `tried` servers have not served its request.
@@ -696,37 +515,6 @@
         }
     }
 
-    /// Returns the last server of a session, or else of its program.
-    fn last_server(&self, affinity: Option<u64>, program: Option<ProgramKey>) -> Option<ServerKey> {
-        let map = lock(&self.affinity);
-        let of_session = affinity.and_then(|session| map.get(session));
-        of_session.or_else(|| program.and_then(|program| map.get(program_affinity(program))))
-    }
-
-    /// Returns the load of all ready servers of the services while `open_turns` turns are in progress.
-    fn engine_load<'a>(&self, services: impl Iterator<Item = &'a str>, open_turns: u64) -> EngineLoad {
-        let directory = lock(&self.directory);
-        let mut models = lock(&self.models);
-        let engines = services.flat_map(|service| {
-            let model = models.of_service(service);
-            self.engine_slots(&directory, model, service)
-        });
-        EngineLoad::of_engines(open_turns, &engines.collect::<Vec<_>>())
-    }
-
-    /// Decides whether a new program may start. Returns also the predicted durations of a turn at which the first and the
-    /// last programs are rejected, in thousandths of the duration on an idle engine.
-    pub(crate) fn admit_program(
-        &self,
-        program: ProgramKey,
-        left: Option<Duration>,
-        load: EngineLoad,
-    ) -> (bool, (u64, u64)) {
-        let mut admission = lock(&self.admission);
-        let is_admitted = admission.admit(program.uniform_hash(), left.map(whole_millis), load);
-        (is_admitted, admission.bounds_permille(load))
-    }
-
     /// Records that a backend server has said in its answer to a request that it leaves. The answer is known before
     /// the discovery service lists the server as leaving, or instead.
     pub(crate) fn record_departure(&self, key: ServerKey, request: &str) {
@@ -801,14 +589,6 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "any half of the hash will do as a key"
-)]
-const fn program_affinity(program: ProgramKey) -> u64 {
-    program.0 as u64
-}
-
 /// Returns a duration in whole milliseconds, rounded down; the largest number if it does not fit.
 pub fn whole_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
