Name in the log of a failed request the turn or stream that it continues

Cause: a line with code 3022 said that no ledger host knows the turn, but not which one, so that docs/OPERATIONS.md could not be followed. Change: the key 'continues' of 'request failed', from the dialect. Other refusal lines were not gone through. Result: the test of the dialect's ids passes; before, the line had no such key.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -151,6 +151,10 @@
     /// Returns the id of a caller's request for logs, or an empty string when it has none.
     fn request_id<'a>(&self, headers: &'a HeaderMap) -> &'a str;
 
+    /// Returns the id of the attempt from which a caller's request goes on, for logs: that of the stored turn that it
+    /// continues, or of the stream that it takes up again.
+    fn continued_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Returns the API key of a caller's request; `None` unless it has exactly one.
     fn api_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -624,7 +624,8 @@
         return;
     }
     let id = entry.dialect.request_id(&head.headers);
-    info!(entry.log, "request failed"; "request" => id, "path" => head.uri.path(),
+    let continued = entry.dialect.continued_id(&head.headers);
+    info!(entry.log, "request failed"; "request" => id, "continues" => continued, "path" => head.uri.path(),
         "code" => error.code.number(), "run" => outcome, "error" => &error.message,
         "ms" => arrived.elapsed().as_millis());
 }
