Return the bounds of a refusal as a type

Cause: admit_program returned a flag and a pair of numbers that a reader could not tell apart, computed even when the program was admitted. Change: AdmissionControl::admit fails with AdmissionBounds. No change of behaviour.

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use ledger::ProgramKey;
-use routing::{EngineLoad, EngineSlots, ServerDirectory, ServerLimit, limited_slots, may_be_full};
+use routing::{
+    AdmissionBounds, EngineLoad, EngineSlots, ServerDirectory, ServerLimit, limited_slots, may_be_full,
+};
 
 use crate::models::ModelObservation;
 use crate::state::{EntryState, lock, whole_millis};
@@ -26,17 +28,19 @@
         load
     }
 
-    /// Decides whether a new program may start. Returns also the predicted durations of a turn at which the first and the
-    /// last programs are rejected, in thousandths of the duration on an idle engine.
+    /// Decides whether a new program may start that has this time left, if that is known.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the bounds of the decision if the program is refused.
     pub(crate) fn admit_program(
         &self,
         program: ProgramKey,
         left: Option<Duration>,
         load: EngineLoad,
-    ) -> (bool, (u64, u64)) {
-        let mut admission = lock(&self.admission);
-        let is_admitted = admission.admit(program.uniform_hash(), left.map(whole_millis), load);
-        (is_admitted, admission.bounds_permille(load))
+    ) -> Result<(), AdmissionBounds> {
+        let left_ms = left.map(whole_millis);
+        lock(&self.admission).admit(program.uniform_hash(), left_ms, load)
     }
 
     /// Returns the load of all ready servers of the services while `open_turns` turns are in progress.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use ledger::{
     LedgerError, ProgramKey, QuotaClass, ReserveOutcome, TokenBudget, TurnClaim, TurnKey, TurnRecord,
 };
-use routing::{EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute};
+use routing::{AdmissionBounds, EngineLoad, KeyHolder, RouteMatch, RouteTable, RunPolicy, ServiceRoute};
 use slog::info;
 use tokio::time::{sleep, timeout_at};
 
@@ -543,11 +543,10 @@
 
     /// Refuses a new program while the turns on the engines take too long.
     fn admit(&self, program: ProgramKey, load: EngineLoad) -> Result<(), CallError> {
-        let (is_admitted, (lowest, highest)) =
-            self.entry.admit_program(program, self.facts.program_left, load);
-        if is_admitted {
+        let decision = self.entry.admit_program(program, self.facts.program_left, load);
+        let Err(AdmissionBounds { lowest, highest }) = decision else {
             return Ok(());
-        }
+        };
         let EngineLoad {
             open_turns,
             slots,
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -187,7 +187,7 @@
                 let state = &self.programs[program];
                 let control = &mut self.controls[state.entry];
                 control.observe(load, self.now_us / 1_000);
-                is_first && !control.admit(state.draw, Some(left_ms), load)
+                is_first && control.admit(state.draw, Some(left_ms), load).is_err()
             }
         }
     }
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -105,6 +105,15 @@
     }
 }
 
+/// Predicted durations of a turn that decide on new programs, in thousandths of the duration on an idle engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionBounds {
+    /// Duration from which some programs are refused.
+    pub lowest: u64,
+    /// Duration from which all programs are refused.
+    pub highest: u64,
+}
+
 /// Decides on new programs.
 ///
 /// A short or slight burst is admitted, since the time that programs have to spare absorbs it. In a strong one that lasts,
@@ -112,7 +121,7 @@
 /// programs are to end, and the bound falls with it.
 #[derive(Debug, Clone)]
 pub struct AdmissionControl {
-    /// Share of refused programs over the last horizon, as far as it exceeds what slight bursts cause.
+    /// From 0 in a calm time to [`MAX_PRESSURE`] in an overload that lasts.
     pressure: u64,
     /// Mean time until the deadline of a new program, in milliseconds.
     horizon_ms: u64,
@@ -130,26 +139,42 @@
 }
 
 impl AdmissionControl {
-    /// Returns whether a new program may start. `draw` is a number that stays the same for a program and is uniformly
+    /// Decides whether a new program may start. `draw` is a number that stays the same for a program and is uniformly
     /// distributed over its range; `left_ms` is the time until the program's deadline, if that is known. Without any
     /// slots, every program is admitted here.
-    pub fn admit(&mut self, draw: u32, left_ms: Option<u64>, load: EngineLoad) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Fails with the bounds of the decision if the program is refused.
+    pub fn admit(
+        &mut self,
+        draw: u32,
+        left_ms: Option<u64>,
+        load: EngineLoad,
+    ) -> Result<(), AdmissionBounds> {
         if let Some(left_ms) = left_ms {
             let horizon_ms = (self.horizon_ms * (HORIZON_SHARE - 1) + left_ms) / HORIZON_SHARE;
             self.horizon_ms = horizon_ms.clamp(*HORIZON_MS.start(), *HORIZON_MS.end());
         }
-        let (lowest, highest) = self.bounds_permille(load);
+        if load.slots == 0 {
+            return Ok(());
+        }
+        let bounds = self.bounds(load);
+        let AdmissionBounds { lowest, highest } = bounds;
         let bound = lowest + (highest - lowest) * u64::from(draw) / u64::from(u32::MAX);
         let turn_permille = load.turn_permille();
         // A program that is late already would make others late.
         let is_too_late = left_ms == Some(0) && turn_permille >= lowest;
-        load.slots == 0 || (turn_permille < bound && !is_too_late)
+        if turn_permille < bound && !is_too_late {
+            return Ok(());
+        }
+        Err(bounds)
     }
 
     /// Records the load at the beginning of a turn of any program. The pressure follows the share of all new programs that
     /// the load refuses: decisions on single programs would tell an entry less, since one of many entries makes few.
     pub fn observe(&mut self, load: EngineLoad, now_ms: u64) {
-        let (lowest, highest) = self.bounds_permille(load);
+        let AdmissionBounds { lowest, highest } = self.bounds(load);
         let excess = load.turn_permille().clamp(lowest, highest) - lowest;
         let refused_permille = excess * 1_000 / (highest - lowest);
         let elapsed_ms = now_ms.saturating_sub(self.observed_at_ms).min(self.horizon_ms);
@@ -160,9 +185,7 @@
         self.pressure = (self.pressure + rise).saturating_sub(fall).min(MAX_PRESSURE);
     }
 
-    /// Returns the predicted durations of a turn at which the first and the last programs are rejected on such engines, in
-    /// thousandths of the duration on an idle engine.
-    pub fn bounds_permille(&self, engines: EngineLoad) -> (u64, u64) {
+    fn bounds(&self, engines: EngineLoad) -> AdmissionBounds {
         let filled = EngineLoad {
             open_turns: engines.slots * BURST_SLOTS_PERMILLE / 1_000,
             ..engines
@@ -173,6 +196,9 @@
         let fall = (burst_bound - LASTING_BOUND_PERMILLE) * self.pressure / MAX_PRESSURE;
         let middle = burst_bound - fall;
         let half_width = middle / HALF_WIDTH_DIVISOR;
-        (middle - half_width, middle + half_width)
+        AdmissionBounds {
+            lowest: middle - half_width,
+            highest: middle + half_width,
+        }
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -21,7 +21,7 @@
 mod workspace;
 
 pub use access::{AccessBounds, AccessDecision, KeyHolder, RefreshGate, RefreshStep};
-pub use admission::{AdmissionControl, EngineLoad, EngineSlots};
+pub use admission::{AdmissionBounds, AdmissionControl, EngineLoad, EngineSlots};
 pub use assignment::AssignmentTable;
 pub use balance::{LoadTracker, PromptQuery, ServerPick, ServerQuery, choose_backend, may_be_full};
 pub use directory::{BackendServer, ServerDirectory, ServerKey, ServerState};
--- a/components/routing/tests/admission.rs
+++ b/components/routing/tests/admission.rs
@@ -27,7 +27,7 @@
 
 /// Decides on one program without any observation.
 fn admits(draw: u32, load: EngineLoad) -> bool {
-    AdmissionControl::default().admit(draw, None, load)
+    AdmissionControl::default().admit(draw, None, load).is_ok()
 }
 
 #[gtest]
@@ -170,7 +170,7 @@
         control.observe(load, now_ms);
         for draw in 0..1_000_u32 {
             let draw = draw * (u32::MAX / 1_000);
-            admitted += usize::from(control.admit(draw, Some(2_000), load));
+            admitted += usize::from(control.admit(draw, Some(2_000), load).is_ok());
         }
     }
     admitted
--- a/components/routing/tests/overload.rs
+++ b/components/routing/tests/overload.rs
@@ -112,7 +112,9 @@
                     let left_ms = program.ends_by_ms.saturating_sub(now_ms);
                     let is_admitted = entries == 0 || {
                         controls[entry].observe(engines, now_ms);
-                        controls[entry].admit(program.draw, Some(left_ms), engines)
+                        controls[entry]
+                            .admit(program.draw, Some(left_ms), engines)
+                            .is_ok()
                     };
                     if is_admitted {
                         open_turns += 1;
