--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -84,7 +84,7 @@
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<StopPhase>,
     pub(crate) directory: Mutex<ServerDirectory>,
-    pub(crate) loads: Mutex<LoadTracker>,
+    loads: Mutex<LoadTracker>,
     pub(crate) limits: Mutex<LimitTracker>,
     affinity: Mutex<AffinityMap>,
     /// Home servers; `None` if sessions without a known server go to any.
