--- a/review/standins/src/bin/leading.rs
+++ b/review/standins/src/bin/leading.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::thread::{self, sleep};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use review_standins::http::{Answer, call};
 use review_standins::record::Record;
@@ -17,9 +17,10 @@
 
 /// Retention of the route.
 const RETENTION_S: u64 = 60;
-/// Sub-agents of other programs that run then, and the time after which the workers crash and are back.
+/// Sub-agents of other programs that run then, the time for which they have run when the workers crash, and the time after
+/// which these are back.
 const HELPERS: u64 = 6;
-const CRASH_AFTER: Duration = Duration::from_millis(120);
+const CRASH_AFTER: Duration = Duration::from_millis(100);
 const DOWN: Duration = Duration::from_secs(3);
 /// Time in which the program of the session is to be finished.
 const PROGRAM_MS: f64 = 300_000.0;
@@ -130,6 +131,17 @@
             });
         }
         if has_trouble() {
+            // The helpers have reached their workers, and none of them has ended.
+            let until = Instant::now() + Duration::from_secs(2);
+            let reached = || {
+                runs.all()
+                    .iter()
+                    .filter(|run| run.attempt.starts_with("helper"))
+                    .count() as u64
+            };
+            while reached() < HELPERS && Instant::now() < until {
+                sleep(Duration::from_millis(2));
+            }
             sleep(CRASH_AFTER);
             let crashes = workers[..4]
                 .iter()
