--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -215,7 +215,7 @@
     fn apply_suspects(&self, notices: &[SuspectNotice]) {
         for notice in self.crashes.changed_verdicts(notices) {
             info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
-                "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
+                "scope" => ?notice.scope, "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
         }
         let acquitted = self.crashes.set_notices(notices, self.now_ms());
         self.acquit(acquitted);
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -525,10 +525,12 @@
         let request = self.request(&server, left, slot);
         let is_stream = self.plan.prompt.is_some();
         let mut watch = self.entry.watch_run(&self.plan.service, key, is_stream);
+        self.mark_sent(true);
         let sending = self.entry.pool.send(&server, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(_))) => {
+                self.mark_sent(false);
                 watch.fail();
                 return Err(AttemptOutcome::NotSent);
             }
@@ -566,10 +568,12 @@
                 return Err(AttemptOutcome::Lost);
             }
             AnswerKind::Refused => {
+                self.mark_sent(false);
                 finish_refusal(answer);
                 return Err(AttemptOutcome::Refused);
             }
             AnswerKind::WrongServer => {
+                self.mark_sent(false);
                 finish_refusal(answer);
                 return Err(AttemptOutcome::WrongServer);
             }
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -28,6 +28,8 @@
     workspace: String,
     demand: QuotaDemand,
     held: Option<HeldPermit>,
+    /// Whether the request was handed to a connection since the ticket has the permit.
+    is_sent: bool,
 }
 
 impl QuotaTicket {
@@ -50,6 +52,7 @@
             workspace: workspace.name.clone(),
             demand,
             held: None,
+            is_sent: false,
         })
     }
 
@@ -113,6 +116,24 @@
     }
 }
 
+impl Drop for Dispatcher {
+    /// Logs the permit of a request that ends without having used it.
+    fn drop(&mut self) {
+        let Some(ticket) = self.plan.quota.as_ref().filter(|ticket| ticket.held.is_some()) else {
+            return;
+        };
+        self.entry
+            .metrics
+            .quota_permits
+            .with_label_values(&["returned"])
+            .inc();
+        if self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "permit of a workspace given back"; "request" => &self.plan.attempt_id,
+                "workspace" => &ticket.workspace, "sent" => ticket.is_sent);
+        }
+    }
+}
+
 impl Dispatcher {
     /// Obtains the permit of the request's workspace and waits until it is due, unless the request holds one that has not
     /// expired.
@@ -158,6 +179,13 @@
         }
     }
 
+    /// Records whether the request has been handed to a connection.
+    pub(crate) fn mark_sent(&mut self, is_sent: bool) {
+        if let Some(ticket) = &mut self.plan.quota {
+            ticket.is_sent = is_sent;
+        }
+    }
+
     /// Uses the permit of the request's workspace up: the request may have run.
     pub(crate) fn use_quota(&mut self) {
         if let Some(ticket) = &mut self.plan.quota {
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -23,7 +23,7 @@
 };
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::{KindSnapshot, SnapshotPage, SnapshotSet};
-use crate::table::{FoundRecord, RecordTable};
+use crate::table::{FoundRecord, PrunedTurns, RecordTable};
 
 /// Largest number of keys in one page of changes.
 const PAGE_LIMIT_KEYS: usize = 4_096;
@@ -163,7 +163,10 @@
     /// Removes the records whose retention has expired, the backend servers that no entry has asked for and the requests
     /// under which none has crashed lately.
     pub fn prune(&self, now_ms: u64) {
-        self.table().prune(now_ms);
+        let pruned = self.table().prune(now_ms);
+        if pruned != PrunedTurns::default() {
+            info!(self.shared.log, "turns expired"; "removed" => pruned.removed, "continued" => pruned.continued);
+        }
         self.permit_table().prune(self.uptime_us());
         let uptime_ms = self.uptime_us() / 1_000;
         self.change_crashes(|crashes| crashes.prune(uptime_ms));
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -48,4 +48,4 @@
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
 pub use snapshot::{KindSnapshot, SnapshotPage};
-pub use table::{FoundRecord, RecordTable};
+pub use table::{FoundRecord, PrunedTurns, RecordTable};
--- a/components/ledger/src/table.rs
+++ b/components/ledger/src/table.rs
@@ -95,6 +95,15 @@
     expires_at_ms: u64,
 }
 
+/// Turns whose retention has expired.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PrunedTurns {
+    /// Number of turns that were removed.
+    pub removed: usize,
+    /// Number of expired turns that a turn which has not expired continues.
+    pub continued: usize,
+}
+
 /// Result of a search for a record: the record itself or its location on the disk.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FoundRecord {
@@ -317,12 +326,17 @@
         (keys, next)
     }
 
-    /// Removes the records whose retention has expired.
-    pub fn prune(&mut self, now_ms: u64) {
+    /// Removes the records whose retention has expired, and returns how many turns that were.
+    pub fn prune(&mut self, now_ms: u64) -> PrunedTurns {
+        let mut pruned = PrunedTurns {
+            removed: 0,
+            continued: self.continued_turns(now_ms),
+        };
         let expired = self
             .turns
             .extract_if(.., |_, stored| stored.expires_at_ms <= now_ms);
         for (turn, stored) in expired {
+            pruned.removed += 1;
             let program = stored.record.program;
             if let Some(account) = self.accounts.get_mut(&program) {
                 account.update(turn, |entry| std::mem::take(&mut entry.has_turn_record));
@@ -354,6 +368,14 @@
             self.arrivals.pop_front();
             self.first_sequence += 1;
         }
+        pruned
+    }
+
+    /// Returns the number of expired turns that a turn which has not expired continues.
+    fn continued_turns(&self, now_ms: u64) -> usize {
+        let current = self.turns.values().filter(|stored| stored.expires_at_ms > now_ms);
+        let continued = current.filter_map(|stored| self.turns.get(&stored.record.previous?));
+        continued.filter(|stored| stored.expires_at_ms <= now_ms).count()
     }
 
     /// Returns the numbers of programs and of stored turns.
