Retain a turn as long as one that continues it

Cause: a ledger host gave each turn an end of its own, and a turn that continues another one did not renew it. The entry's cache hid it.

The same cause stood in the log on the disk (a file went five minutes after its own retention, with the first turns and the spent tokens of programs that go on), in a program's account, in the location of a turn, at hosts that were cut off (they dropped such turns and never copied them again) and in the list of keys for other hosts (it kept all keys behind the first retained one).

Why it works: at each search an expired turn gets the expiry of a current one that continues it, so that a turn goes with the last of its successors, in whichever order records arrive. What is retained of an expired file is written to the current one, synced, before the file is removed a round later. Formats and calls are unchanged.

--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -21,6 +21,7 @@
 use crate::port::{
     ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
 };
+use crate::reclaim::run_blocking;
 use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::{KindSnapshot, SnapshotPage, SnapshotSet};
 use crate::table::{FoundRecord, PrunedTurns, RecordTable};
@@ -30,6 +31,9 @@
 /// Size at which a response with records ends; the reader requests the remaining records in another call.
 const RESPONSE_LIMIT_BYTES: usize = 1024 * 1024;
 
+/// Largest number of records that are read at once to be written again.
+const RETAINED_READ_RECORDS: usize = 1_024;
+
 /// Time after a change of the notices in which further ones go out with it: a server that crashes is reported by many
 /// entries.
 const NOTICE_DELAY: Duration = Duration::from_millis(10);
@@ -183,6 +187,54 @@
         }
     }
 
+    pub(crate) fn disk(&self) -> &DiskLog {
+        &self.shared.disk
+    }
+
+    /// Returns those of the keys whose records would be lost with a log file.
+    pub(crate) fn retained_in(&self, keys: &[RecordKey], file: u64) -> Vec<RecordKey> {
+        let table = self.table();
+        let retained = keys.iter().filter(|key| table.is_retained_in(key, file));
+        retained.copied().collect()
+    }
+
+    /// Reads records until they have `limit_bytes`, and returns the number of the keys that were looked at with those that
+    /// are still stored. A record that is damaged on the disk is left out, as the other hosts have it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk cannot be read.
+    pub(crate) async fn read_retained(
+        &self,
+        keys: &[RecordKey],
+        limit_bytes: usize,
+    ) -> Result<(usize, Vec<LedgerRecord>), LogError> {
+        let mut found = Vec::new();
+        let (mut count, mut bytes) = (0, 0);
+        {
+            let table = self.table();
+            while count < keys.len() && bytes < limit_bytes && found.len() < RETAINED_READ_RECORDS {
+                if let Some(record) = table.record(&keys[count]) {
+                    bytes += record.size();
+                    found.push(record);
+                }
+                count += 1;
+            }
+        }
+        let disk = self.shared.disk.clone();
+        let read = move || {
+            let mut records = Vec::with_capacity(found.len());
+            for record in found {
+                match record {
+                    FoundRecord::InMemory(record) => records.push(record),
+                    FoundRecord::OnDisk(place) => records.extend(disk.read_undamaged(place)?),
+                }
+            }
+            Ok(records)
+        };
+        Ok((count, run_blocking(read).await?))
+    }
+
     /// Returns the size of the payloads in memory, in bytes.
     pub fn cached_bytes(&self) -> usize {
         self.table().cached_bytes()
--- a/components/ledger/src/index.rs
+++ b/components/ledger/src/index.rs
@@ -16,10 +16,10 @@
 const CHECKSUM_BYTES: usize = 4;
 
 /// Location of a record in the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RecordPlace {
-    /// Number of the log file.
+    /// Number of the log file; later files have larger ones.
     pub file: u64,
     /// Offset of the frame in the file, in bytes.
     pub offset: u64,
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -4,6 +4,7 @@
 //! several ledger hosts, which have a disk; a host that missed records copies them from the other hosts. No
 //! host makes decisions for the others, so no leader is elected.
 
+mod arrivals;
 mod client;
 mod crash;
 mod digest;
@@ -20,6 +21,7 @@
 mod port;
 mod quota;
 mod quota_client;
+mod reclaim;
 mod record;
 mod relay;
 mod repair;
@@ -44,6 +46,7 @@
 };
 pub use quota::{PERMIT_VALIDITY_MS, PermitTerms, QuotaBounds, QuotaClass, QuotaRequest, QuotaShares};
 pub use quota_client::{HeldPermit, QuotaAnswer, QuotaDemand};
+pub use reclaim::ReclaimLoop;
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
--- a/components/ledger/src/log.rs
+++ b/components/ledger/src/log.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::index::{IndexedRecord, RecordPlace, read_index, remove_index, write_index};
-use crate::record::{LedgerRecord, TurnKey};
+use crate::record::{LedgerRecord, RecordKey, TurnKey};
 
 /// Size of a frame's header: length and checksum.
 const FRAME_HEADER_BYTES: usize = 8;
@@ -19,7 +19,8 @@
 /// Size at which the writer starts a new file. After a kill the last file has no index, so that the next
 /// start reads all of it.
 const FILE_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
-/// Time for which a file is retained beyond the longest retention of its records.
+/// Time for which a file is retained beyond the longest retention of its records. Most of them have expired by then; the
+/// others are written to a later file before it is removed.
 const FILE_RETENTION_SLACK: Duration = Duration::from_mins(5);
 /// Longest delay before records without a waiting caller are written.
 const WRITE_INTERVAL: Duration = Duration::from_millis(20);
@@ -59,6 +60,8 @@
     wake: Condvar,
     /// Locations of the turns written since the last [`DiskLog::take_written`].
     written: Mutex<Vec<(TurnKey, RecordPlace)>>,
+    /// Files that receive no more records, the oldest first.
+    closed: Mutex<Vec<ClosedFile>>,
 }
 
 impl WriteQueue {
@@ -66,6 +69,10 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn closed_files(&self) -> MutexGuard<'_, Vec<ClosedFile>> {
+        self.closed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn close(&self) {
         self.lock().is_closed = true;
         self.wake.notify_one();
@@ -110,9 +117,9 @@
             closed.push(ClosedFile::closed_now(number, retention_ms));
         }
         let next = numbers.last().map_or(0, |last| last + 1);
-        let mut writer = LogWriter::create(folder.to_owned(), next)?;
-        writer.closed = closed;
+        let writer = LogWriter::create(folder.to_owned(), next)?;
         let queue = Arc::new(WriteQueue::default());
+        *queue.closed_files() = closed;
         let writer_queue = QueueGuard(Arc::clone(&queue));
         std::thread::Builder::new()
             .name("ledger-log".to_owned())
@@ -135,12 +142,66 @@
         record.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData).into())
     }
 
+    /// Reads a record as [`Self::read`] does, and returns `None` if it is damaged.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file was removed or cannot be read.
+    pub fn read_undamaged(&self, place: RecordPlace) -> Result<Option<LedgerRecord>, LogError> {
+        match self.read(place) {
+            Err(LogError::Disk(failure))
+                if matches!(
+                    failure.kind(),
+                    io::ErrorKind::InvalidData | io::ErrorKind::UnexpectedEof
+                ) =>
+            {
+                Ok(None)
+            }
+            read => read.map(Some),
+        }
+    }
+
     /// Returns the locations of the turns that were written since the last call.
     pub fn take_written(&self) -> Vec<(TurnKey, RecordPlace)> {
         let written = self.queue.0.written.lock();
         std::mem::take(&mut *written.unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns the numbers of the closed files whose retention has expired at `now`, the oldest first.
+    pub fn expired_files(&self, now: Instant) -> Vec<u64> {
+        let closed = self.queue.0.closed_files();
+        let expired = closed.iter().filter(|file| file.is_expired(now));
+        expired.map(|file| file.number).collect()
+    }
+
+    /// Returns the keys of the records in a closed file, each once; blocks the calling thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read.
+    pub fn keys_in_file(&self, number: u64) -> Result<Vec<RecordKey>, LogError> {
+        let entries = read_entries(&self.folder, number)?;
+        let mut keys: Vec<RecordKey> = entries.iter().map(|entry| entry.record.key()).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        Ok(keys)
+    }
+
+    /// Removes a closed file; blocks the calling thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be removed; it stays in the list of closed files then.
+    pub fn remove_file(&self, number: u64) -> Result<(), LogError> {
+        remove_index(&self.folder, number)?;
+        match std::fs::remove_file(log_path(&self.folder, number)) {
+            Err(failure) if failure.kind() != io::ErrorKind::NotFound => return Err(failure.into()),
+            _ => {}
+        }
+        self.queue.0.closed_files().retain(|file| file.number != number);
+        Ok(())
+    }
+
     /// Queues records without waiting for the disk. They are written within `WRITE_INTERVAL` and then survive
     /// a crash of the process; within another `SYNC_INTERVAL` they are synced and survive a power loss.
     ///
@@ -275,6 +336,7 @@
 }
 
 /// A log file that receives no more records.
+#[derive(Debug)]
 struct ClosedFile {
     number: u64,
     closed_at: Instant,
@@ -287,7 +349,6 @@
     file: File,
     number: u64,
     length: u64,
-    closed: Vec<ClosedFile>,
     /// Index entries of the current file.
     entries: Vec<IndexedRecord>,
     /// Longest retention of the records in the current file, in milliseconds.
@@ -305,6 +366,10 @@
             retention: Duration::from_millis(retention_ms).saturating_add(FILE_RETENTION_SLACK),
         }
     }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.closed_at) > self.retention
+    }
 }
 
 impl LogWriter {
@@ -315,7 +380,6 @@
             file,
             number,
             length: 0,
-            closed: Vec::new(),
             entries: Vec::new(),
             retention_ms: 0,
             unsynced_since: None,
@@ -386,7 +450,7 @@
         queue: &WriteQueue,
     ) -> io::Result<()> {
         if self.is_torn || self.length >= FILE_LIMIT_BYTES {
-            self.start_file()?;
+            self.start_file(queue)?;
         }
         if let Err(failure) = self.file.write_all(frames) {
             self.is_torn = true;
@@ -423,27 +487,20 @@
             .append(&mut places);
     }
 
-    fn start_file(&mut self) -> io::Result<()> {
+    fn start_file(&mut self, queue: &WriteQueue) -> io::Result<()> {
         self.file.sync_data()?;
         self.unsynced_since = None;
         let length = self.file.metadata()?.len();
         write_index(&self.folder, self.number, length, &self.entries)?;
         self.file = create_file(&self.folder, self.number + 1)?;
-        self.closed
+        queue
+            .closed_files()
             .push(ClosedFile::closed_now(self.number, self.retention_ms));
         self.number += 1;
         self.entries.clear();
         self.retention_ms = 0;
         self.length = 0;
         self.is_torn = false;
-        let folder = &self.folder;
-        self.closed.retain(|file| {
-            let is_expired = file.closed_at.elapsed() > file.retention;
-            // If a file cannot be removed, the removal is retried when the next file is closed.
-            !(is_expired
-                && remove_index(folder, file.number).is_ok()
-                && std::fs::remove_file(log_path(folder, file.number)).is_ok())
-        });
         Ok(())
     }
 }
--- a/components/ledger/src/repair.rs
+++ b/components/ledger/src/repair.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
@@ -26,6 +26,9 @@
 /// Time from the start of a round for which the target hands out permits of workspaces once it has reached half of the
 /// other hosts. It is longer than the time between two rounds, and ends before another host takes the target's place.
 const PERMIT_LEASE: Duration = Duration::from_secs(4);
+/// Time without a complete copy after which a source is compared as a whole: half of the time for which records outlive
+/// their retention. A target that was cut off for longer may have removed turns that were continued meanwhile.
+const MAX_COPY_GAP: Duration = Duration::from_secs(30);
 /// Delay before checking whether records claimed for another source have arrived: a few round trips between
 /// hosts.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -86,6 +89,8 @@
     peer: HostAddress,
     client: Option<LedgerPortClient>,
     position: Option<SourcePosition>,
+    /// When all records of the source had been copied last.
+    copied_at: Instant,
 }
 
 /// The host to which records are copied.
@@ -94,23 +99,31 @@
     host: LedgerHost,
     name: String,
     claims: CopyClaims,
+    /// Time without a complete copy after which a source is compared as a whole.
+    max_gap: Duration,
 }
 
 impl CopySource {
-    const fn new(name: String, address: SocketAddr) -> Self {
+    fn new(name: String, address: SocketAddr) -> Self {
         Self {
             peer: HostAddress { name, address },
             client: None,
             position: None,
+            copied_at: Instant::now(),
         }
     }
 
     /// Copies all records that the source holds and the target lacks. Returns the source's name and whether
     /// the copy was completed.
     async fn copy(&mut self, target: &CopyTarget) -> (String, bool) {
+        let began = Instant::now();
+        if began.duration_since(self.copied_at) > target.max_gap {
+            self.position = None;
+        }
         let copied = self.try_copy(target).await;
-        if copied.is_none() {
-            self.client = None;
+        match copied {
+            Some(()) => self.copied_at = began,
+            None => self.client = None,
         }
         (self.peer.name.clone(), copied.is_some())
     }
@@ -223,6 +236,7 @@
             host,
             name: own_name,
             claims: CopyClaims::default(),
+            max_gap: MAX_COPY_GAP,
         };
         Self {
             target,
@@ -232,6 +246,13 @@
         }
     }
 
+    /// Sets the time without a complete copy after which a source is compared as a whole.
+    #[must_use]
+    pub fn with_max_gap(mut self, max_gap: Duration) -> Self {
+        self.target.max_gap = max_gap;
+        self
+    }
+
     /// Copies once from each of the peers and returns the names of those from which the copy was completed.
     /// The initial copy counts as complete as soon as the copies from all peers but `max_unreachable` are.
     pub async fn round(&mut self, peers: &[(String, SocketAddr)], max_unreachable: usize) -> Vec<String> {
@@ -249,7 +270,7 @@
         let copies = self.sources.iter_mut().map(|source| source.copy(target));
         let mut copies: FuturesUnordered<_> = copies.collect();
         let mut reached = Vec::with_capacity(total);
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         loop {
             if reached.len() * 2 >= total {
                 target.host.lease_permits_until(began + PERMIT_LEASE);
--- a/components/ledger/src/table.rs
+++ b/components/ledger/src/table.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use domain::BuildKey;
 
+use crate::arrivals::ArrivalLog;
 use crate::digest::{BucketDigests, bucket_range};
 use crate::index::{IndexedRecord, RecordPlace};
 use crate::port::StreamBuild;
@@ -78,6 +79,10 @@
         index.map_or_else(|_| TurnEntry::default(), |index| self.turns[index].1)
     }
 
+    fn has_turn_record(&self) -> bool {
+        self.turns.iter().any(|(_, entry)| entry.has_turn_record)
+    }
+
     fn keys(&self, program: ProgramKey) -> impl Iterator<Item = RecordKey> {
         self.turns
             .iter()
@@ -100,7 +105,7 @@
 pub struct PrunedTurns {
     /// Number of turns that were removed.
     pub removed: usize,
-    /// Number of expired turns that a turn which has not expired continues.
+    /// Number of expired turns that were retained, since a turn which has not expired continues them.
     pub continued: usize,
 }
 
@@ -138,9 +143,7 @@
     open_turns: u64,
     cached_bytes: usize,
     payload_cache_limit_bytes: usize,
-    /// Keys in the order of their arrival; the first one has the sequence number `first_sequence`.
-    arrivals: VecDeque<RecordKey>,
-    first_sequence: u64,
+    arrivals: ArrivalLog,
 }
 
 impl RecordTable {
@@ -156,8 +159,7 @@
             open_turns: 0,
             cached_bytes: 0,
             payload_cache_limit_bytes,
-            arrivals: VecDeque::new(),
-            first_sequence: 0,
+            arrivals: ArrivalLog::default(),
         }
     }
 
@@ -208,11 +210,11 @@
         is_new
     }
 
-    /// Sets the location of a turn on the disk, so that its payload can be evicted from memory. An earlier
-    /// location takes precedence.
+    /// Sets the location of a turn on the disk, so that its payload can be evicted from memory. The latest location
+    /// takes precedence, since the oldest file is removed first.
     pub fn set_place(&mut self, turn: TurnKey, place: RecordPlace) {
         if let Some(stored) = self.turns.get_mut(&turn) {
-            stored.place.get_or_insert(place);
+            stored.place = stored.place.max(Some(place));
         }
         self.evict_payloads();
     }
@@ -309,28 +311,38 @@
             .collect()
     }
 
+    /// Returns whether the record with this key would be lost with a log file: whether it is stored, and if it is a turn,
+    /// not in a later file.
+    pub fn is_retained_in(&self, key: &RecordKey, file: u64) -> bool {
+        if key.kind != RecordKind::Turn {
+            return self.contains(key);
+        }
+        let place = self.turns.get(&key.turn).map(|stored| stored.place);
+        place.is_some_and(|place| place.is_none_or(|place| place.file <= file))
+    }
+
     /// Returns the sequence number that the next new record will get.
-    pub fn next_sequence(&self) -> u64 {
-        self.first_sequence + self.arrivals.len() as u64
+    pub const fn next_sequence(&self) -> u64 {
+        self.arrivals.next_sequence()
     }
 
     /// Returns up to `limit` keys whose sequence numbers are at or after `sequence`, and the sequence number
     /// after the last of them.
     pub fn arrivals_since(&self, sequence: u64, limit: usize) -> (Vec<RecordKey>, u64) {
-        let skipped = sequence.saturating_sub(self.first_sequence);
-        let skipped = usize::try_from(skipped)
-            .unwrap_or(usize::MAX)
-            .min(self.arrivals.len());
-        let keys: Vec<RecordKey> = self.arrivals.iter().skip(skipped).take(limit).copied().collect();
-        let next = self.first_sequence + (skipped + keys.len()) as u64;
-        (keys, next)
+        self.arrivals.since(sequence, limit)
+    }
+
+    /// Returns the number of keys that are stored for other hosts to copy.
+    pub fn arrival_count(&self) -> usize {
+        self.arrivals.len()
     }
 
-    /// Removes the records whose retention has expired, and returns how many turns that were.
+    /// Removes the records whose retention has expired, and returns how many turns that were. A turn is retained as long as
+    /// one that continues it, directly or over others, and an account as long as a turn of its program.
     pub fn prune(&mut self, now_ms: u64) -> PrunedTurns {
         let mut pruned = PrunedTurns {
             removed: 0,
-            continued: self.continued_turns(now_ms),
+            continued: self.renew_continued(now_ms),
         };
         let expired = self
             .turns
@@ -352,7 +364,7 @@
         }
         let digests = &mut self.digests;
         self.accounts.retain(|program, account| {
-            let is_current = account.expires_at_ms > now_ms;
+            let is_current = account.expires_at_ms > now_ms || account.has_turn_record();
             if !is_current {
                 account.keys(*program).for_each(|key| digests.toggle(&key));
             }
@@ -361,21 +373,40 @@
         let turns = &self.turns;
         self.cached
             .retain(|turn| turns.get(turn).is_some_and(|stored| stored.is_cached));
-        while let Some(key) = self.arrivals.front() {
-            if self.contains(key) {
-                break;
-            }
-            self.arrivals.pop_front();
-            self.first_sequence += 1;
-        }
+        let mut arrivals = std::mem::take(&mut self.arrivals);
+        arrivals.sweep(|key| self.contains(key));
+        self.arrivals = arrivals;
         pruned
     }
 
-    /// Returns the number of expired turns that a turn which has not expired continues.
-    fn continued_turns(&self, now_ms: u64) -> usize {
-        let current = self.turns.values().filter(|stored| stored.expires_at_ms > now_ms);
-        let continued = current.filter_map(|stored| self.turns.get(&stored.record.previous?));
-        continued.filter(|stored| stored.expires_at_ms <= now_ms).count()
+    /// Gives each expired turn that a current one continues, directly or over expired ones, the expiry of that one. Returns
+    /// the number of these turns.
+    ///
+    /// A turn is visited once in a call, also where links that callers have chosen form a cycle.
+    fn renew_continued(&mut self, now_ms: u64) -> usize {
+        let is_expired = |stored: &StoredTurn| stored.expires_at_ms <= now_ms;
+        // Few turns expire at a time; they are sorted like the map.
+        let expired = self.turns.iter().filter(|(_, stored)| is_expired(stored));
+        let expired: Vec<TurnKey> = expired.map(|(turn, _)| *turn).collect();
+        let current = self.turns.values().filter(|stored| !is_expired(stored));
+        let continuing = current.filter_map(|stored| {
+            let previous = stored.record.previous?;
+            expired.binary_search(&previous).ok()?;
+            Some((previous, stored.expires_at_ms))
+        });
+        let continuing: Vec<(TurnKey, u64)> = continuing.collect();
+        let mut renewed = 0;
+        for (turn, expires_at_ms) in continuing {
+            let mut next = Some(turn);
+            while let Some(stored) = next.and_then(|turn| self.turns.get_mut(&turn))
+                && is_expired(stored)
+            {
+                stored.expires_at_ms = expires_at_ms;
+                renewed += 1;
+                next = stored.record.previous;
+            }
+        }
+        renewed
     }
 
     /// Returns the numbers of programs and of stored turns.
@@ -441,7 +472,7 @@
             self.turns.insert(turn.turn, stored);
         }
         self.digests.toggle(&key);
-        self.arrivals.push_back(key);
+        self.arrivals.push(key);
         true
     }
 
