Count servers that crash together as one crash

Cause: three crashed servers convict a request, although servers that crash together have one cause, mostly none of the requests that they run; and a verdict keeps away the one run that could end it. Ruled out: requests lost again after they were sent again, and reports counted twice.

Change: crashes within 250 ms are one moment, and three moments convict. A request that was lost with three servers at fewer moments is on trial: it goes to one server at a time over all entries, with a permit from a ledger host, until a run ends well or servers have crashed at three moments. Entries report when a server crashed, and tell a host that starts anew the times, so that moments survive its restart; new variant FactReport::Loss, ask PermitAsk::Trial and call crash_details, for which ledger hosts are upgraded before entries, as before.

Why it works: a common cause gives one moment, whatever it takes down, and the trial gives innocent requests the success that acquits them, while one that does crash servers costs one server at a time: two more at most before its verdict.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -5,23 +5,29 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use domain::{ContentKey, InstanceKey, RequestContent};
-use ledger::{ContentScope, CrashReport, FactChange, FactReport, SuspectNotice};
+use errors::{CallError, ResultCode, RunState};
+use ledger::{ContentScope, CrashReport, FactChange, FactReport, LossReport, PermitAnswer, SuspectNotice};
 use routing::BackendServer;
 use slog::info;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::state::{EntryState, lock};
+use crate::dispatch::Dispatcher;
+use crate::state::{EntryState, lock, whole_millis};
 
 /// Timeout for finding out whether a server still accepts connections. One that is only cut off does not refuse them.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after the first lost run of a server in which the others are noticed: a crash ends all its connections at once.
 const GATHERING_DELAY: Duration = Duration::from_millis(5);
 
+/// Longest time over which callers return that were refused while another request is on trial, in milliseconds; and their
+/// delay when no ledger host answers.
+const TRIAL_RETURN_MS: u64 = 1_000;
+
 /// Period after which the set of successes is renewed, in milliseconds. A success counts for one to two periods.
 const SUCCESS_PERIOD_MS: u64 = 30_000;
 /// Limit on the successes that are remembered in one period.
@@ -54,6 +60,8 @@
 struct LostServer {
     instance: InstanceKey,
     runs: Vec<LostRun>,
+    /// When the first of them was lost.
+    lost_at: Instant,
 }
 
 /// Requests that servers have run to their end lately, in two sets: `newer` replaces `older` after a while.
@@ -90,6 +98,8 @@
 pub(crate) struct CrashRegister {
     /// Notices of the ledger hosts, sorted by the content of the request.
     notices: ArcSwap<Vec<SuspectNotice>>,
+    /// Requests that are sent to one server at a time, sorted.
+    on_trial: ArcSwap<Vec<ContentKey>>,
     /// Whether a ledger host has sent its notices since the start of the entry.
     is_informed: AtomicBool,
     successes: Mutex<SuccessSet>,
@@ -100,8 +110,14 @@
 impl CrashRegister {
     /// Replaces the notices of the ledger hosts. Returns the requests among them that servers have run to their end
     /// lately.
-    pub(crate) fn set_notices(&self, notices: &[SuspectNotice], now_ms: u64) -> Vec<ContentKey> {
+    pub(crate) fn set_notices(
+        &self,
+        notices: &[SuspectNotice],
+        on_trial: &[ContentKey],
+        now_ms: u64,
+    ) -> Vec<ContentKey> {
         self.notices.store(Arc::new(notices.to_vec()));
+        self.on_trial.store(Arc::new(on_trial.to_vec()));
         self.is_informed.store(true, Ordering::Release);
         let mut successes = lock(&self.successes);
         let contents = notices.iter().map(|notice| notice.content);
@@ -139,6 +155,19 @@
         content.keys().iter().any(is_convicted)
     }
 
+    /// Returns the key under which a request is on trial; `None` if it is not, or if a server has run one like it to its end
+    /// lately.
+    fn trial(&self, content: RequestContent, now_ms: u64) -> Option<ContentKey> {
+        let on_trial = self.on_trial.load();
+        if on_trial.is_empty() {
+            return None;
+        }
+        let is_on_trial = |content: &ContentKey| {
+            on_trial.binary_search(content).is_ok() && !lock(&self.successes).contains(*content, now_ms)
+        };
+        content.keys().into_iter().find(is_on_trial)
+    }
+
     /// Records that a server has run a request to its end. Returns its keys under which others have crashed.
     pub(crate) fn record_success(&self, content: RequestContent, now_ms: u64) -> Vec<ContentKey> {
         let mut successes = lock(&self.successes);
@@ -159,17 +188,21 @@
                 false
             }
             Err(index) => {
-                let runs = vec![run];
-                lost.insert(index, LostServer { instance, runs });
+                let server = LostServer {
+                    instance,
+                    runs: vec![run],
+                    lost_at: Instant::now(),
+                };
+                lost.insert(index, server);
                 true
             }
         }
     }
 
-    fn take(&self, instance: InstanceKey) -> Vec<LostRun> {
+    fn take(&self, instance: InstanceKey) -> Option<LostServer> {
         let mut lost = lock(&self.lost);
         let found = lost.binary_search_by_key(&instance, |server| server.instance);
-        found.map_or_else(|_| Vec::new(), |index| lost.remove(index).runs)
+        found.ok().map(|index| lost.remove(index))
     }
 }
 
@@ -206,22 +239,70 @@
     /// Follows the facts that entries tell one another; never returns.
     pub async fn follow_facts(&self) {
         let apply = |change: FactChange<'_>| match change {
-            FactChange::Suspects(notices) => self.apply_suspects(notices),
+            FactChange::Suspects { notices, on_trial } => self.apply_suspects(notices, on_trial),
             FactChange::Limits(reports) => self.apply_limits(reports),
         };
         self.ledger.follow_facts(apply).await;
     }
 
-    fn apply_suspects(&self, notices: &[SuspectNotice]) {
+    fn apply_suspects(&self, notices: &[SuspectNotice], on_trial: &[ContentKey]) {
         for notice in self.crashes.changed_verdicts(notices) {
             info!(self.log, "verdict on a request under which backend servers crash"; "content" => %notice.content,
                 "scope" => ?notice.scope, "crashes" => notice.instances.len(), "refused" => notice.is_convicted);
         }
-        let acquitted = self.crashes.set_notices(notices, self.now_ms());
+        let begins = on_trial
+            .iter()
+            .filter(|content| self.crashes.on_trial.load().binary_search(content).is_err());
+        for content in begins {
+            let crashes = find(notices, *content).map(|notice| notice.instances.len());
+            info!(self.log, "request on trial, backend servers crashed under it together"; "content" => %content,
+                "crashes" => crashes);
+        }
+        let acquitted = self.crashes.set_notices(notices, on_trial, self.now_ms());
         self.acquit(acquitted);
     }
 }
 
+impl Dispatcher {
+    /// Obtains the permit to send a request that is on trial, unless it has one that no attempt has used.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another one like it is being tried, or no ledger host that judges the crashes answers.
+    pub(crate) async fn stand_trial(&mut self) -> Result<(), CallError> {
+        let Some(content) = self.entry.crashes.trial(self.plan.content, self.entry.now_ms()) else {
+            return Ok(());
+        };
+        if self.may_stand_trial {
+            return Ok(());
+        }
+        let answer = self.entry.ledger.request_trial(content).await;
+        let (label, wait_ms) = match answer {
+            Some(PermitAnswer::Granted { .. }) => ("granted", None),
+            Some(PermitAnswer::Lifted) => ("lifted", None),
+            Some(PermitAnswer::Refused { wait_ms }) => ("refused", Some(wait_ms)),
+            Some(PermitAnswer::Unavailable) | None => ("unanswered", Some(TRIAL_RETURN_MS)),
+        };
+        self.entry.metrics.trials.with_label_values(&[label]).inc();
+        if self.entry.line_limiter.try_acquire() {
+            info!(self.entry.log, "permit for a request on trial"; "request" => &self.plan.attempt_id,
+                "content" => %content, "outcome" => label, "wait_ms" => wait_ms);
+        }
+        let Some(wait_ms) = wait_ms else {
+            self.may_stand_trial = true;
+            return Ok(());
+        };
+        let error = self
+            .give_up("backend servers crashed under requests like this one, and another one is tried first");
+        if error.run != RunState::NotRun {
+            return Err(error);
+        }
+        // Callers that were refused together do not return together.
+        let retry_after_ms = wait_ms + rand::random_range(0..=TRIAL_RETURN_MS);
+        Err(CallError::not_run(ResultCode::ServersCrash, error.message).with_retry_after_ms(retry_after_ms))
+    }
+}
+
 /// Finds out in the background whether a server has crashed, and reports the runs that were lost with it.
 pub(crate) fn investigate(entry: &Arc<EntryState>, server: &BackendServer, run: LostRun) {
     let (instance, address) = (server.instance(), server.address);
@@ -233,10 +314,10 @@
     tokio::spawn(async move {
         sleep(GATHERING_DELAY).await;
         let has_crashed = is_crashed(address).await;
-        let runs = entry.crashes.take(instance);
-        if !has_crashed {
+        let lost = entry.crashes.take(instance).filter(|_| has_crashed);
+        let Some(LostServer { runs, lost_at, .. }) = lost else {
             return;
-        }
+        };
         for run in &runs {
             if entry.line_limiter.try_acquire() {
                 info!(entry.log, "backend server crashed under a request"; "request" => &run.request,
@@ -244,7 +325,9 @@
             }
         }
         let reports = runs.iter().flat_map(|run| run.reports(instance));
-        let reports = reports.map(FactReport::Crash).collect();
+        let lost_ms_ago = whole_millis(lost_at.elapsed());
+        let reports = reports.map(|crash| FactReport::Loss(LossReport { crash, lost_ms_ago }));
+        let reports = reports.collect();
         entry.ledger.report_facts(reports).await;
     });
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -146,6 +146,8 @@
     /// Whether servers are still asked for a free slot.
     asks_slots: bool,
     pub(crate) permits: PermitAttempts,
+    /// Whether the request is on trial and may be sent to one server.
+    pub(crate) may_stand_trial: bool,
     sent: u32,
     unsent: u32,
     was_lost: bool,
@@ -161,6 +163,7 @@
             full: Vec::new(),
             asks_slots: true,
             permits: PermitAttempts::new(),
+            may_stand_trial: false,
             sent: 0,
             unsent: 0,
             was_lost: false,
@@ -230,6 +233,7 @@
                 SlotAnswer::NotAsked => None,
             };
             self.claim_version(&server).await?;
+            self.stand_trial().await?;
             // The permit may have expired while the request waited for the server.
             self.obtain_quota().await?;
             self.tried.push(key);
@@ -241,6 +245,9 @@
             if outcome == AttemptOutcome::Lost {
                 self.use_quota();
             }
+            if outcome != AttemptOutcome::NotSent {
+                self.may_stand_trial = false;
+            }
             self.record_failure(key, &server, view, outcome);
             match next_step(self.plan.run_policy, outcome, self.was_lost, self.limits()) {
                 NextStep::TryAnother => {}
@@ -579,6 +586,7 @@
             }
         }
         self.sent += 1;
+        self.may_stand_trial = false;
         self.use_quota();
         if let VersionBond::Claimed(build) = self.plan.bond {
             self.plan.bond = VersionBond::Bound(build);
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) caller_connections: IntGauge,
     /// Permits within the quotas of workspaces by outcome.
     pub(crate) quota_permits: IntCounterVec,
+    /// Permits for requests that are on trial by outcome.
+    pub(crate) trials: IntCounterVec,
     /// Time from the arrival of a request until the head of its answer, in seconds.
     pub(crate) first_byte: Histogram,
     /// Time from the end of a turn's stream until the ledger hosts have stored the turn, in seconds.
@@ -89,6 +91,10 @@
                 "quota_permits_total",
                 "Permits within the quotas of workspaces by outcome",
             ),
+            trials: counters(
+                "trials_total",
+                "Permits for requests under which backend servers crashed together by outcome",
+            ),
             first_byte: histogram("first_byte_seconds", "Time until the head of an answer"),
             keep: histogram("keep_seconds", "Time until a turn was kept"),
             reserve: histogram("reserve_seconds", "Time until a reservation was answered"),
--- a/components/ledger/src/fact.rs
+++ b/components/ledger/src/fact.rs
@@ -9,7 +9,7 @@
 use domain::ContentKey;
 use serde::{Deserialize, Serialize};
 
-use crate::crash::{CrashReport, NoticePage, SuspectNotice};
+use crate::crash::{CrashReport, LossReport, NoticePage, SuspectNotice};
 use crate::limit::LimitReport;
 use crate::notice::NoticeVersion;
 
@@ -17,12 +17,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FactReport {
-    /// A backend server has crashed under a request.
+    /// A backend server has just crashed under a request; entries of earlier versions report it.
     Crash(CrashReport),
     /// A backend server has run a request to its end, although others have crashed under it.
     Acquittal(ContentKey),
     /// A backend server has named or lifted its limit.
     Limit(LimitReport),
+    /// A backend server has crashed under a request some time ago.
+    Loss(LossReport),
 }
 
 /// How far an entry knows the facts of a host.
@@ -58,8 +60,13 @@
 /// Facts of one kind that have changed.
 #[derive(Debug, Clone, Copy)]
 pub enum FactChange<'a> {
-    /// Requests under which servers crash, sorted by their content.
-    Suspects(&'a [SuspectNotice]),
+    /// Requests under which servers crash.
+    Suspects {
+        /// What the host knows of them, sorted by their content.
+        notices: &'a [SuspectNotice],
+        /// Those that are sent to one server at a time, sorted.
+        on_trial: &'a [ContentKey],
+    },
     /// Limits of servers, sorted by the server.
     Limits(&'a [LimitReport]),
 }
--- a/components/ledger/src/fact_client.rs
+++ b/components/ledger/src/fact_client.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use domain::InstanceKey;
 use futures::future::join_all;
 use tokio::time::sleep;
 
 use crate::client::LedgerClient;
-use crate::crash::{CrashReport, SuspectNotice};
+use crate::crash::{CrashDetails, CrashReport, LossReport, SuspectNotice};
 use crate::fact::{FactChange, FactReport, KnownFacts};
 use crate::notice::NoticeVersion;
 
@@ -62,7 +63,7 @@
     /// the crashes that it lacks.
     pub async fn follow_facts(&self, mut apply: impl FnMut(FactChange<'_>)) {
         let mut state = FollowState::default();
-        let mut suspects: Vec<SuspectNotice> = Vec::new();
+        let mut suspects = KnownSuspects::default();
         let mut turn = rand::random::<u32>() as usize;
         let mut followed_since = Instant::now();
         loop {
@@ -88,40 +89,81 @@
                 apply(FactChange::Limits(&limits.reports));
             }
             let Some(page) = page.suspects else { continue };
+            let Some(details) = host.fetch_crash_details().await else {
+                state.suspects = None;
+                turn = turn.wrapping_add(1);
+                sleep(HOST_RETRY_DELAY).await;
+                continue;
+            };
             let has_started = known
                 .suspects
                 .is_none_or(|known| known.epoch != page.version.epoch);
             state.suspects = Some(page.version);
             if has_started {
-                let missing = missing_crashes(&suspects, &page.notices);
+                let missing = suspects.missing_at(&page.notices);
                 if !missing.is_empty() && host.report_facts(missing).await {
                     // The next answer has the crashes of both.
                     continue;
                 }
             }
-            suspects = page.notices;
-            apply(FactChange::Suspects(&suspects));
+            suspects.replace(page.notices, &details);
+            apply(FactChange::Suspects {
+                notices: &suspects.notices,
+                on_trial: &details.on_trial,
+            });
         }
     }
 }
 
-/// Returns the crashes in the notices of one host that those of another one lack.
-fn missing_crashes(known: &[SuspectNotice], other: &[SuspectNotice]) -> Vec<FactReport> {
-    let reports = known.iter().flat_map(|notice| {
-        let (content, scope) = (notice.content, notice.scope);
-        let found = other.binary_search_by_key(&content, |notice| notice.content);
-        let present = found.map_or(&[][..], |index| &other[index].instances);
-        let missing = notice
-            .instances
-            .iter()
-            .filter(|instance| present.binary_search(instance).is_err());
-        missing.map(move |instance| {
-            FactReport::Crash(CrashReport {
-                content,
-                scope,
-                instance: *instance,
+/// The notices that an entry has received last, with the times of the crashes, so that it can tell a host that starts anew.
+#[derive(Debug, Default)]
+struct KnownSuspects {
+    notices: Vec<SuspectNotice>,
+    /// When servers crashed, sorted by the server.
+    crashes: Vec<(InstanceKey, Instant)>,
+}
+
+impl KnownSuspects {
+    fn replace(&mut self, notices: Vec<SuspectNotice>, details: &CrashDetails) {
+        self.notices = notices;
+        let now = Instant::now();
+        let crashes = details.crashes.iter().filter_map(|crash| {
+            let at = now.checked_sub(Duration::from_millis(crash.ms_ago))?;
+            Some((crash.instance, at))
+        });
+        self.crashes = crashes.collect();
+    }
+
+    /// Returns the crashes that the notices of another host lack.
+    fn missing_at(&self, other: &[SuspectNotice]) -> Vec<FactReport> {
+        let reports = self.notices.iter().flat_map(|notice| {
+            let (content, scope) = (notice.content, notice.scope);
+            let found = other.binary_search_by_key(&content, |notice| notice.content);
+            let present = found.map_or(&[][..], |index| &other[index].instances);
+            let missing = notice
+                .instances
+                .iter()
+                .filter(|instance| present.binary_search(instance).is_err());
+            missing.map(move |instance| {
+                FactReport::Loss(LossReport {
+                    crash: CrashReport {
+                        content,
+                        scope,
+                        instance: *instance,
+                    },
+                    lost_ms_ago: self.age_ms(*instance),
+                })
             })
-        })
-    });
-    reports.collect()
+        });
+        reports.collect()
+    }
+
+    /// Returns the time since a crash in milliseconds.
+    fn age_ms(&self, instance: InstanceKey) -> u64 {
+        let found = self
+            .crashes
+            .binary_search_by_key(&instance, |(instance, _)| *instance);
+        let age = found.map_or(Duration::ZERO, |index| self.crashes[index].1.elapsed());
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
 }
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::crash::{CrashReport, CrashTable, NoticePage};
+use crate::crash::{CRASH_RETENTION_MS, CrashDetails, CrashReport, CrashTable, LossReport, NoticePage};
 use crate::digest::BucketDigests;
 use crate::fact::{FactChanges, FactPage, FactReport, KnownFacts, LimitPage};
 use crate::limit::{LimitReport, LimitTable};
@@ -172,9 +172,9 @@
             info!(self.shared.log, "turns expired"; "removed" => pruned.removed, "continued" => pruned.continued);
         }
         self.permit_table().prune(self.uptime_us());
-        let uptime_ms = self.uptime_us() / 1_000;
-        self.change_crashes(|crashes| crashes.prune(uptime_ms));
-        self.limits().prune(uptime_ms);
+        let crash_ms = self.crash_clock_ms();
+        self.change_crashes(|crashes| crashes.prune(crash_ms));
+        self.limits().prune(self.uptime_us() / 1_000);
     }
 
     /// Sets the locations of the turns that the log has written since the last call and evicts payloads from
@@ -314,7 +314,21 @@
             return PermitAnswer::Unavailable;
         }
         let now_us = self.uptime_us();
-        self.permit_table().decide_ask(ask, now_us)
+        match ask {
+            PermitAsk::Server(request) => self.permit_table().decide(request, now_us),
+            PermitAsk::Workspace(request) => self.permit_table().decide_quota(request, now_us),
+            PermitAsk::Trial(content) => self.crash_table().decide_trial(content, self.crash_clock_ms()),
+        }
+    }
+
+    fn crash_table(&self) -> MutexGuard<'_, CrashTable> {
+        self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time of the clock of the crashes in milliseconds. It began before the start of the host, so that crashes
+    /// before that have a time, too.
+    fn crash_clock_ms(&self) -> u64 {
+        CRASH_RETENTION_MS + self.uptime_us() / 1_000
     }
 
     fn limits(&self) -> MutexGuard<'_, LimitTable> {
@@ -377,14 +391,20 @@
 
     /// Changes what is known of crashes, and wakes the entries that wait for a change of the notices.
     fn change_crashes(&self, change: impl FnOnce(&mut CrashTable)) {
-        let mut crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut crashes = self.crash_table();
         change(&mut crashes);
         let changes = crashes.changes();
         self.wake_followers(|known| known.suspects = changes);
     }
 
+    /// Records crashes of which entries have reported the time.
+    fn record_crashes(&self, reports: &[LossReport]) {
+        let now_ms = self.crash_clock_ms();
+        self.change_crashes(|crashes| crashes.record(reports, now_ms));
+    }
+
     fn notice_page(&self) -> NoticePage {
-        let crashes = self.shared.crashes.lock().unwrap_or_else(PoisonError::into_inner);
+        let crashes = self.crash_table();
         NoticePage {
             version: self.version(crashes.changes()),
             notices: crashes.notices().to_vec(),
@@ -550,8 +570,8 @@
     }
 
     async fn report_crashes(self, _: Context, reports: Vec<CrashReport>) {
-        let now_ms = self.uptime_us() / 1_000;
-        self.change_crashes(|crashes| crashes.record(&reports, now_ms));
+        let reports: Vec<LossReport> = reports.into_iter().map(LossReport::just_now).collect();
+        self.record_crashes(&reports);
     }
 
     async fn acquit(self, _: Context, contents: Vec<ContentKey>) {
@@ -597,13 +617,14 @@
         let (mut crashes, mut acquitted, mut limits) = (Vec::new(), Vec::new(), Vec::new());
         for report in reports {
             match report {
-                FactReport::Crash(report) => crashes.push(report),
+                FactReport::Crash(report) => crashes.push(LossReport::just_now(report)),
+                FactReport::Loss(report) => crashes.push(report),
                 FactReport::Acquittal(content) => acquitted.push(content),
                 FactReport::Limit(report) => limits.push(report),
             }
         }
         if !crashes.is_empty() || !acquitted.is_empty() {
-            let now_ms = self.uptime_us() / 1_000;
+            let now_ms = self.crash_clock_ms();
             self.change_crashes(|table| {
                 table.record(&crashes, now_ms);
                 table.acquit(&acquitted);
@@ -621,6 +642,10 @@
         Some(FactPage { suspects, limits })
     }
 
+    async fn crash_details(self, _: Context) -> CrashDetails {
+        self.crash_table().details(self.crash_clock_ms())
+    }
+
     async fn records(self, _: Context, keys: Vec<RecordKey>) -> PortResult<Vec<LedgerRecord>> {
         let mut found = Vec::new();
         let mut bytes = 0;
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -31,7 +31,10 @@
 pub use client::{
     LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, TurnClaim, polled_host,
 };
-pub use crash::{CRASH_RETENTION_MS, ContentScope, CrashReport, CrashTable, NoticePage, SuspectNotice};
+pub use crash::{
+    CRASH_RETENTION_MS, ContentScope, CrashAge, CrashDetails, CrashReport, CrashTable, LossReport,
+    NoticePage, SuspectNotice,
+};
 pub use digest::BucketDigests;
 pub use fact::{FactChange, FactPage, FactReport, KnownFacts, LimitPage};
 pub use host::{HostOptions, LedgerHost};
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
+use crate::crash::CrashDetails;
 use crate::fact::{FactPage, FactReport, KnownFacts};
 use crate::permit::{PermitAnswer, PermitAsk, PermitKey};
 use crate::port::{
@@ -264,6 +265,13 @@
         waiting.await.ok()
     }
 
+    /// Fetches what the host knows of crashes beside its notices. Returns `None` if the host does not answer.
+    pub(crate) async fn fetch_crash_details(&self) -> Option<CrashDetails> {
+        let client = self.open_client().await?;
+        let context = context_with_timeout(UNSYNCED_CALL_TIMEOUT);
+        client.crash_details(context).await.ok()
+    }
+
     /// Returns a client on the open connection; `None` if there is none.
     async fn open_client(&self) -> Option<LedgerPortClient> {
         if !self.is_up() {
--- a/components/ledger/src/permit.rs
+++ b/components/ledger/src/permit.rs
@@ -6,7 +6,7 @@
 //! the intervals of a short time without requests. All of it is in memory: a host that starts anew begins without credit
 //! to lose.
 
-use domain::{InstanceKey, RequestRate, WorkspaceKey};
+use domain::{ContentKey, InstanceKey, RequestRate, WorkspaceKey};
 use serde::{Deserialize, Serialize};
 
 use crate::quota::{PermitTerms, QuotaClass, QuotaRequest};
@@ -41,6 +41,8 @@
     Server(PermitRequest),
     /// To send one request of a workspace.
     Workspace(QuotaRequest),
+    /// To send one request that is on trial, as servers have crashed under it.
+    Trial(ContentKey),
 }
 
 /// An entry's request for the permit to send one request to a server.
@@ -73,7 +75,7 @@
         /// Time until the next permit, in milliseconds.
         wait_ms: u64,
     },
-    /// The server has lifted its limit since the entry heard of it.
+    /// The server has lifted its limit since the entry heard of it, or the request is not on trial.
     Lifted,
     /// The host hands out no permits of workspaces: it has lost touch with the other ledger hosts, or retires.
     Unavailable,
@@ -154,14 +156,6 @@
 }
 
 impl PermitTable {
-    /// Decides on a request for a permit. `now_us` is the time in microseconds since the start of the host.
-    pub fn decide_ask(&mut self, ask: PermitAsk, now_us: u64) -> PermitAnswer {
-        match ask {
-            PermitAsk::Server(request) => self.decide(request, now_us),
-            PermitAsk::Workspace(request) => self.decide_quota(request, now_us),
-        }
-    }
-
     /// Decides on a request for the permit of a server. `now_us` is the time in microseconds of a monotonic clock.
     pub fn decide(&mut self, request: PermitRequest, now_us: u64) -> PermitAnswer {
         let heard_at_us = now_us.saturating_sub(request.heard_ms_ago.saturating_mul(1_000));
@@ -181,8 +175,9 @@
         }
     }
 
-    /// Decides on a request for the permit of a workspace. The terms of the newest configuration count.
-    fn decide_quota(&mut self, request: QuotaRequest, now_us: u64) -> PermitAnswer {
+    /// Decides on a request for the permit of a workspace. The terms of the newest configuration count. `now_us` is the time
+    /// in microseconds since the start of the host.
+    pub fn decide_quota(&mut self, request: QuotaRequest, now_us: u64) -> PermitAnswer {
         let (quota, pacer) = self.held_quota(request, now_us);
         let (even, most) = (credit_us(quota.even), credit_us(quota.most));
         let most_due_us = quota.most_pacer.due_us(most, now_us);
--- a/components/ledger/src/permit_client.rs
+++ b/components/ledger/src/permit_client.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use domain::{InstanceKey, RequestRate};
+use domain::{ContentKey, InstanceKey, RequestRate};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::client::LedgerClient;
@@ -28,6 +28,20 @@
         second?.request_permit(PermitAsk::Server(request)).await
     }
 
+    /// Asks for the permit to send one request that is on trial. Returns `None` when none of the hosts answers that judge the
+    /// crashes. A host that has just started does not know of the trial yet, so that another one is asked then.
+    pub async fn request_trial(&self, content: ContentKey) -> Option<PermitAnswer> {
+        let mut latest = None;
+        for host in self.notice_hosts() {
+            match host.request_permit(PermitAsk::Trial(content)).await {
+                Some(PermitAnswer::Lifted) => latest = Some(PermitAnswer::Lifted),
+                Some(answer) => return Some(answer),
+                None => {}
+            }
+        }
+        latest
+    }
+
     /// Reports that a backend server has lifted its limit. Entries that are not told hear it from the server.
     pub async fn report_lifted(&self, instance: InstanceKey, heard_ms_ago: u64) {
         for host in self.server_hosts(instance).into_iter().flatten() {
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::crash::{CrashReport, NoticePage};
+use crate::crash::{CrashDetails, CrashReport, NoticePage};
 use crate::digest::BucketDigests;
 use crate::fact::{FactPage, FactReport, KnownFacts};
 use crate::limit::LimitReport;
@@ -166,6 +166,9 @@
 
     /// Returns the facts once some differ from the known ones; `None` if none do within `wait_ms`.
     async fn facts(known: KnownFacts, wait_ms: u64) -> Option<FactPage>;
+
+    /// Returns which requests are on trial, and when the servers crashed that the notices name.
+    async fn crash_details() -> CrashDetails;
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
--- a/components/ledger/tests/fact.rs
+++ b/components/ledger/tests/fact.rs
@@ -41,7 +41,7 @@
             let mut seen = seen.lock().expect("unpoisoned");
             match change {
                 FactChange::Limits(reports) => seen.0 = reports.len(),
-                FactChange::Suspects(notices) => seen.1 = notices.len(),
+                FactChange::Suspects { notices, .. } => seen.1 = notices.len(),
             }
         };
         client.follow_facts(apply).await;
--- a/components/ledger/tests/quota.rs
+++ b/components/ledger/tests/quota.rs
@@ -13,8 +13,8 @@
 use domain::{RequestQuota, RequestRate, WorkspaceKey};
 use googletest::prelude::*;
 use ledger::{
-    HeldPermit, LedgerClient, LedgerHosts, PermitAnswer, PermitAsk, PermitKey, PermitTable, PermitTerms,
-    QuotaAnswer, QuotaBounds, QuotaClass, QuotaDemand, QuotaRequest, QuotaShares,
+    HeldPermit, LedgerClient, LedgerHosts, PermitAnswer, PermitKey, PermitTable, PermitTerms, QuotaAnswer,
+    QuotaBounds, QuotaClass, QuotaDemand, QuotaRequest, QuotaShares,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -236,7 +236,7 @@
                     class: QuotaClass::UnderWay,
                     max_wait_ms: 0,
                 };
-                let answer = table.decide_ask(PermitAsk::Workspace(request), (at_ms - *started_ms) * 1_000);
+                let answer = table.decide_quota(request, (at_ms - *started_ms) * 1_000);
                 matches!(answer, PermitAnswer::Granted { .. })
             });
             let replay = &mut replays[workspace];
@@ -364,7 +364,7 @@
                 class: asked.class,
                 max_wait_ms: asked.max_wait_ms,
             };
-            let answer = table.decide_ask(PermitAsk::Workspace(request), asked.at_ms * 1_000);
+            let answer = table.decide_quota(request, asked.at_ms * 1_000);
             expect_that!(answer, eq(asked.expected), "{}, ask {index}", case.name);
         }
     }
@@ -376,7 +376,7 @@
         rate: RequestRate(1_000),
         burst: 2_000,
     };
-    let ask = PermitAsk::Workspace(QuotaRequest {
+    let request = QuotaRequest {
         workspace: WorkspaceKey(1),
         version: 1,
         even: terms,
@@ -384,10 +384,10 @@
         is_degraded: false,
         class: QuotaClass::UnderWay,
         max_wait_ms: 0,
-    });
+    };
     let mut table = PermitTable::default();
     let granted = |table: &mut PermitTable, at_ms: u64| {
-        let answers = std::iter::repeat_with(|| table.decide_ask(ask, at_ms * 1_000));
+        let answers = std::iter::repeat_with(|| table.decide_quota(request, at_ms * 1_000));
         answers
             .take_while(|answer| matches!(answer, PermitAnswer::Granted { .. }))
             .count()
