Use the permit of a workspace when its request is sent

What was seen: a workspace whose callers left while their requests ran got more run than its quota allows: 114 in 5 s, 86 allowed, 58 when nobody left.

Cause: a permit counted as used only once an answer's head had come or the attempt was lost. The task that waits for it is dropped when the caller disconnects, and the permit went back although the request had been sent. Ruled out: hosts that hand out more than their parts (none was needed for the excess), and attempts without a permit.

Change: the body of the request carries a mark of the permit, which the connection sets when it writes the head; the permit goes back when the waiting task and the body have both dropped it unused. An answer that says 'not run' makes it unused again. Beside it, unsent requests keep no permit: one that is granted to a caller who has left goes back, one whose connection is not opened before the deadline too, and the entry forgets what the host had said of its next permit.

Why it works: whether the request may reach a server is decided at one place, the connection, which outlives the caller's task; the order in which the two end makes no difference.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request;
 use hyper::http::response;
@@ -24,6 +24,7 @@
 use crate::long_answer::LongAnswer;
 use crate::memory::CallerConnection;
 use crate::models::TurnPrompt;
+use crate::outgoing::OutgoingBody;
 use crate::permits::{PermitAttempts, PermitOutcome};
 use crate::pool::{SendError, ServerAnswer};
 use crate::quota::QuotaTicket;
@@ -242,9 +243,7 @@
                 Ok(accepted) => return Ok(accepted),
                 Err(outcome) => outcome,
             };
-            if outcome == AttemptOutcome::Lost {
-                self.use_quota();
-            }
+            self.settle_quota(outcome);
             if outcome != AttemptOutcome::NotSent {
                 self.may_stand_trial = false;
             }
@@ -383,7 +382,7 @@
 
     async fn ask_for_slot(&self, server: &BackendServer) -> SlotAnswer {
         let (path, body) = self.entry.dialect.slot_request();
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(OutgoingBody::new(body, None));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(path);
         let headers = request.headers_mut();
@@ -532,17 +531,16 @@
         let request = self.request(&server, left, slot);
         let is_stream = self.plan.prompt.is_some();
         let mut watch = self.entry.watch_run(&self.plan.service, key, is_stream);
-        self.mark_sent(true);
         let sending = self.entry.pool.send(&server, request);
         let answer = match timeout_at(self.plan.deadline.into(), sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(_))) => {
-                self.mark_sent(false);
                 watch.fail();
                 return Err(AttemptOutcome::NotSent);
             }
             Ok(Err(SendError::Lost(_))) => {
                 watch.fail();
+                self.use_quota();
                 self.investigate_loss(&server);
                 return Err(AttemptOutcome::Lost);
             }
@@ -572,15 +570,14 @@
             // The connection may deliver the answer to an earlier request instead of the expected one.
             AnswerKind::Foreign => {
                 watch.fail();
+                self.use_quota();
                 return Err(AttemptOutcome::Lost);
             }
             AnswerKind::Refused => {
-                self.mark_sent(false);
                 finish_refusal(answer);
                 return Err(AttemptOutcome::Refused);
             }
             AnswerKind::WrongServer => {
-                self.mark_sent(false);
                 finish_refusal(answer);
                 return Err(AttemptOutcome::WrongServer);
             }
@@ -624,7 +621,7 @@
         }
     }
 
-    fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<Full<Bytes>> {
+    fn request(&self, server: &BackendServer, left: Duration, slot: Option<&str>) -> Request<OutgoingBody> {
         let mut parts = request::Request::new(()).into_parts().0;
         parts.method = self.plan.method.clone();
         parts.uri = Uri::from(self.plan.target.clone());
@@ -638,7 +635,8 @@
         self.entry
             .dialect
             .add_attempt_headers(&mut parts.headers, context);
-        Request::from_parts(parts, Full::new(self.plan.body.clone()))
+        let permit = self.plan.quota.as_ref().and_then(QuotaTicket::mark);
+        Request::from_parts(parts, OutgoingBody::new(self.plan.body.clone(), permit))
     }
 }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod models;
 mod net;
+mod outgoing;
 mod permits;
 mod pool;
 mod quota;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -5,9 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use domain::InstanceKey;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
@@ -15,6 +13,7 @@
 use routing::BackendServer;
 
 use crate::net;
+use crate::outgoing::OutgoingBody;
 
 /// Timeout for establishing a connection; afterwards another server is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -28,7 +27,7 @@
 /// Limit on the idle connections to one server.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
-type ServerConnection = SendRequest<Full<Bytes>>;
+type ServerConnection = SendRequest<OutgoingBody>;
 
 /// One start of a server at one of its addresses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -100,7 +99,7 @@
     pub(crate) async fn send(
         &self,
         server: &BackendServer,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
     ) -> Result<ServerAnswer, SendError> {
         let key = PoolKey::of(server);
         let mut request = request;
@@ -134,8 +133,8 @@
         &self,
         key: PoolKey,
         mut connection: ServerConnection,
-        request: Request<Full<Bytes>>,
-    ) -> Result<ServerAnswer, (String, Option<Request<Full<Bytes>>>)> {
+        request: Request<OutgoingBody>,
+    ) -> Result<ServerAnswer, (String, Option<Request<OutgoingBody>>)> {
         match connection.try_send_request(request).await {
             Ok(response) => {
                 let idle_timeout = idle_timeout(response.headers());
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -7,8 +7,8 @@
 
 use domain::RequestQuota;
 use errors::{CallError, ResultCode, RunState};
-use ledger::{HeldPermit, QuotaAnswer, QuotaClass, QuotaDemand};
-use routing::{ServiceRoute, Workspace};
+use ledger::{HeldPermit, PermitMark, QuotaAnswer, QuotaClass, QuotaDemand};
+use routing::{AttemptOutcome, ServiceRoute, Workspace};
 use slog::info;
 use tokio::time::sleep_until;
 
@@ -28,8 +28,6 @@
     workspace: String,
     demand: QuotaDemand,
     held: Option<HeldPermit>,
-    /// Whether the request was handed to a connection since the ticket has the permit.
-    is_sent: bool,
 }
 
 impl QuotaTicket {
@@ -52,10 +50,24 @@
             workspace: workspace.name.clone(),
             demand,
             held: None,
-            is_sent: false,
         })
     }
 
+    /// Returns a mark for the attempt that uses the permit.
+    pub(crate) fn mark(&self) -> Option<PermitMark> {
+        self.held.as_ref().map(HeldPermit::mark)
+    }
+
+    /// Uses the permit up if an attempt that failed was sent, and keeps it for the next attempt if it has not run.
+    fn settle(&mut self, outcome: AttemptOutcome) {
+        let Some(held) = &self.held else { return };
+        match outcome {
+            AttemptOutcome::NotSent | AttemptOutcome::Refused | AttemptOutcome::WrongServer => held.restore(),
+            AttemptOutcome::Lost if held.is_used() => self.use_up(),
+            AttemptOutcome::Lost => {}
+        }
+    }
+
     fn use_up(&mut self) {
         // A further attempt of the request goes on with what has begun.
         self.demand.class = QuotaClass::UnderWay;
@@ -117,19 +129,20 @@
 }
 
 impl Drop for Dispatcher {
-    /// Logs the permit of a request that ends without having used it.
+    /// Logs the permit of a request that ends before its answer, as when its caller leaves.
     fn drop(&mut self) {
-        let Some(ticket) = self.plan.quota.as_ref().filter(|ticket| ticket.held.is_some()) else {
-            return;
-        };
-        self.entry
-            .metrics
-            .quota_permits
-            .with_label_values(&["returned"])
-            .inc();
+        let held = self
+            .plan
+            .quota
+            .as_ref()
+            .and_then(|ticket| Some((ticket, ticket.held.as_ref()?)));
+        let Some((ticket, held)) = held else { return };
+        let is_sent = held.is_used();
+        let label = if is_sent { "abandoned" } else { "returned" };
+        self.entry.metrics.quota_permits.with_label_values(&[label]).inc();
         if self.entry.line_limiter.try_acquire() {
-            info!(self.entry.log, "permit of a workspace given back"; "request" => &self.plan.attempt_id,
-                "workspace" => &ticket.workspace, "sent" => ticket.is_sent);
+            info!(self.entry.log, "request with the permit of a workspace ended early"; "request" => &self.plan.attempt_id,
+                "workspace" => &ticket.workspace, "sent" => is_sent, "permit" => label);
         }
     }
 }
@@ -179,10 +192,10 @@
         }
     }
 
-    /// Records whether the request has been handed to a connection.
-    pub(crate) fn mark_sent(&mut self, is_sent: bool) {
+    /// Decides on the permit of the request's workspace after an attempt that failed.
+    pub(crate) fn settle_quota(&mut self, outcome: AttemptOutcome) {
         if let Some(ticket) = &mut self.plan.quota {
-            ticket.is_sent = is_sent;
+            ticket.settle(outcome);
         }
     }
 
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -48,7 +48,7 @@
     connect_host, serve_port, wall_clock_ms,
 };
 pub use quota::{PERMIT_VALIDITY_MS, PermitTerms, QuotaBounds, QuotaClass, QuotaRequest, QuotaShares};
-pub use quota_client::{HeldPermit, QuotaAnswer, QuotaDemand};
+pub use quota_client::{HeldPermit, PermitMark, QuotaAnswer, QuotaDemand};
 pub use reclaim::ReclaimLoop;
 pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
--- a/components/ledger/src/quota_client.rs
+++ b/components/ledger/src/quota_client.rs
@@ -1,6 +1,7 @@
 //! An entry's calls for the permits of workspaces.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use domain::{RequestQuota, WorkspaceKey};
@@ -45,11 +46,36 @@
     Unreachable,
 }
 
-/// The permit to send one request; it goes back to its host when it is dropped unused.
+/// A permit, shared by those that may use it. It goes back to its host when all of them have dropped it unused.
+#[derive(Debug)]
+struct PermitState {
+    workspace: WorkspaceKey,
+    host: Arc<HostLink>,
+    client: LedgerClient,
+    is_used: AtomicBool,
+}
+
+impl Drop for PermitState {
+    fn drop(&mut self) {
+        if *self.is_used.get_mut() {
+            return;
+        }
+        let (workspace, host, client) = (self.workspace, Arc::clone(&self.host), self.client.clone());
+        // Without a runtime the process is about to end.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move {
+                host.give_back(PermitKey::Workspace(workspace)).await;
+                // What the host has said of its next permit does not hold any more.
+                client.quota_book().forget(workspace, &host.peer.name);
+            });
+        }
+    }
+}
+
+/// The permit to send one request. It goes back to its host when it and its marks are dropped unused.
 #[derive(Debug)]
 pub struct HeldPermit {
-    key: PermitKey,
-    host: Option<Arc<HostLink>>,
+    state: Arc<PermitState>,
     /// When it may be used.
     due: Instant,
     expires: Instant,
@@ -66,19 +92,42 @@
         Instant::now() > self.expires
     }
 
+    /// Returns whether the permit is used: a request that was sent with it may run.
+    pub fn is_used(&self) -> bool {
+        self.state.is_used.load(Ordering::Acquire)
+    }
+
     /// Uses the permit.
-    pub fn use_up(mut self) {
-        self.host = None;
+    pub fn use_up(self) {
+        self.state.is_used.store(true, Ordering::Release);
+    }
+
+    /// Makes the permit unused again, as the request that was sent with it has not run and never will.
+    pub fn restore(&self) {
+        self.state.is_used.store(false, Ordering::Release);
+    }
+
+    /// Returns a mark for the task that sends the request.
+    pub fn mark(&self) -> PermitMark {
+        PermitMark {
+            state: Arc::clone(&self.state),
+            is_set: AtomicBool::new(false),
+        }
     }
 }
 
-impl Drop for HeldPermit {
-    fn drop(&mut self) {
-        let Some(host) = self.host.take() else { return };
-        let key = self.key;
-        // Without a runtime the process is about to end.
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            runtime.spawn(async move { host.give_back(key).await });
+/// Uses a permit from the task that sends its request, which may outlive the one that waits for the answer.
+#[derive(Debug)]
+pub struct PermitMark {
+    state: Arc<PermitState>,
+    is_set: AtomicBool,
+}
+
+impl PermitMark {
+    /// Uses the permit, in the first call only.
+    pub fn use_up(&self) {
+        if !self.is_set.swap(true, Ordering::AcqRel) {
+            self.state.is_used.store(true, Ordering::Release);
         }
     }
 }
@@ -134,6 +183,11 @@
         waits.max().unwrap_or_default()
     }
 
+    fn forget(&mut self, workspace: WorkspaceKey, host: &str) {
+        self.rows
+            .retain(|row| row.workspace != workspace || row.host != host);
+    }
+
     fn record(&mut self, row: BookRow, now: Instant) {
         if self.rows.len() >= MAX_BOOK_ROWS {
             self.rows.retain(|row| row.next > now);
@@ -156,6 +210,24 @@
     is_degraded: bool,
 }
 
+/// Terms on which a host is asked for a permit.
+#[derive(Debug, Clone, Copy)]
+struct AskedTerms {
+    even: PermitTerms,
+    most: PermitTerms,
+    is_degraded: bool,
+}
+
+impl AskedHosts {
+    const fn terms(&self) -> AskedTerms {
+        AskedTerms {
+            even: self.even,
+            most: self.most,
+            is_degraded: self.is_degraded,
+        }
+    }
+}
+
 impl LedgerClient {
     /// Returns the time in milliseconds until a request can get the permit of its workspace, if all hosts that hand them
     /// out have refused others until then and the request does not wait for so long.
@@ -179,7 +251,9 @@
             let wait_ms = if known_ms > demand.max_wait_ms {
                 known_ms
             } else {
-                match self.ask_host(&host, demand, &asked).await {
+                // The task goes on when the caller is cancelled, so that a permit which is on its way then goes back.
+                let asking = tokio::spawn(self.clone().ask_host(Arc::clone(&host), demand, asked.terms()));
+                match asking.await.ok().flatten() {
                     Some(HostAnswer::Granted(permit)) => return QuotaAnswer::Granted(permit),
                     Some(HostAnswer::Refused(wait_ms)) => wait_ms,
                     None => {
@@ -200,17 +274,17 @@
 
     /// Asks one host; `None` if it does not answer.
     async fn ask_host(
-        &self,
-        host: &Arc<HostLink>,
+        self,
+        host: Arc<HostLink>,
         demand: QuotaDemand,
-        asked: &AskedHosts,
+        terms: AskedTerms,
     ) -> Option<HostAnswer> {
         let request = QuotaRequest {
             workspace: demand.workspace,
             version: demand.version,
-            even: asked.even,
-            most: asked.most,
-            is_degraded: asked.is_degraded,
+            even: terms.even,
+            most: terms.most,
+            is_degraded: terms.is_degraded,
             class: demand.class,
             max_wait_ms: demand.max_wait_ms,
         };
@@ -230,7 +304,7 @@
             class: demand.class,
             host: host.peer.name.clone(),
             version: demand.version,
-            is_degraded: asked.is_degraded,
+            is_degraded: terms.is_degraded,
             next: answered_at + Duration::from_millis(next_ms),
         };
         self.quota_book().record(row, answered_at);
@@ -239,8 +313,12 @@
         };
         let wait = Duration::from_millis(wait_ms);
         Some(HostAnswer::Granted(HeldPermit {
-            key: PermitKey::Workspace(demand.workspace),
-            host: Some(Arc::clone(host)),
+            state: Arc::new(PermitState {
+                workspace: demand.workspace,
+                host,
+                client: self,
+                is_used: AtomicBool::new(false),
+            }),
             due: answered_at + wait,
             // From the time of the question on: the process may have stood still before it read the answer.
             expires: asked_at + wait + Duration::from_millis(PERMIT_VALIDITY_MS),
--- a/components/ledger/tests/quota.rs
+++ b/components/ledger/tests/quota.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use domain::{RequestQuota, RequestRate, WorkspaceKey};
+use futures::future::join_all;
 use googletest::prelude::*;
 use ledger::{
     HeldPermit, LedgerClient, LedgerHosts, PermitAnswer, PermitKey, PermitTable, PermitTerms, QuotaAnswer,
@@ -19,7 +20,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use support::{RunningHost, addresses, silent_log, start_hosts};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const BOUNDS: QuotaBounds = QuotaBounds {
     window_ms: 5_000,
@@ -497,3 +498,105 @@
     let (used, _) = use_all(&client, demand(LARGE, 1)).await;
     expect_that!(used, ge(taken));
 }
+
+/// What becomes of a permit whose holder ends.
+struct HeldCase {
+    name: &'static str,
+    end: fn(HeldPermit),
+    goes_back: bool,
+}
+
+/// The permit of a request that ran went back when its caller left, and let another one run beyond the quota.
+#[gtest]
+#[tokio::test]
+async fn a_permit_goes_back_unless_its_request_was_sent() {
+    /// Few of its permits fall due while the test looks.
+    const QUOTA: RequestQuota = quota(3_000, 6);
+    let case = |name, end, goes_back| HeldCase { name, end, goes_back };
+    let cases = [
+        case("not sent", |permit| drop(permit.mark()), true),
+        case("sent", |permit| permit.mark().use_up(), false),
+        case(
+            "sent after its caller has left",
+            |permit| {
+                let mark = permit.mark();
+                drop(permit);
+                mark.use_up();
+            },
+            false,
+        ),
+        case(
+            "refused by the server",
+            |permit| {
+                permit.mark().use_up();
+                permit.restore();
+            },
+            true,
+        ),
+        case(
+            "refused by the server while the rest of the request is sent",
+            |permit| {
+                let mark = permit.mark();
+                mark.use_up();
+                permit.restore();
+                mark.use_up();
+            },
+            true,
+        ),
+        case(
+            "refused by the server and sent to another one",
+            |permit| {
+                permit.mark().use_up();
+                permit.restore();
+                permit.mark().use_up();
+            },
+            false,
+        ),
+        case("answered", HeldPermit::use_up, false),
+    ];
+    let runs = cases.map(async |case| {
+        let folder = tempfile::tempdir().expect("a folder");
+        let hosts = start_hosts(&["a", "b"], folder.path()).await;
+        let client = quota_client(&hosts).await;
+        sleep(Duration::from_secs(2)).await;
+        let mut held: Vec<HeldPermit> = Vec::new();
+        while let QuotaAnswer::Granted(permit) = client.request_quota(demand(QUOTA, 1)).await {
+            held.push(permit);
+        }
+        let taken = held.len();
+        expect_that!(taken, ge(4), "{}", case.name);
+        held.into_iter().for_each(case.end);
+        sleep(Duration::from_millis(400)).await;
+        let (used, _) = use_all(&client, demand(QUOTA, 1)).await;
+        expect_that!(
+            used >= taken,
+            eq(case.goes_back),
+            "{}: {used} of {taken}",
+            case.name
+        );
+    });
+    join_all(runs).await;
+}
+
+/// A caller that left while its entry waited for the answer of the ledger host took a permit with it.
+#[gtest]
+#[tokio::test]
+async fn a_permit_that_is_granted_to_nobody_goes_back() {
+    const LEAVING: u64 = 200;
+    const QUOTA: RequestQuota = quota(10_000, 10);
+    let folder = tempfile::tempdir().expect("a folder");
+    let hosts = start_hosts(&["a", "b"], folder.path()).await;
+    let client = quota_client(&hosts).await;
+    sleep(Duration::from_secs(2)).await;
+    for number in 0..LEAVING {
+        // The caller leaves at different times of the call.
+        let patience = Duration::from_micros(number * 5);
+        drop(timeout(patience, client.request_quota(demand(QUOTA, 1))).await);
+    }
+    // The refusals of the last ones are over.
+    sleep(Duration::from_millis(200)).await;
+    let (used, _) = use_all(&client, demand(QUOTA, 1)).await;
+    let (all, _) = use_all(&client, demand(QUOTA, 2)).await;
+    expect_that!(all, ge(8));
+    expect_that!(used, ge(all));
+}
