Convict a request that is sent again after each crash by its third one

Ruled out: the trial's permits (three granted, five refused, none for anything else) and other requests (50 refusals with 3026, one content).

Change: entries report for how long a run had lasted when its server crashed. A crash is a moment of its own if the request was sent to that server after the one before had crashed, by the earliest run there, and 20 ms lie between the crashes. Moments are so per request; shares are of single crashes again. What hosts tell of crashes has all of that, so that it survives a host's restart.

Why it works: servers of one failure domain crash while the requests run there; only a request that causes the crashes finds a server alive that dies of it each time.

Evidence: new rows of servers_that_crash_at_one_moment_count_as_one (sent again after each crash: convicted; running before the first crash, or sent again while servers crash within milliseconds: not).

The row 'a failure domain is lost together with a server that a request crashes' expected that the request lost with the domain is free, since one moment was accounted for as a whole; it is on trial now, as nobody accounts for these servers.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::dispatch::Dispatcher;
-use crate::state::{EntryState, lock, whole_millis};
+use crate::state::{EntryState, lock};
 
 /// Timeout for finding out whether a server still accepts connections. One that is only cut off does not refuse them.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -38,18 +38,28 @@
 pub(crate) struct LostRun {
     pub(crate) request: String,
     pub(crate) content: RequestContent,
+    /// When it was handed to a connection.
+    pub(crate) sent_at: Instant,
 }
 
 impl LostRun {
     /// Returns the reports about the request, of which a short one has a single key.
-    fn reports(&self, instance: InstanceKey) -> Vec<CrashReport> {
+    fn reports(&self, instance: InstanceKey, lost_at: Instant) -> Vec<FactReport> {
+        let lost_ms_ago = short_millis(lost_at.elapsed());
+        let ran_ms = short_millis(lost_at.saturating_duration_since(self.sent_at));
         let RequestContent { whole, leading } = self.content;
         let scopes = [(whole, ContentScope::Whole), (leading, ContentScope::Leading)];
         let scopes = scopes.into_iter().take(if whole == leading { 1 } else { 2 });
-        let reports = scopes.map(|(content, scope)| CrashReport {
-            content,
-            scope,
-            instance,
+        let reports = scopes.map(|(content, scope)| {
+            FactReport::Loss(LossReport {
+                crash: CrashReport {
+                    content,
+                    scope,
+                    instance,
+                },
+                lost_ms_ago,
+                ran_ms,
+            })
         });
         reports.collect()
     }
@@ -321,14 +331,12 @@
         for run in &runs {
             if entry.line_limiter.try_acquire() {
                 info!(entry.log, "backend server crashed under a request"; "request" => &run.request,
-                    "content" => %run.content.whole, "leading" => %run.content.leading, "server" => &name, "address" => %address, "lost" => runs.len());
+                    "content" => %run.content.whole, "leading" => %run.content.leading, "server" => &name, "address" => %address,
+                    "lost" => runs.len(), "ran_ms" => lost_at.saturating_duration_since(run.sent_at).as_millis());
             }
         }
-        let reports = runs.iter().flat_map(|run| run.reports(instance));
-        let lost_ms_ago = whole_millis(lost_at.elapsed());
-        let reports = reports.map(|crash| FactReport::Loss(LossReport { crash, lost_ms_ago }));
-        let reports = reports.collect();
-        entry.ledger.report_facts(reports).await;
+        let reports = runs.iter().flat_map(|run| run.reports(instance, lost_at));
+        entry.ledger.report_facts(reports.collect()).await;
     });
 }
 
@@ -337,3 +345,8 @@
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused)
 }
+
+/// Returns a time in milliseconds as crash reports state it.
+fn short_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -292,7 +292,7 @@
                     }
                 }
                 Ok(Some(Err(_))) => {
-                    self.investigate_loss(&attempt.server);
+                    self.investigate_loss(&attempt.server, attempt.sent_at);
                     return Err(self.lose_answer(server));
                 }
                 Err(_) => return Err(self.lose_answer(server)),
@@ -321,11 +321,12 @@
         self.permits.stop_asking();
     }
 
-    /// Finds out in the background whether a server has crashed under the request.
-    pub(crate) fn investigate_loss(&self, server: &BackendServer) {
+    /// Finds out in the background whether a server has crashed under the request, which was sent to it at `sent_at`.
+    pub(crate) fn investigate_loss(&self, server: &BackendServer, sent_at: Instant) {
         let run = LostRun {
             request: self.plan.attempt_id.clone(),
             content: self.plan.content,
+            sent_at,
         };
         investigate(&self.entry, server, run);
     }
@@ -541,7 +542,7 @@
             Ok(Err(SendError::Lost(_))) => {
                 watch.fail();
                 self.use_quota();
-                self.investigate_loss(&server);
+                self.investigate_loss(&server, sent_at);
                 return Err(AttemptOutcome::Lost);
             }
             Err(_) => return Err(AttemptOutcome::Lost),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -272,7 +272,8 @@
                 }
                 StreamRead::End | StreamRead::Broken => {
                     if self.pace.has_just_begun() {
-                        self.dispatcher.investigate_loss(&self.attempt.server);
+                        let SentAttempt { server, sent_at, .. } = &self.attempt;
+                        self.dispatcher.investigate_loss(server, *sent_at);
                     }
                     self.resume().await?;
                 }
--- a/components/ledger/src/crash.rs
+++ b/components/ledger/src/crash.rs
@@ -4,8 +4,9 @@
 //! crashes takes tens of other requests with it, which come again, too, and may be lost a second and a third time.
 //! Other causes, such as the loss of a failure domain, crash many servers at one moment, with all that they run.
 //!
-//! Crashes at one moment have one cause, and count as one. Each is shared evenly among the requests that were lost in it.
-//! The one with the largest shares is convicted first, and the crashes that it accounts for count against nobody else. A
+//! Crashes under a request at one moment may have one cause, and count as one, unless the request was sent to the later
+//! server after the earlier one had crashed. Each crash is shared evenly among the requests that were lost with the server.
+//! The one with the largest shares is convicted first, and the servers that it has crashed count against nobody else. A
 //! request that was lost with as many servers, but at fewer moments, is on trial: it is sent to one server at a time until
 //! one has run it to its end, or crashes.
 
@@ -21,6 +22,11 @@
 /// Length of a moment, in milliseconds: several times the difference with which entries notice that servers have crashed
 /// together.
 const MOMENT_MS: u64 = 250;
+/// Shortest time between two crashes of one moment of which the later one may come from sending the request again, in
+/// milliseconds: longer than servers that crash together take for it.
+const SEQUENCE_GAP_MS: u64 = 20;
+/// Largest difference between the delays of two reports, in milliseconds.
+const REPORT_SKEW_MS: u64 = 10;
 /// Time from the latest crash under a request that is on trial to its next attempt, in milliseconds: longer than a moment
 /// and the time in which a crash is noticed and reported.
 const TRIAL_INTERVAL_MS: u64 = 500;
@@ -67,15 +73,18 @@
     /// The request and the server.
     pub crash: CrashReport,
     /// Time since the first run was lost with the server, in milliseconds.
-    pub lost_ms_ago: u64,
+    pub lost_ms_ago: u32,
+    /// Time from the sending of the request to its loss, in milliseconds.
+    pub ran_ms: u32,
 }
 
 impl LossReport {
-    /// Returns the report of a crash that has just been noticed.
+    /// Returns the report of a crash that has just been noticed, under a request of which it is not known when it was sent.
     pub const fn just_now(crash: CrashReport) -> Self {
         Self {
             crash,
             lost_ms_ago: 0,
+            ran_ms: u32::MAX,
         }
     }
 }
@@ -87,22 +96,38 @@
     at_ms: u64,
 }
 
-/// Number of a moment at which servers crashed, in the order of time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct MomentKey(usize);
+/// A run that was lost with its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LostRun {
+    instance: InstanceKey,
+    /// When the request was sent to the server, the earliest one if it was several times.
+    began_ms: u64,
+}
 
 /// A request under which servers have crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct CrashSuspect {
     content: ContentKey,
     scope: ContentScope,
-    /// Servers that crashed, sorted.
-    instances: Vec<InstanceKey>,
+    /// Runs by the server that crashed, sorted.
+    runs: Vec<LostRun>,
     /// Time of the latest crash.
     latest_ms: u64,
     trial: TrialPace,
 }
 
+impl CrashSuspect {
+    fn instances(&self) -> impl Iterator<Item = InstanceKey> {
+        self.runs.iter().map(|run| run.instance)
+    }
+
+    fn has_crashed(&self, instance: InstanceKey) -> bool {
+        self.runs
+            .binary_search_by_key(&instance, |run| run.instance)
+            .is_ok()
+    }
+}
+
 /// When a request that is on trial may be sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct TrialPace {
@@ -130,25 +155,72 @@
     }
 }
 
-/// A request with the moments at which servers crashed under it, sorted.
+/// Crashes of servers that nobody accounts for yet, sorted by the server, each with its time and with the part of it that
+/// falls to each request that was lost with the server.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct SuspectMoments<'a> {
-    suspect: &'a CrashSuspect,
-    moments: Vec<MomentKey>,
+struct OpenCrashes(Vec<(ServerCrash, u64)>);
+
+impl OpenCrashes {
+    fn find(&self, instance: InstanceKey) -> Option<(ServerCrash, u64)> {
+        let found = self
+            .0
+            .binary_search_by_key(&instance, |(crash, _)| crash.instance);
+        found.ok().map(|index| self.0[index])
+    }
+
+    /// Removes the crashes for which a request accounts.
+    fn remove(&mut self, suspect: &CrashSuspect) {
+        self.0.retain(|(crash, _)| !suspect.has_crashed(crash.instance));
+    }
+
+    /// Returns the number of open crashes under a request.
+    fn count(&self, suspect: &CrashSuspect) -> usize {
+        let found = suspect
+            .instances()
+            .filter(|instance| self.find(*instance).is_some());
+        found.count()
+    }
+
+    /// Returns the largest share of each moment at which servers crashed under a request.
+    fn moments(&self, suspect: &CrashSuspect) -> Vec<u64> {
+        let found = suspect.runs.iter().filter_map(|run| {
+            let (crash, share) = self.find(run.instance)?;
+            Some((crash.at_ms, run.began_ms, share))
+        });
+        let mut found: Vec<(u64, u64, u64)> = found.collect();
+        found.sort_unstable();
+        let mut moments: Vec<u64> = Vec::new();
+        let (mut moment_ms, mut before_ms) = (0, 0);
+        for (at_ms, began_ms, share) in found {
+            let is_sent_again =
+                began_ms + REPORT_SKEW_MS >= before_ms && at_ms >= before_ms + SEQUENCE_GAP_MS;
+            before_ms = at_ms;
+            match moments.last_mut() {
+                Some(latest) if at_ms < moment_ms + MOMENT_MS && !is_sent_again => {
+                    *latest = share.max(*latest);
+                }
+                _ => {
+                    moments.push(share);
+                    moment_ms = at_ms;
+                }
+            }
+        }
+        moments
+    }
 }
 
 /// Releases those for whose crashes the other convicted ones account, the one with the fewest crashes first.
-fn release_explained(convicted: &mut Vec<SuspectMoments<'_>>) {
-    convicted.sort_by_key(|judged| (judged.moments.len(), judged.suspect.scope));
+fn release_explained(convicted: &mut Vec<&CrashSuspect>, crashes: &OpenCrashes) {
+    convicted.sort_by_key(|suspect| (suspect.runs.len(), suspect.scope));
     let mut index = 0;
     while index < convicted.len() {
-        let accounts_for = |moment: &MomentKey| {
-            let others = convicted.iter().enumerate().filter(|(other, _)| *other != index);
-            let mut others = others.map(|(_, other)| other);
-            others.any(|other| other.moments.binary_search(moment).is_ok())
-        };
-        let moments = convicted[index].moments.iter();
-        if moments.filter(|moment| !accounts_for(moment)).count() < CONVICTION_CRASHES {
+        let mut open = crashes.clone();
+        for (other, suspect) in convicted.iter().enumerate() {
+            if other != index {
+                open.remove(suspect);
+            }
+        }
+        if open.moments(convicted[index]).len() < CONVICTION_CRASHES {
             convicted.remove(index);
         } else {
             index += 1;
@@ -167,16 +239,12 @@
 }
 
 impl Blame {
-    fn of(judged: &SuspectMoments<'_>, shares: &[(MomentKey, u64)]) -> Self {
-        let found = judged.moments.iter().filter_map(|moment| {
-            let index = shares.binary_search_by_key(moment, |(moment, _)| *moment);
-            index.ok().map(|index| shares[index].1)
-        });
-        let (share, crashes) = found.fold((0, 0), |(sum, crashes), share| (sum + share, crashes + 1));
+    fn of(suspect: &CrashSuspect, open: &OpenCrashes) -> Self {
+        let moments = open.moments(suspect);
         Self {
-            share,
-            scope: judged.suspect.scope,
-            crashes,
+            share: moments.iter().sum(),
+            scope: suspect.scope,
+            crashes: moments.len(),
         }
     }
 }
@@ -212,24 +280,14 @@
     pub notices: Vec<SuspectNotice>,
 }
 
-/// How long ago a server has crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct CrashAge {
-    /// Start of the server.
-    pub instance: InstanceKey,
-    /// Time since the crash, in milliseconds.
-    pub ms_ago: u64,
-}
-
 /// What entries are told beside the notices of a host.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CrashDetails {
     /// Requests that are sent to one server at a time, sorted.
     pub on_trial: Vec<ContentKey>,
-    /// Crashes of the servers that the notices name, sorted by the server.
-    pub crashes: Vec<CrashAge>,
+    /// The crashes that the notices name, sorted by the content and the server.
+    pub losses: Vec<LossReport>,
 }
 
 /// The requests under which servers have crashed, sorted by their content.
@@ -248,17 +306,18 @@
     /// began at least [`CRASH_RETENTION_MS`] ago.
     pub fn record(&mut self, reports: &[LossReport], now_ms: u64) {
         for report in reports {
-            self.add(report.crash, now_ms.saturating_sub(report.lost_ms_ago));
+            self.add(*report, now_ms.saturating_sub(u64::from(report.lost_ms_ago)));
         }
         self.prune(now_ms);
     }
 
-    fn add(&mut self, report: CrashReport, at_ms: u64) {
+    fn add(&mut self, report: LossReport, at_ms: u64) {
         let CrashReport {
             content,
             scope,
             instance,
-        } = report;
+        } = report.crash;
+        let began_ms = at_ms.saturating_sub(u64::from(report.ran_ms));
         match self
             .crashes
             .binary_search_by_key(&instance, |crash| crash.instance)
@@ -270,7 +329,7 @@
             let suspect = CrashSuspect {
                 content,
                 scope,
-                instances: Vec::new(),
+                runs: Vec::new(),
                 latest_ms: at_ms,
                 trial: TrialPace::default(),
             };
@@ -279,14 +338,19 @@
         });
         let suspect = &mut self.suspects[index];
         suspect.latest_ms = suspect.latest_ms.max(at_ms);
-        if let Err(position) = suspect.instances.binary_search(&instance)
-            && suspect.instances.len() < MAX_CRASHES
-        {
-            suspect.instances.insert(position, instance);
-            suspect.trial = TrialPace {
-                next_ms: suspect.latest_ms + TRIAL_INTERVAL_MS,
-                attempts: 0,
-            };
+        match suspect.runs.binary_search_by_key(&instance, |run| run.instance) {
+            Ok(position) => {
+                let run = &mut suspect.runs[position];
+                run.began_ms = run.began_ms.min(began_ms);
+            }
+            Err(position) if suspect.runs.len() < MAX_CRASHES => {
+                suspect.runs.insert(position, LostRun { instance, began_ms });
+                suspect.trial = TrialPace {
+                    next_ms: suspect.latest_ms + TRIAL_INTERVAL_MS,
+                    attempts: 0,
+                };
+            }
+            Err(_) => {}
         }
     }
 
@@ -325,22 +389,35 @@
 
     /// Returns what entries are told beside the notices.
     pub fn details(&self, now_ms: u64) -> CrashDetails {
-        let notified = self.notices.iter().flat_map(|notice| &notice.instances);
-        let mut notified: Vec<InstanceKey> = notified.copied().collect();
-        notified.sort_unstable();
-        let crashes = self.crashes.iter();
-        let crashes = crashes.filter(|crash| notified.binary_search(&crash.instance).is_ok());
+        let notified = self.suspects.iter();
+        let notified = notified.filter(|suspect| suspect.runs.len() >= SUSPICION_CRASHES);
+        let losses = notified.flat_map(|suspect| {
+            suspect.runs.iter().map(move |run| {
+                let at_ms = self.crash_of(run.instance).map_or(now_ms, |crash| crash.at_ms);
+                LossReport {
+                    crash: CrashReport {
+                        content: suspect.content,
+                        scope: suspect.scope,
+                        instance: run.instance,
+                    },
+                    lost_ms_ago: short_millis(now_ms.saturating_sub(at_ms)),
+                    ran_ms: short_millis(at_ms.saturating_sub(run.began_ms)),
+                }
+            })
+        });
         CrashDetails {
             on_trial: self.on_trial.clone(),
-            crashes: crashes
-                .map(|crash| CrashAge {
-                    instance: crash.instance,
-                    ms_ago: now_ms.saturating_sub(crash.at_ms),
-                })
-                .collect(),
+            losses: losses.collect(),
         }
     }
 
+    fn crash_of(&self, instance: InstanceKey) -> Option<ServerCrash> {
+        let found = self
+            .crashes
+            .binary_search_by_key(&instance, |crash| crash.instance);
+        found.ok().map(|index| self.crashes[index])
+    }
+
     /// Returns the requests under which several servers have crashed, sorted by their content.
     pub fn notices(&self) -> &[SuspectNotice] {
         &self.notices
@@ -352,22 +429,19 @@
     }
 
     fn lost_instances(&self) -> impl Iterator<Item = InstanceKey> {
-        self.suspects
-            .iter()
-            .flat_map(|suspect| &suspect.instances)
-            .copied()
+        self.suspects.iter().flat_map(CrashSuspect::instances)
     }
 
     /// Judges all requests anew.
     fn judge(&mut self) {
         let CrashVerdicts { convicted, on_trial } = self.verdicts();
         let suspects = self.suspects.iter();
-        let suspects = suspects.filter(|suspect| suspect.instances.len() >= SUSPICION_CRASHES);
+        let suspects = suspects.filter(|suspect| suspect.runs.len() >= SUSPICION_CRASHES);
         let notices: Vec<SuspectNotice> = suspects
             .map(|suspect| SuspectNotice {
                 content: suspect.content,
                 scope: suspect.scope,
-                instances: suspect.instances.clone(),
+                instances: suspect.instances().collect(),
                 is_convicted: convicted.binary_search(&suspect.content).is_ok(),
             })
             .collect();
@@ -379,74 +453,51 @@
     }
 
     fn verdicts(&self) -> CrashVerdicts {
-        let is_candidate = |suspect: &&CrashSuspect| suspect.instances.len() >= CONVICTION_CRASHES;
-        if !self.suspects.iter().any(|suspect| is_candidate(&suspect)) {
+        let is_candidate = |suspect: &&CrashSuspect| suspect.runs.len() >= CONVICTION_CRASHES;
+        let all: Vec<&CrashSuspect> = self.suspects.iter().filter(is_candidate).collect();
+        if all.is_empty() {
             return CrashVerdicts::default();
         }
-        let moments = self.moments();
-        let judged = self.suspects.iter().map(|suspect| SuspectMoments {
-            suspect,
-            moments: moments_of(suspect, &moments),
-        });
-        let judged: Vec<SuspectMoments<'_>> = judged.collect();
-        let mut shares = shares(&judged);
-        let mut candidates: Vec<SuspectMoments<'_>> = judged
-            .into_iter()
-            .filter(|judged| is_candidate(&judged.suspect))
-            .collect();
-        let all = candidates.clone();
-        let mut convicted: Vec<SuspectMoments<'_>> = Vec::new();
+        let crashes = self.open_crashes();
+        let mut open = crashes.clone();
+        let mut candidates = all.clone();
+        let mut convicted: Vec<&CrashSuspect> = Vec::new();
         loop {
-            let blames = candidates.iter().map(|judged| Blame::of(judged, &shares));
+            let blames = candidates.iter().map(|suspect| Blame::of(suspect, &open));
             let guilty = blames
                 .enumerate()
                 .filter(|(_, blame)| blame.crashes >= CONVICTION_CRASHES);
-            // The last one of equals, as the order by content is the same at every host.
             let Some((index, _)) = guilty.max_by_key(|(_, blame)| *blame) else {
                 break;
             };
             let most = candidates.remove(index);
-            shares.retain(|(moment, _)| most.moments.binary_search(moment).is_err());
+            open.remove(most);
             convicted.push(most);
         }
-        release_explained(&mut convicted);
-        let is_accounted_for = |moment: MomentKey| {
-            let mut convicted = convicted.iter();
-            convicted.any(|judged| judged.moments.binary_search(&moment).is_ok())
-        };
-        let on_trial = all.iter().filter(|judged| {
-            let instances = judged.suspect.instances.iter();
-            let open = instances.filter(|instance| {
-                let moment = moment_of(**instance, &moments);
-                moment.is_none_or(|moment| !is_accounted_for(moment))
-            });
-            open.count() >= CONVICTION_CRASHES
-        });
-        let on_trial = on_trial.map(|judged| judged.suspect.content).collect();
-        let mut convicted: Vec<ContentKey> = convicted.iter().map(|judged| judged.suspect.content).collect();
+        release_explained(&mut convicted, &crashes);
+        let mut open = crashes;
+        for suspect in &convicted {
+            open.remove(suspect);
+        }
+        let on_trial = all
+            .into_iter()
+            .filter(|suspect| open.count(suspect) >= CONVICTION_CRASHES);
+        let on_trial = on_trial.map(|suspect| suspect.content).collect();
+        let mut convicted: Vec<ContentKey> = convicted.iter().map(|suspect| suspect.content).collect();
         convicted.sort_unstable();
         CrashVerdicts { convicted, on_trial }
     }
 
-    /// Returns the moments of all crashes, sorted by the server. A moment begins with the first crash after the one before.
-    fn moments(&self) -> Vec<(InstanceKey, MomentKey)> {
-        let mut crashes = self.crashes.clone();
-        crashes.sort_unstable_by_key(|crash| (crash.at_ms, crash.instance));
-        let mut latest: Option<(u64, MomentKey)> = None;
-        let moments = crashes.into_iter().map(|ServerCrash { instance, at_ms }| {
-            let moment = match latest {
-                Some((began_at_ms, moment)) if at_ms < began_at_ms + MOMENT_MS => moment,
-                Some((_, MomentKey(number))) => MomentKey(number + 1),
-                None => MomentKey(0),
-            };
-            if latest.is_none_or(|(_, before)| before != moment) {
-                latest = Some((at_ms, moment));
-            }
-            (instance, moment)
+    /// Returns all crashes with the part that falls to each of the requests that were lost with the server.
+    fn open_crashes(&self) -> OpenCrashes {
+        let mut lost: Vec<InstanceKey> = self.lost_instances().collect();
+        lost.sort_unstable();
+        let crashes = lost.chunk_by(|left, right| left == right);
+        let crashes = crashes.filter_map(|crash| {
+            let found = self.crash_of(crash[0])?;
+            Some((found, CRASH_SHARES / crash.len() as u64))
         });
-        let mut moments: Vec<(InstanceKey, MomentKey)> = moments.collect();
-        moments.sort_unstable_by_key(|(instance, _)| *instance);
-        moments
+        OpenCrashes(crashes.collect())
     }
 
     fn position_of(&self, content: ContentKey) -> Result<usize, usize> {
@@ -455,29 +506,7 @@
     }
 }
 
-fn moment_of(instance: InstanceKey, moments: &[(InstanceKey, MomentKey)]) -> Option<MomentKey> {
-    let found = moments.binary_search_by_key(&instance, |(instance, _)| *instance);
-    found.ok().map(|index| moments[index].1)
-}
-
-/// Returns the moments at which servers crashed under a request, sorted.
-fn moments_of(suspect: &CrashSuspect, moments: &[(InstanceKey, MomentKey)]) -> Vec<MomentKey> {
-    let instances = suspect.instances.iter();
-    let mut found: Vec<MomentKey> = instances
-        .filter_map(|instance| moment_of(*instance, moments))
-        .collect();
-    found.sort_unstable();
-    found.dedup();
-    found
-}
-
-/// Returns the part of each moment that falls to one of the requests that were lost in it, sorted by the moment.
-fn shares(judged: &[SuspectMoments<'_>]) -> Vec<(MomentKey, u64)> {
-    let lost = judged.iter().flat_map(|judged| &judged.moments);
-    let mut lost: Vec<MomentKey> = lost.copied().collect();
-    lost.sort_unstable();
-    let moments = lost.chunk_by(|left, right| left == right);
-    moments
-        .map(|moment| (moment[0], CRASH_SHARES / moment.len() as u64))
-        .collect()
+/// Returns a time in milliseconds as the reports state it.
+fn short_millis(time_ms: u64) -> u32 {
+    u32::try_from(time_ms).unwrap_or(u32::MAX)
 }
--- a/components/ledger/src/fact_client.rs
+++ b/components/ledger/src/fact_client.rs
@@ -2,12 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use domain::InstanceKey;
 use futures::future::join_all;
 use tokio::time::sleep;
 
 use crate::client::LedgerClient;
-use crate::crash::{CrashDetails, CrashReport, LossReport, SuspectNotice};
+use crate::crash::{CrashReport, LossReport, SuspectNotice};
 use crate::fact::{FactChange, FactReport, KnownFacts};
 use crate::notice::NoticeVersion;
 
@@ -106,7 +105,7 @@
                     continue;
                 }
             }
-            suspects.replace(page.notices, &details);
+            suspects.replace(page.notices, details.losses);
             apply(FactChange::Suspects {
                 notices: &suspects.notices,
                 on_trial: &details.on_trial,
@@ -115,55 +114,40 @@
     }
 }
 
-/// The notices that an entry has received last, with the times of the crashes, so that it can tell a host that starts anew.
+/// What an entry has received last of crashes, so that it can tell a host that starts anew.
 #[derive(Debug, Default)]
 struct KnownSuspects {
     notices: Vec<SuspectNotice>,
-    /// When servers crashed, sorted by the server.
-    crashes: Vec<(InstanceKey, Instant)>,
+    losses: Vec<LossReport>,
+    received: Option<Instant>,
 }
 
 impl KnownSuspects {
-    fn replace(&mut self, notices: Vec<SuspectNotice>, details: &CrashDetails) {
+    fn replace(&mut self, notices: Vec<SuspectNotice>, losses: Vec<LossReport>) {
         self.notices = notices;
-        let now = Instant::now();
-        let crashes = details.crashes.iter().filter_map(|crash| {
-            let at = now.checked_sub(Duration::from_millis(crash.ms_ago))?;
-            Some((crash.instance, at))
-        });
-        self.crashes = crashes.collect();
+        self.losses = losses;
+        self.received = Some(Instant::now());
     }
 
     /// Returns the crashes that the notices of another host lack.
     fn missing_at(&self, other: &[SuspectNotice]) -> Vec<FactReport> {
-        let reports = self.notices.iter().flat_map(|notice| {
-            let (content, scope) = (notice.content, notice.scope);
+        let known_for = self
+            .received
+            .map_or(Duration::ZERO, |received| received.elapsed());
+        let known_for = u32::try_from(known_for.as_millis()).unwrap_or(u32::MAX);
+        let missing = self.losses.iter().filter(|loss| {
+            let CrashReport {
+                content, instance, ..
+            } = loss.crash;
             let found = other.binary_search_by_key(&content, |notice| notice.content);
-            let present = found.map_or(&[][..], |index| &other[index].instances);
-            let missing = notice
-                .instances
-                .iter()
-                .filter(|instance| present.binary_search(instance).is_err());
-            missing.map(move |instance| {
-                FactReport::Loss(LossReport {
-                    crash: CrashReport {
-                        content,
-                        scope,
-                        instance: *instance,
-                    },
-                    lost_ms_ago: self.age_ms(*instance),
-                })
+            !found.is_ok_and(|index| other[index].instances.binary_search(&instance).is_ok())
+        });
+        let reports = missing.map(|loss| {
+            FactReport::Loss(LossReport {
+                lost_ms_ago: loss.lost_ms_ago.saturating_add(known_for),
+                ..*loss
             })
         });
         reports.collect()
     }
-
-    /// Returns the time since a crash in milliseconds.
-    fn age_ms(&self, instance: InstanceKey) -> u64 {
-        let found = self
-            .crashes
-            .binary_search_by_key(&instance, |(instance, _)| *instance);
-        let age = found.map_or(Duration::ZERO, |index| self.crashes[index].1.elapsed());
-        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-    }
 }
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -32,8 +32,8 @@
     LedgerClient, LedgerError, LedgerHosts, ReserveOutcome, TokenBudget, TurnClaim, polled_host,
 };
 pub use crash::{
-    CRASH_RETENTION_MS, ContentScope, CrashAge, CrashDetails, CrashReport, CrashTable, LossReport,
-    NoticePage, SuspectNotice,
+    CRASH_RETENTION_MS, ContentScope, CrashDetails, CrashReport, CrashTable, LossReport, NoticePage,
+    SuspectNotice,
 };
 pub use digest::BucketDigests;
 pub use fact::{FactChange, FactPage, FactReport, KnownFacts, LimitPage};
--- a/components/ledger/tests/crash.rs
+++ b/components/ledger/tests/crash.rs
@@ -18,10 +18,13 @@
 
 /// Time between two crashes that have nothing to do with one another, in milliseconds.
 const INTERVAL_MS: u64 = 1_000;
+/// Time for which the requests of most cases have run when their servers crash.
+const RAN_MS: u32 = 5_000;
 
 /// Returns the report of a server that crashed under a request some milliseconds ago.
-const fn loss(content: u64, instance: u64, lost_ms_ago: u64) -> LossReport {
+const fn loss(content: u64, instance: u64, lost_ms_ago: u32) -> LossReport {
     LossReport {
+        ran_ms: RAN_MS,
         crash: CrashReport {
             content: ContentKey(content),
             scope: ContentScope::Whole,
@@ -33,7 +36,9 @@
 
 /// Returns the reports of three servers that crashed under a request one after the other.
 fn three_crashes(content: u64) -> Vec<FactReport> {
-    let losses = (0..3).map(|instance| loss(content, instance, (3 - instance) * INTERVAL_MS));
+    let losses = [(0, 3_000), (1, 2_000), (2, 1_000)];
+    let losses = losses.map(|(instance, lost_ms_ago)| loss(content, instance, lost_ms_ago));
+    let losses = losses.into_iter();
     losses.map(FactReport::Loss).collect()
 }
 
@@ -183,7 +188,7 @@
                 vec![CrashedToo(31, &[8]), CrashedToo(32, &[8]), CrashedToo(33, &[8])],
             ),
             &[7],
-            &[],
+            &[8],
         ),
         trial_case(
             "a failure domain is lost long ago",
@@ -226,28 +231,53 @@
     }
 }
 
-/// Servers that crash under one request, with the times in milliseconds at which each does.
+/// Servers that crash under one request.
 struct MomentCase {
     name: &'static str,
-    times_ms: &'static [u64],
+    /// When each does, in milliseconds.
+    times_ms: &'static [u32],
+    /// For how long the request has run there.
+    ran_ms: u32,
     is_convicted: bool,
 }
 
 /// One crash of several servers convicted every request that began like those that were lost with them.
 #[gtest]
 fn servers_that_crash_at_one_moment_count_as_one() {
-    let case = |name, times_ms, is_convicted| MomentCase {
+    let case = |name, times_ms, ran_ms, is_convicted| MomentCase {
         name,
         times_ms,
+        ran_ms,
         is_convicted,
     };
     let cases = [
-        case("together", &[0, 0, 0, 0], false),
-        case("noticed one after the other", &[0, 3, 80, 240], false),
-        case("a whole service", &[0; 60], false),
-        case("two moments", &[0, 0, 0, 2_000, 2_000, 2_000], false),
-        case("one after the other", &[0, 250, 500], true),
-        case("two at once, and two more", &[0, 10, 1_000, 2_000], true),
+        case("together", &[0, 0, 0, 0], RAN_MS, false),
+        case("noticed one after the other", &[0, 3, 80, 240], RAN_MS, false),
+        case("a whole service", &[0; 60], RAN_MS, false),
+        case("two moments", &[0, 0, 0, 2_000, 2_000, 2_000], RAN_MS, false),
+        case("one after the other", &[0, 250, 500], RAN_MS, true),
+        case("two at once, and two more", &[0, 10, 1_000, 2_000], RAN_MS, true),
+        case("together, at the beginning of the runs", &[0, 0, 0, 0], 0, false),
+        case("sent again after each crash", &[0, 100, 200], 99, true),
+        case(
+            "sent again after each crash, which comes soon",
+            &[0, 30, 60],
+            29,
+            true,
+        ),
+        case("running before the first crash", &[0, 100, 200], 190, false),
+        case(
+            "sent again while servers crash within a few milliseconds",
+            &[0, 5, 10, 15],
+            4,
+            false,
+        ),
+        case(
+            "copies at the same time, and one of them again",
+            &[0, 0, 0, 100],
+            90,
+            false,
+        ),
     ];
     for case in cases {
         // Entries report a crash at different times, and the latest one first.
@@ -256,9 +286,16 @@
             let end_ms = CRASH_RETENTION_MS + 10_000;
             for (instance, at_ms) in case.times_ms.iter().enumerate().rev() {
                 let lost_ms_ago = 10_000 - at_ms;
-                let instance = instance as u64;
-                table.record(&[loss(7, instance, lost_ms_ago + delay_ms)], end_ms + delay_ms);
-                table.record(&[loss(7, instance, lost_ms_ago)], end_ms);
+                let report = LossReport {
+                    ran_ms: case.ran_ms,
+                    ..loss(7, instance as u64, lost_ms_ago)
+                };
+                let late = LossReport {
+                    lost_ms_ago: lost_ms_ago + delay_ms,
+                    ..report
+                };
+                table.record(&[late], end_ms + u64::from(delay_ms));
+                table.record(&[report], end_ms);
             }
             let expected: &[u64] = if case.is_convicted { &[7] } else { &[] };
             expect_that!(
