Skip the search for continued turns when none has expired

Cause: the search of a ledger host looked through all turns a second time in every round, also when nothing had expired, found when the change was read again. Ruled out: a change of what is retained; without an expired turn nothing is renewed. Evidence: the tests of the table and of the log's files pass as before.

--- a/components/ledger/src/table.rs
+++ b/components/ledger/src/table.rs
@@ -388,6 +388,9 @@
         // Few turns expire at a time; they are sorted like the map.
         let expired = self.turns.iter().filter(|(_, stored)| is_expired(stored));
         let expired: Vec<TurnKey> = expired.map(|(turn, _)| *turn).collect();
+        if expired.is_empty() {
+            return 0;
+        }
         let current = self.turns.values().filter(|stored| !is_expired(stored));
         let continuing = current.filter_map(|stored| {
             let previous = stored.record.previous?;
