Bound what every entry holds for its callers

What callers saw: nothing until the entry ended; then reset connections. Crowds of 40 bodies of 4 MB took an entry of 88 MB to 150 to 238 MB, and 600 half heads or silent connections opened 478 and 624 of its 400 descriptors.

Cause: the bounds on memory and connections existed only under the contract `pressure`, which most deployments do not name. `NodeSettings::memory_bounds` was `None` there, so that nothing counted a body, a head or a connection. The contract says how callers and servers may behave, not whether the host has memory.

What the contract does change stays with it (`expects_pressure`): answers are read ahead of slow readers, and the memory of servers is counted.

Ruled out: the kernel's buffers as the main part (the process itself was at 238 MB).

New here, and still red: a crowd of small bodies that lack a byte.

--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -44,6 +44,9 @@
 /// Accepts connections of callers until the phase [`StopPhase::Closing`], and those that wait then. Each connection runs
 /// as a task of `connections`.
 pub async fn serve_callers(entry: Arc<EntryState>, listener: TcpListener, connections: TaskTracker) {
+    if let Err(failure) = net::bound_receive_buffers(&listener) {
+        warn!(entry.log, "receive buffers not bounded"; "error" => %failure);
+    }
     let mut phase = entry.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -98,7 +101,8 @@
         Ok(caller) => caller,
         Err(no_room) => return refuse_caller(&entry, stream, &no_room).await,
     };
-    if caller.is_some() && net::set_caller_buffer(&stream).is_err() {
+    let expects_pressure = caller.as_ref().is_some_and(|caller| caller.expects_pressure());
+    if expects_pressure && net::set_caller_buffer(&stream).is_err() {
         return;
     }
     let limits = entry.table.load().as_ref().map(|table| table.limits());
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -2,6 +2,7 @@
 //!
 //! The decisions are those of a [`HolderTable`]. Without bounds, nothing is counted.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
@@ -42,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct MemoryBudget {
     state: OnceLock<Mutex<BudgetState>>,
+    /// Whether callers may read slowly, and servers break off what remains unread and crash beyond their memory.
+    expects_pressure: AtomicBool,
     started: Instant,
     metrics: Arc<ProcessMetrics>,
     line_limiter: Arc<LineLimiter>,
@@ -52,6 +55,7 @@
     pub(crate) fn new(metrics: Arc<ProcessMetrics>, line_limiter: Arc<LineLimiter>, log: Logger) -> Self {
         Self {
             state: OnceLock::new(),
+            expects_pressure: AtomicBool::new(false),
             started: Instant::now(),
             metrics,
             line_limiter,
@@ -76,9 +80,14 @@
         state.table.set_bounds(bounds);
     }
 
-    /// Returns whether memory is counted.
-    pub(crate) fn is_bounded(&self) -> bool {
-        self.state.get().is_some()
+    /// Sets whether callers may read slowly, and servers break off what remains unread and crash beyond their memory.
+    pub(crate) fn expect_pressure(&self, expects_pressure: bool) {
+        self.expects_pressure.store(expects_pressure, Ordering::Relaxed);
+    }
+
+    /// Returns whether callers may read slowly, and servers break off what remains unread and crash beyond their memory.
+    pub(crate) fn expects_pressure(&self) -> bool {
+        self.expects_pressure.load(Ordering::Relaxed)
     }
 
     /// Counts a connection; `None` without bounds.
@@ -204,6 +213,11 @@
         )
     }
 
+    /// Returns whether the caller may read slowly, and servers break off what remains unread.
+    pub(crate) fn expects_pressure(&self) -> bool {
+        self.budget.expects_pressure()
+    }
+
     /// Holds memory for bytes that have arrived already. This connection may be let go for them.
     pub(crate) fn hold(self: &Arc<Self>, bytes: u64, held_use: HeldUse) -> MemoryLease {
         self.with_state(|state| {
--- a/components/gateway/src/net.rs
+++ b/components/gateway/src/net.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 /// Time after which unacknowledged bytes end a connection. It is below the platform's bounds on recovery,
@@ -20,6 +20,9 @@
 
 /// Size of the kernel's buffer for what a caller has not taken yet, in bytes. Without a bound it grows to megabytes.
 const CALLER_BUFFER_BYTES: usize = 64 * 1024;
+/// Size of the kernel's buffer for what the entry has not read of a caller's bytes yet. Bytes in it count as memory of the
+/// process.
+const CALLER_RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Time after which bytes that a caller does not take end its connection. The kernel counts an unread window as
 /// unacknowledged bytes, while a slow reader is served as long as there is memory for its answer.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -43,6 +46,15 @@
     Ok(stream)
 }
 
+/// Bounds the buffers for bytes that arrive on the connections which a listener accepts from now on.
+///
+/// # Errors
+///
+/// Fails when the listener is already closed.
+pub(crate) fn bound_receive_buffers(listener: &TcpListener) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(CALLER_RECEIVE_BUFFER_BYTES)
+}
+
 /// Bounds the buffer of an accepted connection and lets its caller read slowly.
 ///
 /// # Errors
--- a/components/gateway/src/read_ahead.rs
+++ b/components/gateway/src/read_ahead.rs
@@ -46,9 +46,9 @@
 }
 
 /// Returns the answer, which a task of its own reads ahead up to the bound of the connection. The task ends when the
-/// returned stream is dropped. On a connection without a bound, the answer is read as the caller takes it.
+/// returned stream is dropped. Where answers are not read ahead, this one is read as the caller takes it.
 pub(crate) fn read_ahead(answer: EventStream, connection: Option<Arc<CallerConnection>>) -> EventStream {
-    let Some(connection) = connection else {
+    let Some(connection) = connection.filter(|connection| connection.expects_pressure()) else {
         return answer;
     };
     let queue = Arc::new(AnswerQueue {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -243,6 +243,12 @@
         self.memory.set_bounds(bounds);
     }
 
+    /// Sets whether callers may read slowly, and backend servers break off answers that remain unread and crash beyond their
+    /// memory. Answers are then read ahead of their callers, and the memory of servers is counted.
+    pub fn expect_pressure(&self, expects_pressure: bool) {
+        self.memory.expect_pressure(expects_pressure);
+    }
+
     /// Closes connections of callers whose requests do not arrive within the header timeout.
     pub fn close_late_callers(&self) {
         if let Some(table) = &*self.table.load() {
@@ -453,7 +459,7 @@
     pub(crate) fn server_tokens(&self, service: &str) -> Option<u64> {
         let table = self.table.load();
         let profile = table.as_ref()?.service(service)?;
-        profile.cache_tokens.filter(|_| self.memory.is_bounded())
+        profile.cache_tokens.filter(|_| self.memory.expects_pressure())
     }
 
     /// Returns the inputs to the question which servers have the memory for a turn, if memory is counted.
