Let late heads and bodies yield to requests that come

What callers saw: beside 700 callers, each with a body of 1 KB that lacks a byte, every ordinary request was refused (3029) for as long as the crowd stayed, up to the timeout of its route.

Cause: a connection that waits for its caller's next byte counted as at work. A request that had its head held its 64 KB and its whole announced body until its deadline, and nothing let it go; connections without a whole head held a place as long as the header timeout and could take all of them. Bytes were counted after they were there, by their number and not by the buffer that doubles for them.

- A body claims its buffer before it is allocated: once, at its stated length, or as it grows, by the capacity.
One that states more than the limit is refused by its head; nothing is held for it.
What a buffer does not need is given back at the end.
- Arriving bodies over 64 KB share half of the room, so that small requests find theirs.
- Who yields, when others need room or a connection: heads that take over 0.5 s, idle connections, then the request with a late body that has held most for longest.
It is refused with 3029 (503, not run), and its connection closed.
Without need of room nobody yields, so that a slow caller inside the limits is served in calm.

Ruled out: the time of the last byte as the measure, which one byte a second defeats; a timeout for all bodies, which slow callers inside the limits would meet in calm.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,15 +1,13 @@
 //! Serves one request of a caller, from its headers to its answer.
 
-use std::error::Error;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode, RunState};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
 use hyper::{Request, Response};
@@ -22,6 +20,7 @@
 
 use crate::access::{caller_identity, identify};
 use crate::answer::{AnswerBody, error_answer};
+use crate::body::CallerBody;
 use crate::chains::chained_body;
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond, convicted_error};
@@ -43,14 +42,21 @@
     let arrived = Instant::now();
     let mut memory = RequestMemory::new(connection);
     let (head, body) = request.into_parts();
-    let result = serve_parts(&entry, &mut memory, &head, body, arrived).await;
+    let mut body = CallerBody::new(body);
+    let result = serve_parts(&entry, &mut memory, &head, &mut body, arrived).await;
     entry.metrics.first_byte.observe(arrived.elapsed().as_secs_f64());
     let response = match result {
         Ok(response) => response,
         Err(error) => {
             log_error(&entry, &head, &error, arrived);
             let usual_ms = || entry.retry_after_ms(error.code);
-            error_answer(&error, error.retry_after_ms.unwrap_or_else(usual_ms))
+            let mut answer = error_answer(&error, error.retry_after_ms.unwrap_or_else(usual_ms));
+            if !body.is_whole() && error.code == ResultCode::MemoryExhausted {
+                // A connection that has yielded its room does not stay in use.
+                let headers = answer.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            answer
         }
     };
     response.map(|body| body.with_memory(memory))
@@ -60,7 +66,7 @@
     entry: &Arc<EntryState>,
     memory: &mut RequestMemory,
     head: &request::Parts,
-    body: Incoming,
+    body: &mut CallerBody,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, CallError> {
     let Some(table) = entry.wait_for_configuration().await else {
@@ -100,7 +106,7 @@
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
     let workspace_priority = caller.workspace().and_then(|workspace| workspace.priority);
     memory.admit(workspace_priority.unwrap_or(route.priority))?;
-    let input = read_body(body, table.limits().max_body_bytes, deadline, memory).await?;
+    let input = body.read(table.limits().max_body_bytes, deadline, memory).await?;
     let content = RequestContent::new(
         head.method.as_str(),
         named_host(head),
@@ -165,59 +171,6 @@
     }
 }
 
-/// Reads the body of a request. Its memory is held before it arrives if its length is stated, or else as it grows.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Instant,
-    memory: &mut RequestMemory,
-) -> Result<Bytes, CallError> {
-    let stated = body.size_hint().exact().unwrap_or(0).min(max_bytes as u64);
-    memory.claim(stated)?;
-    let reading = collect_body(Limited::new(body, max_bytes), stated, memory);
-    match timeout_at(deadline.into(), reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyFault::NoRoom(error))) => Err(error),
-        Ok(Err(BodyFault::Unreadable(error))) if error.is::<LengthLimitError>() => Err(CallError::not_run(
-            ResultCode::BodyTooLarge,
-            format!("the request body exceeds {max_bytes} bytes"),
-        )),
-        Ok(Err(BodyFault::Unreadable(_))) => Err(CallError::not_run(
-            ResultCode::MalformedRequest,
-            "the request body could not be read to its end",
-        )),
-        Err(_) => Err(CallError::not_run(
-            ResultCode::RequestTimeout,
-            "the request body did not arrive before the deadline",
-        )),
-    }
-}
-
-/// Why a body was not read to its end.
-enum BodyFault {
-    NoRoom(CallError),
-    Unreadable(Box<dyn Error + Send + Sync>),
-}
-
-async fn collect_body(
-    mut body: Limited<Incoming>,
-    held_bytes: u64,
-    memory: &mut RequestMemory,
-) -> Result<Bytes, BodyFault> {
-    let mut held_bytes = held_bytes;
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame.map_err(BodyFault::Unreadable)?.into_data() else {
-            continue;
-        };
-        read.extend_from_slice(&bytes);
-        let missing = (read.len() as u64).saturating_sub(held_bytes);
-        memory.claim(missing).map_err(BodyFault::NoRoom)?;
-        held_bytes += missing;
-    }
-    Ok(read.freeze())
-}
-
 /// A request for which a route was found.
 struct RoutedRequest<'a> {
     entry: &'a Arc<EntryState>,
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -24,7 +24,7 @@
 use crate::caller_stream::CallerStream;
 use crate::exchange;
 use crate::holders::NoRoom;
-use crate::memory::ConnectionOrder;
+use crate::memory::{ConnectionOrder, wait_for_order};
 use crate::net;
 use crate::state::{EntryState, StopPhase};
 
@@ -150,16 +150,6 @@
     }
 }
 
-/// Waits for this order; forever on a connection that is not counted.
-async fn wait_for_order(orders: Option<watch::Receiver<ConnectionOrder>>, expected: ConnectionOrder) {
-    let Some(mut orders) = orders else {
-        return std::future::pending().await;
-    };
-    if orders.wait_for(|order| *order == expected).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Refuses the first request of a connection for which there is no room. Further connections are reset.
 async fn refuse_caller(entry: &EntryState, stream: TcpStream, no_room: &NoRoom) {
     let Ok(_permit) = entry.refusing.try_acquire() else {
--- a/components/gateway/src/holders.rs
+++ b/components/gateway/src/holders.rs
@@ -4,6 +4,11 @@
 //! leave connections idle, on an entry with less memory than their answers need together. Answers are held while there
 //! is room. Without room, idle connections are closed first; then the connection is let go whose bytes have lain
 //! longest for the least urgent request. Requests that would not fit are refused before they are read.
+//!
+//! Load pattern: callers send nearly all of a head or of a large body, stop, and keep the connection open. What has not
+//! arrived completely yields to what comes: a connection that is late with its head is closed, and a request whose body
+//! arrives slower than [`ReceivePace`] asks is refused. Arriving bodies share a part of the memory, so that the rest is
+//! there for requests with small ones.
 
 /// Bytes that an idle connection is taken to occupy: its buffers and its task.
 const CONNECTION_BYTES: u64 = 16 * 1024;
@@ -21,6 +26,13 @@
 /// Divisor of the memory of a host, and multiplier of the quotient, that give the limit. The rest is for the program
 /// itself, its cache of turns and the overhead of the allocator.
 const MEMORY_SHARE: (u64, u64) = (8, 3);
+/// Divisor of the limit that gives the part for bodies that have not arrived completely.
+const RECEIVING_DIVISOR: u64 = 2;
+/// Size up to which the body of a request may arrive beyond that part.
+const SMALL_BODY_BYTES: u64 = 64 * 1024;
+/// Time in milliseconds after which a connection without a whole head yields before idle connections do. Heads arrive
+/// in one piece from all but the slowest callers.
+const LATE_HEAD_MS: u64 = 500;
 /// File descriptors that are not for sockets.
 const FILE_DESCRIPTORS: u64 = 200;
 /// Descriptors that a caller's connection takes: its own, and that of the connection to a backend server.
@@ -57,6 +69,41 @@
     const fn admission_bytes(self) -> u64 {
         self.bytes - self.bytes / ANSWER_RESERVE_DIVISOR
     }
+
+    const fn receiving_bytes(self) -> u64 {
+        self.bytes / RECEIVING_DIVISOR
+    }
+}
+
+/// Pace of an arriving body below which its request may be refused when others need the room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReceivePace {
+    /// Time in milliseconds from the first byte in which any pace will do.
+    pub grace_ms: u64,
+    /// Smallest average pace afterwards in bytes per second.
+    pub bytes_per_s: u64,
+}
+
+impl ReceivePace {
+    /// Returns whether a body that has been arriving for some time is late.
+    const fn is_late(self, received: u64, elapsed_ms: u64) -> bool {
+        let due_ms = received.saturating_mul(1_000)
+            / if self.bytes_per_s == 0 {
+                1
+            } else {
+                self.bytes_per_s
+            };
+        elapsed_ms > self.grace_ms.saturating_add(due_ms)
+    }
+}
+
+impl Default for ReceivePace {
+    fn default() -> Self {
+        Self {
+            grace_ms: 1_000,
+            bytes_per_s: 128 * 1024,
+        }
+    }
 }
 
 /// Key of a connection in a [`HolderTable`].
@@ -89,6 +136,8 @@
     Idle { since_ms: u64 },
     /// The head of a request has begun to arrive.
     Heading { since_ms: u64 },
+    /// The body of a request arrives.
+    Receiving { since_ms: u64, received: u64 },
     /// A request is being served.
     Busy,
 }
@@ -101,10 +150,14 @@
     /// Whether the connection is being closed, so that its bytes count as free.
     is_leaving: bool,
     phase: HolderPhase,
+    /// Whether a request has arrived on the connection.
+    has_served: bool,
     /// Priority of the latest request; 0 is the most urgent.
     priority: u32,
     /// Bytes held beyond those of the connection itself.
     held: u64,
+    /// The part of `held` for a body that has not arrived completely.
+    receiving: u64,
     /// The part of `held` that waits for the caller.
     waiting: u64,
     /// When the waiting bytes arrived, on average.
@@ -116,6 +169,27 @@
         matches!(self.phase, HolderPhase::Idle { .. }) && self.held == 0
     }
 
+    /// Returns for how long the body has been arriving if it is late, in milliseconds.
+    const fn late_body_ms(&self, pace: ReceivePace, now_ms: u64) -> Option<u64> {
+        let HolderPhase::Receiving { since_ms, received } = self.phase else {
+            return None;
+        };
+        let elapsed_ms = now_ms.saturating_sub(since_ms);
+        if pace.is_late(received, elapsed_ms) {
+            return Some(elapsed_ms);
+        }
+        None
+    }
+
+    /// Returns since when the head has been arriving, or since when the connection has been open without a request.
+    const fn headless_since_ms(&self) -> Option<u64> {
+        match self.phase {
+            HolderPhase::Heading { since_ms } => Some(since_ms),
+            HolderPhase::Idle { since_ms } if !self.has_served => Some(since_ms),
+            HolderPhase::Idle { .. } | HolderPhase::Receiving { .. } | HolderPhase::Busy => None,
+        }
+    }
+
     /// Returns for how long the waiting bytes have waited on average, in milliseconds.
     const fn stalled_ms(&self, now_ms: u64) -> u64 {
         if self.waiting == 0 {
@@ -153,15 +227,39 @@
     pub stalled_ms: u64,
 }
 
+/// A request that is refused because its body is late, as it was then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LateBody {
+    /// Key of the connection.
+    pub key: HolderKey,
+    /// Bytes that were held for the body.
+    pub held: u64,
+    /// Time in milliseconds for which it had been arriving.
+    pub elapsed_ms: u64,
+}
+
 /// Connections that make room.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RoomMade {
     /// Idle connections, which are closed after what they may still have to send.
     pub idle: Vec<HolderKey>,
+    /// Connections that are aborted because no whole head has arrived.
+    pub headless: Vec<HolderKey>,
+    /// Requests that are refused because their bodies are late.
+    pub late_bodies: Vec<LateBody>,
     /// Connections that are aborted.
     pub let_go: Vec<LetGo>,
 }
 
+impl RoomMade {
+    fn append(&mut self, mut other: Self) {
+        self.idle.append(&mut other.idle);
+        self.headless.append(&mut other.headless);
+        self.late_bodies.append(&mut other.late_bodies);
+        self.let_go.append(&mut other.let_go);
+    }
+}
+
 /// There is no room, and nobody who may be let go for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("{held} of {limit} bytes for callers are in use")]
@@ -176,6 +274,7 @@
 #[derive(Debug)]
 pub struct HolderTable {
     bounds: MemoryBounds,
+    pace: ReceivePace,
     holders: Vec<Holder>,
     free: Vec<usize>,
     /// Open connections.
@@ -188,9 +287,10 @@
 
 impl HolderTable {
     /// Creates a table without connections.
-    pub const fn new(bounds: MemoryBounds) -> Self {
+    pub fn new(bounds: MemoryBounds) -> Self {
         Self {
             bounds,
+            pace: ReceivePace::default(),
             holders: Vec::new(),
             free: Vec::new(),
             open: 0,
@@ -209,6 +309,11 @@
         self.bounds = bounds;
     }
 
+    /// Replaces the pace at which bodies are to arrive.
+    pub const fn set_pace(&mut self, pace: ReceivePace) {
+        self.pace = pace;
+    }
+
     /// Returns the bytes that are in use, including those of connections that are being closed.
     pub const fn held(&self) -> u64 {
         self.held
@@ -219,24 +324,32 @@
         self.open
     }
 
-    /// Adds a connection. The one that has been idle longest makes room for it.
+    /// Adds a connection. One that is late with its head makes room for it, else the one that has been idle longest, else
+    /// the one whose head has been arriving longest, else a request whose body is late.
     ///
     /// # Errors
     ///
-    /// Fails when as many connections are open as may be, and none of them is idle.
+    /// Fails when as many connections are open as may be, and none of them yields.
     pub fn open(&mut self, now_ms: u64) -> Result<(HolderKey, RoomMade), NoRoom> {
         let mut room = RoomMade::default();
         let is_full = self.open - self.leaving.0 >= self.bounds.connections;
         if is_full || self.staying() + CONNECTION_BYTES > self.bounds.bytes {
-            room.idle.push(self.close_idle().ok_or_else(|| self.no_room())?);
+            let has_yielded = self.close_unused(now_ms, &mut room)
+                || self.close_headless(now_ms, 0, &mut room)
+                || self.refuse_late_body(None, now_ms, &mut room);
+            if !has_yielded {
+                return Err(self.no_room());
+            }
         }
         let holder = Holder {
             generation: 0,
             is_open: true,
             is_leaving: false,
             phase: HolderPhase::Idle { since_ms: now_ms },
+            has_served: false,
             priority: 0,
             held: 0,
+            receiving: 0,
             waiting: 0,
             arrived_ms: now_ms,
         };
@@ -277,9 +390,40 @@
     pub fn begin_request(&mut self, key: HolderKey) {
         if let Some(holder) = self.holder(key) {
             holder.phase = HolderPhase::Busy;
+            holder.has_served = true;
+        }
+    }
+
+    /// Records that the body of a request begins to arrive.
+    pub fn begin_body(&mut self, key: HolderKey, now_ms: u64) {
+        if let Some(holder) = self.holder(key) {
+            holder.phase = HolderPhase::Receiving {
+                since_ms: now_ms,
+                received: 0,
+            };
         }
     }
 
+    /// Records that a part of a body has arrived.
+    pub fn record_body(&mut self, key: HolderKey, bytes: u64) {
+        if let Some(holder) = self.holder(key)
+            && let HolderPhase::Receiving { received, .. } = &mut holder.phase
+        {
+            *received += bytes;
+        }
+    }
+
+    /// Records that a body has arrived completely, or that no more of it is read. Returns whether the request may go on:
+    /// it has not been refused for its late body.
+    pub fn end_body(&mut self, key: HolderKey) -> bool {
+        let Some(holder) = self.holder(key) else {
+            return false;
+        };
+        holder.phase = HolderPhase::Busy;
+        holder.receiving = 0;
+        !holder.is_leaving
+    }
+
     /// Records the priority of a request.
     pub fn set_priority(&mut self, key: HolderKey, priority: u32) {
         if let Some(holder) = self.holder(key) {
@@ -294,30 +438,60 @@
         }
     }
 
-    /// Holds bytes for the work on a request that may still be refused. Idle connections make room for it, then those
-    /// whose callers have left their bytes untaken for some time and whose requests are not more urgent.
+    /// Holds bytes for a body that has begun to arrive, before they are there. Beyond the part of the memory for such
+    /// bodies, late ones make room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails without holding them when there is no room.
+    pub fn claim_body(&mut self, key: HolderKey, bytes: u64, now_ms: u64) -> Result<RoomMade, NoRoom> {
+        let mut room = RoomMade::default();
+        let body_bytes = self.holder(key).map_or(0, |holder| holder.receiving) + bytes;
+        while body_bytes > SMALL_BODY_BYTES && self.receiving() + bytes > self.bounds.receiving_bytes() {
+            if !self.refuse_late_body(Some(key), now_ms, &mut room) {
+                return Err(self.no_room());
+            }
+        }
+        room.append(self.claim(key, bytes, now_ms)?);
+        if let Some(holder) = self.holder(key) {
+            holder.receiving += bytes;
+        }
+        Ok(room)
+    }
+
+    /// Holds bytes for the work on a request that may still be refused. Connections that are late with their heads and
+    /// idle ones make room for it, then requests whose bodies are late, then connections whose callers have left their
+    /// bytes untaken for some time and whose requests are not more urgent.
     ///
     /// # Errors
     ///
     /// Fails without holding them when there is no room.
     pub fn claim(&mut self, key: HolderKey, bytes: u64, now_ms: u64) -> Result<RoomMade, NoRoom> {
-        let priority = self.holder(key).map_or(u32::MAX, |holder| holder.priority);
         let limit = self.bounds.admission_bytes();
-        let may_yield = |other: &Holder| other.priority >= priority && other.stalled_ms(now_ms) >= STALL_MS;
-        let yielding = self
-            .staying_holders(key)
-            .filter(|other| other.is_idle() || may_yield(other));
+        let mut room = RoomMade::default();
+        if self.staying() + bytes <= limit {
+            self.add(key, bytes, HeldUse::Working, now_ms);
+            return Ok(room);
+        }
+        let pace = self.pace;
+        let priority = self.holder(key).map_or(u32::MAX, |holder| holder.priority);
+        let is_stalled = |other: &Holder| other.priority >= priority && other.stalled_ms(now_ms) >= STALL_MS;
+        let is_unused = |other: &Holder| {
+            let since_ms = other.headless_since_ms().filter(|_| other.held == 0);
+            other.is_idle() || since_ms.is_some_and(|since_ms| since_ms + LATE_HEAD_MS <= now_ms)
+        };
+        let yielding = self.staying_holders(key).filter(|other| {
+            is_unused(other) || other.late_body_ms(pace, now_ms).is_some() || is_stalled(other)
+        });
         let most: u64 = yielding.map(|other| other.held + CONNECTION_BYTES).sum();
         if (self.staying() + bytes).saturating_sub(most) > limit {
             return Err(self.no_room());
         }
-        let mut room = RoomMade::default();
         while self.staying() + bytes > limit {
-            if let Some(idle) = self.close_idle() {
-                room.idle.push(idle);
+            if self.close_unused(now_ms, &mut room) || self.refuse_late_body(Some(key), now_ms, &mut room) {
                 continue;
             }
-            let Some(let_go) = self.let_go(now_ms, |other, holder| other != key && may_yield(holder)) else {
+            let Some(let_go) = self.let_go(now_ms, |other, holder| other != key && is_stalled(holder)) else {
                 return Err(self.no_room());
             };
             room.let_go.push(let_go);
@@ -332,8 +506,7 @@
         self.add(key, bytes, held_use, now_ms);
         let mut room = RoomMade::default();
         while self.staying() > self.bounds.bytes {
-            if let Some(idle) = self.close_idle() {
-                room.idle.push(idle);
+            if self.close_unused(now_ms, &mut room) || self.refuse_late_body(None, now_ms, &mut room) {
                 continue;
             }
             let Some(let_go) = self.let_go(now_ms, |_, holder| holder.held > 0) else {
@@ -366,7 +539,7 @@
     pub fn close_late_heads(&mut self, timeout_ms: u64, now_ms: u64) -> Vec<HolderKey> {
         let is_late = |holder: &Holder| match holder.phase {
             HolderPhase::Heading { since_ms } => now_ms.saturating_sub(since_ms) > timeout_ms,
-            HolderPhase::Idle { .. } | HolderPhase::Busy => false,
+            HolderPhase::Idle { .. } | HolderPhase::Receiving { .. } | HolderPhase::Busy => false,
         };
         let staying = self.staying_keys().filter(|(_, holder)| is_late(holder));
         let late: Vec<HolderKey> = staying.map(|(key, _)| key).collect();
@@ -434,13 +607,67 @@
             .staying_keys()
             .filter_map(|(key, holder)| match holder.phase {
                 HolderPhase::Idle { since_ms } if holder.held == 0 => Some((since_ms, key)),
-                HolderPhase::Idle { .. } | HolderPhase::Heading { .. } | HolderPhase::Busy => None,
+                HolderPhase::Idle { .. }
+                | HolderPhase::Heading { .. }
+                | HolderPhase::Receiving { .. }
+                | HolderPhase::Busy => None,
             });
         let (_, key) = idle.min()?;
         self.start_leaving(key);
         Some(key)
     }
 
+    /// Closes a connection that is late with its head, or else the one that has been idle longest.
+    fn close_unused(&mut self, now_ms: u64, room: &mut RoomMade) -> bool {
+        if self.close_headless(now_ms, LATE_HEAD_MS, room) {
+            return true;
+        }
+        let idle = self.close_idle();
+        room.idle.extend(idle);
+        idle.is_some()
+    }
+
+    /// Aborts the connection that has waited longest for the end of its head, if that is `min_ms` milliseconds at least.
+    fn close_headless(&mut self, now_ms: u64, min_ms: u64, room: &mut RoomMade) -> bool {
+        let headless = self.staying_keys().filter_map(|(key, holder)| {
+            let since_ms = holder.headless_since_ms().filter(|_| holder.held == 0)?;
+            (since_ms + min_ms <= now_ms).then_some((since_ms, key))
+        });
+        let Some((_, key)) = headless.min() else {
+            return false;
+        };
+        self.start_leaving(key);
+        room.headless.push(key);
+        true
+    }
+
+    /// Refuses the request with a late body that has occupied most bytes for the longest time, beside that of `except`.
+    fn refuse_late_body(&mut self, except: Option<HolderKey>, now_ms: u64, room: &mut RoomMade) -> bool {
+        let pace = self.pace;
+        let late = self.staying_keys().filter_map(|(key, holder)| {
+            let elapsed_ms = holder.late_body_ms(pace, now_ms)?;
+            let held = holder.held;
+            let late = LateBody {
+                key,
+                held,
+                elapsed_ms,
+            };
+            (Some(key) != except).then_some(late)
+        });
+        let cost = |late: &LateBody| (u128::from(late.held) * u128::from(late.elapsed_ms), late.key);
+        let Some(late) = late.max_by_key(cost) else {
+            return false;
+        };
+        self.start_leaving(late.key);
+        room.late_bodies.push(late);
+        true
+    }
+
+    /// Returns the bytes that are held for arriving bodies.
+    fn receiving(&self) -> u64 {
+        self.staying_keys().map(|(_, holder)| holder.receiving).sum()
+    }
+
     /// Lets go the connection that costs most for its worth, of those for which `may_go` holds.
     fn let_go(&mut self, now_ms: u64, may_go: impl Fn(HolderKey, &Holder) -> bool) -> Option<LetGo> {
         let candidates = self.staying_keys().filter(|(key, holder)| may_go(*key, holder));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod affinity;
 mod answer;
+mod body;
 mod caller_stream;
 mod chains;
 mod crash;
@@ -37,7 +38,9 @@
     remove_connection_headers,
 };
 pub use front::{PageHandler, serve_callers, serve_pages};
-pub use holders::{HeldUse, HolderKey, HolderTable, LetGo, MemoryBounds, NoRoom, RoomMade};
+pub use holders::{
+    HeldUse, HolderKey, HolderTable, LateBody, LetGo, MemoryBounds, NoRoom, ReceivePace, RoomMade,
+};
 pub use log::{LogGuard, open_log};
 pub use metrics::ProcessMetrics;
 pub use net::{connect, set_connection_timeouts};
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -11,7 +11,7 @@
 use slog::{Logger, info};
 use tokio::sync::watch;
 
-use crate::holders::{HeldUse, HolderKey, HolderTable, MemoryBounds, NoRoom, RoomMade};
+use crate::holders::{HeldUse, HolderKey, HolderTable, MemoryBounds, NoRoom, ReceivePace, RoomMade};
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
 use crate::state::{lock, whole_millis};
@@ -24,12 +24,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectionOrder {
     Serve,
+    /// Refuse the request whose body is arriving.
+    Refuse,
     /// Close the connection once nothing is left to send.
     Close,
     /// Abort the connection, so that a part of an answer does not look complete.
     Abort,
 }
 
+/// Waits for this order; forever on a connection that is not counted.
+pub(crate) async fn wait_for_order(
+    orders: Option<watch::Receiver<ConnectionOrder>>,
+    expected: ConnectionOrder,
+) {
+    let Some(mut orders) = orders else {
+        return std::future::pending().await;
+    };
+    if orders.wait_for(|order| *order == expected).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// The connections, and by their index the channel to the task of each.
 #[derive(Debug)]
 struct BudgetState {
@@ -63,8 +78,8 @@
         }
     }
 
-    /// Sets or replaces the bounds.
-    pub(crate) fn set_bounds(&self, bounds: MemoryBounds) {
+    /// Sets or replaces the bounds and the pace at which bodies are to arrive.
+    pub(crate) fn set_bounds(&self, bounds: MemoryBounds, pace: ReceivePace) {
         let state = self.state.get_or_init(|| {
             Mutex::new(BudgetState {
                 table: HolderTable::new(bounds),
@@ -78,6 +93,7 @@
         }
         state.bounded = Some(bounds);
         state.table.set_bounds(bounds);
+        state.table.set_pace(pace);
     }
 
     /// Sets whether callers may read slowly, and servers break off what remains unread and crash beyond their memory.
@@ -153,6 +169,18 @@
             self.count("idle-closed");
             state.order(*key, ConnectionOrder::Close);
         }
+        for key in &room.headless {
+            self.count("headless-closed");
+            state.order(*key, ConnectionOrder::Abort);
+        }
+        for late in &room.late_bodies {
+            self.count("late-body");
+            if self.line_limiter.try_acquire() {
+                info!(self.log, "request refused, its body is late and others need the room"; "bytes" => late.held,
+                    "elapsed_ms" => late.elapsed_ms, "held" => state.table.held(), "limit" => state.table.bounds().bytes);
+            }
+            state.order(late.key, ConnectionOrder::Refuse);
+        }
         for let_go in &room.let_go {
             self.count("let-go");
             if self.line_limiter.try_acquire() {
@@ -198,8 +226,26 @@
     ///
     /// Fails when there is no room for it.
     fn claim(self: &Arc<Self>, bytes: u64) -> Result<MemoryLease, CallError> {
-        self.with_state(
-            |state| match state.table.claim(self.key, bytes, self.budget.now_ms()) {
+        self.claim_with(bytes, HolderTable::claim)
+    }
+
+    /// Holds memory for a body that arrives, before its bytes are there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no room for it.
+    pub(crate) fn claim_body(self: &Arc<Self>, bytes: u64) -> Result<MemoryLease, CallError> {
+        self.claim_with(bytes, HolderTable::claim_body)
+    }
+
+    fn claim_with(
+        self: &Arc<Self>,
+        bytes: u64,
+        claim: fn(&mut HolderTable, HolderKey, u64, u64) -> Result<RoomMade, NoRoom>,
+    ) -> Result<MemoryLease, CallError> {
+        self.with_state(|state| {
+            let room = claim(&mut state.table, self.key, bytes, self.budget.now_ms());
+            match room {
                 Ok(room) => {
                     self.budget.make_room(state, &room);
                     Ok(self.lease(bytes, HeldUse::Working))
@@ -209,8 +255,23 @@
                     let message = format!("no room for {bytes} bytes of the request: {no_room}");
                     Err(CallError::not_run(ResultCode::MemoryExhausted, message))
                 }
-            },
-        )
+            }
+        })
+    }
+
+    /// Records that the body of a request begins to arrive.
+    pub(crate) fn begin_body(&self) {
+        self.with_state(|state| state.table.begin_body(self.key, self.budget.now_ms()));
+    }
+
+    /// Records that a part of a body has arrived.
+    pub(crate) fn record_body(&self, bytes: u64) {
+        self.with_state(|state| state.table.record_body(self.key, bytes));
+    }
+
+    /// Records that no more of the body is read. Returns whether the request may go on.
+    pub(crate) fn end_body(&self) -> bool {
+        self.with_state(|state| state.table.end_body(self.key))
     }
 
     /// Returns whether the caller may read slowly, and servers break off what remains unread.
@@ -275,11 +336,23 @@
         Bytes::from_owner(LeasedBytes { bytes, _lease: self })
     }
 
+    /// Adds the memory of another lease of the same connection and use.
+    pub(crate) fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
+    /// Releases what the lease holds beyond this number of bytes.
+    pub(crate) fn shrink_to(&mut self, bytes: u64) {
+        let surplus = self.bytes.saturating_sub(bytes);
+        self.bytes -= surplus;
+        drop(self.connection.lease(surplus, self.held_use));
+    }
+
     /// Extends the lease to this number of bytes if it is smaller.
     pub(crate) fn grow_to(&mut self, bytes: u64) {
         if bytes > self.bytes {
-            let mut more = self.connection.hold(bytes - self.bytes, self.held_use);
-            self.bytes += std::mem::take(&mut more.bytes);
+            let more = self.connection.hold(bytes - self.bytes, self.held_use);
+            self.merge(more);
         }
     }
 }
@@ -331,6 +404,11 @@
         self.claim(REQUEST_BYTES)
     }
 
+    /// Holds memory for the body of the request until the request has been served.
+    pub(crate) fn keep(&mut self, lease: MemoryLease) {
+        self.leases.push(lease);
+    }
+
     /// Holds memory for the request.
     ///
     /// # Errors
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -21,7 +21,7 @@
 use crate::chains::ChainCache;
 use crate::crash::CrashRegister;
 use crate::dialect::WireDialect;
-use crate::holders::MemoryBounds;
+use crate::holders::{MemoryBounds, ReceivePace};
 use crate::homes::{HomeServers, home_server};
 use crate::knowledge::ConfigurationKnowledge;
 use crate::log::LineLimiter;
@@ -238,9 +238,10 @@
         &self.metrics
     }
 
-    /// Bounds what the entry holds for its callers, from the next connection on.
-    pub fn bound_memory(&self, bounds: MemoryBounds) {
-        self.memory.set_bounds(bounds);
+    /// Bounds what the entry holds for its callers, from the next connection on, and sets the pace at which bodies are to
+    /// arrive.
+    pub fn bound_memory(&self, bounds: MemoryBounds, pace: ReceivePace) {
+        self.memory.set_bounds(bounds, pace);
     }
 
     /// Sets whether callers may read slowly, and backend servers break off answers that remain unread and crash beyond their
--- a/components/gateway/tests/holders.rs
+++ b/components/gateway/tests/holders.rs
@@ -242,3 +242,128 @@
     expect_that!(table.held(), eq(0));
     expect_that!(table.open_connections(), eq(0));
 }
+
+/// What connections that hold the whole room do, and whether they yield to a small request after some time.
+struct OccupantCase {
+    name: &'static str,
+    occupant: Occupant,
+    elapsed_ms: u64,
+    yields: bool,
+}
+
+/// What a connection that holds room does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Occupant {
+    /// Sends half of a head.
+    HalfHead,
+    /// Announces a body, and sends this many bytes a second of it.
+    Sender { body_bytes: u64, bytes_per_s: u64 },
+    /// Has its request at a server.
+    Waiter,
+}
+
+/// Opens connections that do the same until no further one gets what it asks for, and returns their keys.
+fn occupy(table: &mut HolderTable, occupant: Occupant) -> Vec<HolderKey> {
+    const REQUEST_BYTES: u64 = 64 * 1024;
+    let mut keys = Vec::new();
+    while table.open_connections() < table.bounds().connections {
+        let Ok((key, _)) = table.open(0) else { break };
+        table.record_bytes(key, 0);
+        let is_held = match occupant {
+            Occupant::HalfHead => true,
+            Occupant::Sender { body_bytes, .. } => {
+                table.begin_request(key);
+                let is_admitted = table.claim(key, REQUEST_BYTES, 0).is_ok();
+                table.begin_body(key, 0);
+                is_admitted && table.claim_body(key, body_bytes, 0).is_ok()
+            }
+            Occupant::Waiter => {
+                table.begin_request(key);
+                table.claim(key, REQUEST_BYTES, 0).is_ok()
+            }
+        };
+        if !is_held {
+            table.close(key);
+            break;
+        }
+        keys.push(key);
+    }
+    keys
+}
+
+#[gtest]
+fn requests_that_do_not_come_yield_to_those_that_do() {
+    let case = |name, occupant, elapsed_ms, yields| OccupantCase {
+        name,
+        occupant,
+        elapsed_ms,
+        yields,
+    };
+    let sender = |body_bytes, bytes_per_s| Occupant::Sender {
+        body_bytes,
+        bytes_per_s,
+    };
+    let cases = [
+        case("half heads", Occupant::HalfHead, 600, true),
+        case("small bodies that stop", sender(1_000, 0), 1_500, true),
+        case("small bodies that have just begun", sender(1_000, 0), 500, false),
+        case("small bodies a byte at a time", sender(1_000, 10), 1_500, true),
+        case("bodies that stop", sender(60_000, 0), 1_500, true),
+        case("bodies at pace", sender(60_000, 400_000), 1_100, false),
+        case("requests at servers", Occupant::Waiter, 60_000, false),
+    ];
+    for case in cases {
+        let mut table = HolderTable::new(MemoryBounds::of_host(SMALLEST_HOST.0, SMALLEST_HOST.1));
+        let occupants = occupy(&mut table, case.occupant);
+        expect_that!(occupants, not(is_empty()), "{}", case.name);
+        if let Occupant::Sender { bytes_per_s, .. } = case.occupant {
+            for key in &occupants {
+                table.record_body(*key, bytes_per_s * case.elapsed_ms / 1_000);
+            }
+        }
+        let served = table.open(case.elapsed_ms).map(|(key, _)| {
+            table.begin_request(key);
+            table.claim(key, 64 * 1024, case.elapsed_ms)
+        });
+        let is_served = served.is_ok_and(|claimed| claimed.is_ok());
+        expect_that!(is_served, eq(case.yields), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn large_bodies_that_arrive_leave_room_for_small_requests() {
+    const LARGE_BYTES: u64 = 4 * MEGABYTE;
+    let mut table = HolderTable::new(MemoryBounds::of_host(SMALLEST_HOST.0, SMALLEST_HOST.1));
+    let occupants = occupy(
+        &mut table,
+        Occupant::Sender {
+            body_bytes: LARGE_BYTES,
+            bytes_per_s: 0,
+        },
+    );
+    // They have just begun, so that none of them yields.
+    let small = (0..100).map(|_| {
+        let (key, _) = table.open(0)?;
+        table.begin_request(key);
+        table.claim(key, 64 * 1024, 0)?;
+        table.begin_body(key, 0);
+        table.claim_body(key, 1_000, 0)
+    });
+    let refused = small.filter(Result::is_err).count();
+    expect_that!(refused, eq(0));
+    expect_that!(occupants.len(), ge(3));
+    let (key, _) = table.open(2_000).expect("room for the connection");
+    table.begin_request(key);
+    table.begin_body(key, 2_000);
+    let room = table
+        .claim_body(key, LARGE_BYTES, 2_000)
+        .expect("a late body yields");
+    expect_that!(room.late_bodies.len(), eq(1));
+    let refused = room.late_bodies[0].key;
+    expect_that!(
+        table.end_body(refused),
+        eq(false),
+        "the body that has come late is refused"
+    );
+    expect_that!(table.end_body(key), eq(true));
+}
