Let refusals reach callers that go on sending

What callers saw: a 413 for a body over the limit, or a 404 on no route, ended with a reset while the caller still sent. Whoever reads the answer only after its request, or whose kernel discards what arrived before a reset, lost it, and came back with the same body.

Cause: the entry answered and closed the socket with bytes unread, which the kernel turns into a reset.

The HTTP library hands the socket back when it is done with it (`CallerStream`). If the request was not read to its end, the entry closes its own side only, and discards what arrives until the caller closes: for 5 s at most, beyond the first megabyte at a limited pace, for 64 connections at most, and only until the planned stop or until others need the connection. Such an answer says `Connection: close`, but for short bodies, whose rest the library reads as before, so that those connections stay in use.

Ruled out: discarding inside the exchange, before the answer, as our own daemon does: the refusal would come only after what it refuses.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,12 +1,13 @@
 //! Serves one request of a caller, from its headers to its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use domain::{BuildKey, RequestContent};
 use errors::{CallError, ResultCode, RunState};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
@@ -32,16 +33,21 @@
 
 /// Delay before ledger hosts that have just started are asked again.
 const LEDGER_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Largest body with a stated length of a refused request after which the connection may stay open, in bytes.
+const SHORT_REST_BYTES: u64 = 16 * 1024;
 
-/// Serves one request. Answers with an error of the entry itself when no backend server answered.
+/// Serves one request. Answers with an error of the entry itself when no backend server answered. `unread` is set if the
+/// caller may still be sending the request then.
 pub(crate) async fn serve(
     entry: Arc<EntryState>,
     connection: Option<Arc<CallerConnection>>,
+    unread: Arc<AtomicBool>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let mut memory = RequestMemory::new(connection);
     let (head, body) = request.into_parts();
+    let stated = body.size_hint().exact();
     let mut body = CallerBody::new(body);
     let result = serve_parts(&entry, &mut memory, &head, &mut body, arrived).await;
     entry.metrics.first_byte.observe(arrived.elapsed().as_secs_f64());
@@ -51,10 +57,15 @@
             log_error(&entry, &head, &error, arrived);
             let usual_ms = || entry.retry_after_ms(error.code);
             let mut answer = error_answer(&error, error.retry_after_ms.unwrap_or_else(usual_ms));
-            if !body.is_whole() && error.code == ResultCode::MemoryExhausted {
-                // A connection that has yielded its room does not stay in use.
-                let headers = answer.headers_mut();
-                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            if !body.is_whole() {
+                unread.store(true, Ordering::Relaxed);
+                // The library reads the rest of a short body, so that the connection stays in use. One that has yielded its
+                // room does not.
+                let is_short = stated.is_some_and(|stated| stated <= SHORT_REST_BYTES);
+                if !is_short || error.code == ResultCode::MemoryExhausted {
+                    let headers = answer.headers_mut();
+                    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+                }
             }
             answer
         }
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
@@ -24,7 +25,8 @@
 use crate::caller_stream::CallerStream;
 use crate::exchange;
 use crate::holders::NoRoom;
-use crate::memory::{ConnectionOrder, wait_for_order};
+use crate::linger::linger;
+use crate::memory::{CallerConnection, ConnectionOrder, wait_for_order};
 use crate::net;
 use crate::state::{EntryState, StopPhase};
 
@@ -105,48 +107,86 @@
     if expects_pressure && net::set_caller_buffer(&stream).is_err() {
         return;
     }
+    let unread = Arc::new(AtomicBool::new(false));
+    let (stream, finished) = CallerStream::new(stream, caller.clone());
+    let is_aborted = serve_requests(&entry, stream, caller.as_ref(), &unread).await;
+    if !is_aborted && unread.load(Ordering::Relaxed) {
+        let orders = caller.as_ref().map(|caller| caller.orders());
+        linger_after(&entry, finished, orders).await;
+    }
+}
+
+/// Serves the requests of a connection until it ends. Returns whether it was aborted.
+async fn serve_requests(
+    entry: &Arc<EntryState>,
+    stream: CallerStream,
+    caller: Option<&Arc<CallerConnection>>,
+    unread: &Arc<AtomicBool>,
+) -> bool {
     let limits = entry.table.load().as_ref().map(|table| table.limits());
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         Duration::from_millis(limits.idle_timeout_ms)
     });
-    let buffer_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| {
-        limits.max_header_bytes.max(MIN_BUFFER_BYTES)
-    });
     let mut phase = entry.phase.subscribe();
     let (first_request, mut has_request) = watch::channel(false);
-    let orders = caller.as_ref().map(|caller| caller.orders());
-    let stream = CallerStream::new(stream, caller.clone());
-    let service = service_fn(move |request| {
+    let orders = caller.map(|caller| caller.orders());
+    let service = service_fn(|request| {
         first_request.send_replace(true);
-        let (entry, caller) = (Arc::clone(&entry), caller.clone());
-        async move { Ok::<_, Infallible>(exchange::serve(entry, caller, request).await) }
+        let (entry, caller, unread) = (Arc::clone(entry), caller.cloned(), Arc::clone(unread));
+        async move { Ok::<_, Infallible>(exchange::serve(entry, caller, unread, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR))
-        .max_buf_size(buffer_bytes)
+        .max_buf_size(head_buffer_bytes(entry))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut aborted = std::pin::pin!(wait_for_order(orders.clone(), ConnectionOrder::Abort));
     // The result is ignored: an error means that the caller disconnected or that a relayed stream broke off.
     let is_stopping = tokio::select! {
-        _ = connection.as_mut() => return,
-        () = aborted.as_mut() => return,
+        _ = connection.as_mut() => return false,
+        () = aborted.as_mut() => return true,
         () = wait_for_order(orders, ConnectionOrder::Close) => false,
         _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => true,
     };
     if is_stopping {
         // A graceful shutdown closes a connection at once that has not received a request yet.
         tokio::select! {
-            _ = connection.as_mut() => return,
+            _ = connection.as_mut() => return false,
             _ = has_request.wait_for(|has_request| *has_request) => {}
             () = sleep(FIRST_REQUEST_TIMEOUT) => {}
         }
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
-        _ = connection => {}
-        () = aborted => {}
+        _ = connection => false,
+        () = aborted => true,
+    }
+}
+
+/// Returns the size of the buffer for the head of a request: the largest head of the configuration in force.
+fn head_buffer_bytes(entry: &EntryState) -> usize {
+    let table = entry.table.load();
+    let configured = table.as_ref().map(|table| table.limits().max_header_bytes);
+    configured.unwrap_or_default().max(MIN_BUFFER_BYTES)
+}
+
+/// Discards what the caller of a refused request still sends. Ends early when others need the connection and when the
+/// entry stops.
+async fn linger_after(
+    entry: &EntryState,
+    mut finished: oneshot::Receiver<TcpStream>,
+    orders: Option<watch::Receiver<ConnectionOrder>>,
+) {
+    let (Ok(stream), Ok(_permit)) = (finished.try_recv(), entry.lingering.try_acquire()) else {
+        return;
+    };
+    let mut phase = entry.phase.subscribe();
+    tokio::select! {
+        () = linger(stream) => {}
+        () = wait_for_order(orders.clone(), ConnectionOrder::Close) => {}
+        () = wait_for_order(orders, ConnectionOrder::Abort) => {}
+        _ = phase.wait_for(|phase| *phase == StopPhase::Closing) => {}
     }
 }
 
@@ -164,11 +204,13 @@
             .insert(CONNECTION, HeaderValue::from_static("close"));
         Ok::<_, Infallible>(response)
     });
+    let (stream, finished) = CallerStream::new(stream, None);
     let connection = http1::Builder::new()
         .max_buf_size(MIN_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     // The result is ignored: the caller is not served either way.
     drop(timeout(FIRST_REQUEST_TIMEOUT, connection).await);
+    linger_after(entry, finished, None).await;
 }
 
 /// Returns the status and the text for a request path.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod homes;
 mod knowledge;
 mod limits;
+mod linger;
 mod log;
 mod long_answer;
 mod memory;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -50,6 +50,8 @@
 
 /// Limit on the connections that are open only for a refusal; further ones are reset.
 const MAX_REFUSING_CONNECTIONS: usize = 32;
+/// Limit on the connections whose callers may go on sending after a refusal; further ones are reset.
+const MAX_LINGERING_CONNECTIONS: usize = 64;
 
 /// Phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,6 +81,8 @@
     pub(crate) memory: Arc<MemoryBudget>,
     /// Connections that are open only for a refusal.
     pub(crate) refusing: Semaphore,
+    /// Connections that are closed but for what their callers still send.
+    pub(crate) lingering: Semaphore,
     pub(crate) metrics: Arc<ProcessMetrics>,
     pub(crate) line_limiter: Arc<LineLimiter>,
     pub(crate) log: Logger,
@@ -192,6 +196,7 @@
             crashes: CrashRegister::default(),
             memory: Arc::new(memory),
             refusing: Semaphore::new(MAX_REFUSING_CONNECTIONS),
+            lingering: Semaphore::new(MAX_LINGERING_CONNECTIONS),
             metrics,
             line_limiter,
             log,
