Refuse callers beyond the connections truly, whatever their heads

What callers saw: with all connections of an entry in use, a request with a head of 12 KB, which the configuration allows, was answered 431. Nobody comes again after a 431, while the entry only had no room at that moment.

Cause: `refuse_caller` read heads into 8 KB, the smallest buffer of the HTTP library, in place of the largest head of the configuration in force.

Evidence: callers_beyond_the_connections_are_told_to_come_back_whatever_their_heads saw 431 under `pressure`, and without it no refusal at all but a 504 at the route's timeout.

--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -206,7 +206,7 @@
     });
     let (stream, finished) = CallerStream::new(stream, None);
     let connection = http1::Builder::new()
-        .max_buf_size(MIN_BUFFER_BYTES)
+        .max_buf_size(head_buffer_bytes(entry))
         .serve_connection(TokioIo::new(stream), service);
     // The result is ignored: the caller is not served either way.
     drop(timeout(FIRST_REQUEST_TIMEOUT, connection).await);
