Bound the connections to the readiness and metrics pages

What operators saw: 300 connections that send nothing, or half a head, to each page opened 582 to 624 of an entry's 400 descriptors; with none left, the entry accepts no callers and the balancer's question is not answered.

Cause: `serve_pages` accepted without a limit, and a connection had no timeout for the head of its request or for being idle. Nothing else of the entry counts these connections.

Each page now keeps 16 connections; the one that has been open longest yields to a new one, so that whoever asks and reads at once is answered whatever the crowd does. A head must arrive within 10 s, and the kernel's buffer for unread bytes is bounded as for callers.

Ruled out: a refusal at the limit, which would shut out the balancer.

--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners of an entry: callers, readiness and metrics.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 
 use crate::answer::error_answer;
 use crate::caller_stream::CallerStream;
@@ -39,6 +40,10 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Time in which the first request of a connection must arrive once the entry accepts no more connections.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Limit on the open connections to a page. Pages are read by the balancer and by monitoring.
+const MAX_PAGE_CONNECTIONS: usize = 16;
+/// Timeout for an idle connection to a page and for the head of a request for it.
+const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay after a failure to accept a connection; the usual cause is that the process has no file descriptors
 /// left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -216,11 +221,23 @@
 /// Returns the status and the text for a request path.
 pub type PageHandler = dyn Fn(&str) -> (StatusCode, String) + Send + Sync;
 
-/// Serves short texts such as readiness or metrics. Does not return.
+/// Serves short texts such as readiness or metrics. Does not return. Beyond [`MAX_PAGE_CONNECTIONS`], the connection that
+/// has been open longest is closed for a new one.
 pub async fn serve_pages(listener: TcpListener, handler: Arc<PageHandler>, log: Logger) {
+    if let Err(failure) = net::bound_receive_buffers(&listener) {
+        warn!(log, "receive buffers not bounded"; "error" => %failure);
+    }
+    let mut open: VecDeque<AbortOnDropHandle<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(serve_page(stream, Arc::clone(&handler)))),
+            Ok((stream, _)) => {
+                open.retain(|connection| !connection.is_finished());
+                if open.len() >= MAX_PAGE_CONNECTIONS {
+                    open.pop_front();
+                }
+                let serving = tokio::spawn(serve_page(stream, Arc::clone(&handler)));
+                open.push_back(AbortOnDropHandle::new(serving));
+            }
             Err(failure) => {
                 warn!(log, "connection not accepted"; "error" => %failure);
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -242,6 +259,9 @@
     // The result is ignored: an error means that the client closed the connection.
     drop(
         http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(PAGE_IDLE_TIMEOUT)
+            .max_buf_size(MIN_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service)
             .await,
     );
