Send and cache large turns within bounds

What callers saw: 24 callers that each send a turn of 4 MB, whole and inside the limits, took an entry of 88 MB to 92 MB without the contract `pressure` and to 143 MB with it; with the memory for callers bounded everywhere still to 123 and 166 MB.

Cause: what an entry holds of a turn after it has run is counted nowhere. The record of a turn is encoded for each of three ledger hosts, into a buffer of the call and into that of the connection, which keeps the size of its largest message for as long as it is open; 256 records of any size made one call, and a queue held 8,192 of them for a host that is slow. The cache of turns counted bytes, but took a turn that is larger than itself.

- Records over 256 KB have a queue of their own for each host and travel one by one on a connection of their own, which takes its buffers with it.
All hosts together get 8 MB of them at a time.
Small records no longer wait behind them.
- A call takes 256 KB of records at most.
Beyond 4 MB in a queue, turns whose callers no longer wait are dropped: enough hosts have them, and the host copies them from those as it does after an outage.
- Turns over 256 KB are not cached; they are fetched.
- The log of a ledger host takes over the encoded records in place of copying them.

Ruled out: refusing large turns while one is sent, which refuses what the limits allow in calm; sending to one host after the other, where one that hangs holds up the others.

--- a/components/gateway/src/chains.rs
+++ b/components/gateway/src/chains.rs
@@ -5,11 +5,14 @@
 use std::sync::{Mutex, PoisonError};
 
 use bytes::Bytes;
-use ledger::{TurnKey, TurnRecord};
+use ledger::{LARGE_PAYLOAD_BYTES, TurnKey, TurnRecord};
 
 /// Capacity of the cache in bytes of inputs and outputs; a fraction of the smallest entry's memory.
 const CACHE_CAPACITY_BYTES: usize = 20 * 1024 * 1024;
 
+/// Largest turn that is cached, in bytes.
+const MAX_CACHED_BYTES: usize = LARGE_PAYLOAD_BYTES;
+
 /// Turns by key, in two maps: when the newer one holds half of the capacity, it replaces the older one.
 #[derive(Debug, Default)]
 pub(crate) struct ChainCache {
@@ -30,10 +33,13 @@
 }
 
 impl ChainCache {
-    /// Adds a turn; the oldest turns may be evicted.
+    /// Adds a turn unless it is large; the oldest turns may be evicted.
     pub(crate) fn insert(&self, record: TurnRecord) {
+        if record.payload_bytes() > MAX_CACHED_BYTES {
+            return;
+        }
         let mut maps = self.maps.lock().unwrap_or_else(PoisonError::into_inner);
-        maps.newer_bytes += record.input.len() + record.output.len();
+        maps.newer_bytes += record.payload_bytes();
         maps.newer.insert(record.turn, record);
         if maps.newer_bytes > CACHE_CAPACITY_BYTES / 2 {
             maps.older = std::mem::take(&mut maps.newer);
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -13,11 +13,13 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use slog::{Logger, info};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, Semaphore, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::link::{HostLink, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link};
+use crate::link::{
+    HostLink, LARGE_SENDS_BYTES, QueueKind, QueuedRecord, SendTime, SyncMode, fetch_snapshots_at, run_link,
+};
 use crate::port::{HostAddress, RecordReceipt, StreamBuild};
 use crate::quota::QuotaBounds;
 use crate::quota_client::QuotaBook;
@@ -154,6 +156,8 @@
     links: Mutex<Vec<Arc<HostLink>>>,
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     connected: Arc<Notify>,
+    /// Room for the large records that are sent to hosts.
+    large_sends: Arc<Semaphore>,
     tolerated_failures: usize,
     /// What is tolerated beyond the quotas of workspaces.
     quota_bounds: QuotaBounds,
@@ -224,6 +228,7 @@
                 links: Mutex::default(),
                 relays: Arc::default(),
                 connected: Arc::default(),
+                large_sends: Arc::new(Semaphore::new(LARGE_SENDS_BYTES)),
                 tolerated_failures,
                 quota_bounds,
                 quota_book: Mutex::default(),
@@ -245,9 +250,10 @@
             let relays = Arc::clone(&self.shared.relays);
             let connected = Arc::clone(&self.shared.connected);
             let log = self.shared.log.clone();
-            let link = Arc::new(HostLink::new(peer.clone(), relays, connected, log));
-            for mode in [SyncMode::Unsynced, SyncMode::Synced] {
-                tokio::spawn(run_link(Arc::downgrade(&link), mode));
+            let large_sends = Arc::clone(&self.shared.large_sends);
+            let link = Arc::new(HostLink::new(peer.clone(), relays, connected, large_sends, log));
+            for kind in QueueKind::ALL {
+                tokio::spawn(run_link(Arc::downgrade(&link), kind));
             }
             links.push(link);
         }
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -50,7 +50,7 @@
 pub use quota::{PERMIT_VALIDITY_MS, PermitTerms, QuotaBounds, QuotaClass, QuotaRequest, QuotaShares};
 pub use quota_client::{HeldPermit, PermitMark, QuotaAnswer, QuotaDemand};
 pub use reclaim::ReclaimLoop;
-pub use record::{LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
+pub use record::{LARGE_PAYLOAD_BYTES, LedgerRecord, ProgramKey, RecordKey, RecordKind, TurnKey, TurnRecord};
 pub use relay::serve_relay;
 pub use repair::CopyLoop;
 pub use snapshot::{KindSnapshot, SnapshotPage};
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -12,7 +12,7 @@
 use slog::{Logger, info, warn};
 use tarpc::client::RpcError;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, Semaphore, oneshot};
 use tokio::time::{sleep, timeout};
 
 use crate::crash::CrashDetails;
@@ -22,7 +22,7 @@
     HostAddress, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild, connect_host,
     context_with_timeout, open_stream,
 };
-use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use crate::record::{LARGE_PAYLOAD_BYTES, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::relay::connect_through;
 use crate::snapshot::SnapshotPage;
 
@@ -54,6 +54,14 @@
 const MAX_CALL_ATTEMPTS: u32 = 2;
 /// Largest number of records in one call.
 const BATCH_LIMIT_RECORDS: usize = 256;
+/// Payload of one call, in bytes; a record that is larger is sent by itself.
+const BATCH_LIMIT_BYTES: usize = LARGE_PAYLOAD_BYTES;
+/// Payloads in a queue, in bytes, beyond which records whose callers no longer wait are dropped: enough other hosts have
+/// them.
+const QUEUE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+/// Payloads of the large records that are sent to all hosts at the same time, in bytes. Each of them is held twice more
+/// while it is encoded and sent.
+pub(crate) const LARGE_SENDS_BYTES: usize = 8 * 1024 * 1024;
 /// Largest number of records in a queue. Records beyond it are dropped; an unavailable host copies them later
 /// from the other hosts.
 const QUEUE_LIMIT_RECORDS: usize = 8_192;
@@ -81,16 +89,103 @@
     WithNextBatch,
 }
 
-/// Records to send with the same [`SyncMode`].
+/// Queue of a record. Each is sent by itself: unsynced records do not wait for the disk, and small ones not for large ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum QueueKind {
+    Unsynced,
+    Synced,
+    /// Large records, which are synced; each is sent on a connection of its own. The buffers of a connection are as large as
+    /// its largest message for as long as it is open, at both ends.
+    Large,
+}
+
+impl QueueKind {
+    pub(crate) const ALL: [Self; 3] = [Self::Unsynced, Self::Synced, Self::Large];
+
+    const fn of(record: &LedgerRecord, mode: SyncMode) -> Self {
+        match mode {
+            _ if record.payload_bytes() > LARGE_PAYLOAD_BYTES => Self::Large,
+            SyncMode::Unsynced => Self::Unsynced,
+            SyncMode::Synced => Self::Synced,
+        }
+    }
+
+    const fn call_timeout(self) -> Duration {
+        match self {
+            Self::Unsynced => UNSYNCED_CALL_TIMEOUT,
+            Self::Synced | Self::Large => SYNCED_CALL_TIMEOUT,
+        }
+    }
+}
+
+/// Records that wait, and the size of their payloads in bytes.
+#[derive(Debug, Default)]
+struct WaitingRecords {
+    records: VecDeque<QueuedRecord>,
+    bytes: usize,
+}
+
+impl WaitingRecords {
+    fn push_back(&mut self, record: QueuedRecord) {
+        self.bytes += record.record.payload_bytes();
+        self.records.push_back(record);
+        if self.bytes > QUEUE_LIMIT_BYTES {
+            self.drop_abandoned();
+        }
+    }
+
+    fn push_front(&mut self, record: QueuedRecord) {
+        self.bytes += record.record.payload_bytes();
+        self.records.push_front(record);
+    }
+
+    /// Removes the turns whose callers no longer wait.
+    fn drop_abandoned(&mut self) {
+        self.records.retain(|queued| !queued.is_abandoned());
+        self.bytes = self
+            .records
+            .iter()
+            .map(|queued| queued.record.payload_bytes())
+            .sum();
+    }
+
+    /// Removes the oldest records, within the limits of one call.
+    fn take_batch(&mut self) -> Vec<QueuedRecord> {
+        let mut batch = Vec::new();
+        let mut batch_bytes = 0;
+        while batch.len() < BATCH_LIMIT_RECORDS
+            && let Some(next) = self.records.front()
+        {
+            batch_bytes += next.record.payload_bytes();
+            if batch_bytes > BATCH_LIMIT_BYTES && !batch.is_empty() {
+                break;
+            }
+            batch.extend(self.records.pop_front());
+        }
+        let taken: usize = batch.iter().map(|queued| queued.record.payload_bytes()).sum();
+        self.bytes -= taken;
+        batch
+    }
+}
+
+impl QueuedRecord {
+    /// Returns whether the record is a turn whose caller no longer waits.
+    fn is_abandoned(&self) -> bool {
+        let has_left = self.reply.as_ref().is_none_or(oneshot::Sender::is_closed);
+        has_left && self.record.payload_bytes() > 0
+    }
+}
+
+/// Records to send in calls of their own.
 #[derive(Debug, Default)]
 struct RecordQueue {
-    records: Mutex<VecDeque<QueuedRecord>>,
+    waiting: Mutex<WaitingRecords>,
     wake: Notify,
 }
 
 impl RecordQueue {
-    fn lock(&self) -> MutexGuard<'_, VecDeque<QueuedRecord>> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, WaitingRecords> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -110,6 +205,9 @@
     pub(crate) peer: HostAddress,
     unsynced: RecordQueue,
     synced: RecordQueue,
+    large: RecordQueue,
+    /// Room for the large records that are sent, shared by all hosts.
+    large_sends: Arc<Semaphore>,
     connection: tokio::sync::Mutex<Option<LinkConnection>>,
     relays: Arc<Mutex<Vec<SocketAddr>>>,
     is_up: AtomicBool,
@@ -125,12 +223,15 @@
         peer: HostAddress,
         relays: Arc<Mutex<Vec<SocketAddr>>>,
         connected: Arc<Notify>,
+        large_sends: Arc<Semaphore>,
         log: Logger,
     ) -> Self {
         Self {
             peer,
             unsynced: RecordQueue::default(),
             synced: RecordQueue::default(),
+            large: RecordQueue::default(),
+            large_sends,
             connection: tokio::sync::Mutex::new(None),
             relays,
             is_up: AtomicBool::new(false),
@@ -148,12 +249,12 @@
     /// Adds a record. If the queue is full, the record is dropped, and the host copies it later from the
     /// other hosts.
     pub(crate) fn enqueue(&self, mode: SyncMode, record: QueuedRecord, time: SendTime) {
-        let queue = self.queue(mode);
-        let mut records = queue.lock();
-        if records.len() < QUEUE_LIMIT_RECORDS {
-            records.push_back(record);
+        let queue = self.queue(QueueKind::of(&record.record, mode));
+        let mut waiting = queue.lock();
+        if waiting.records.len() < QUEUE_LIMIT_RECORDS {
+            waiting.push_back(record);
         }
-        drop(records);
+        drop(waiting);
         if time == SendTime::Now {
             queue.wake.notify_one();
         }
@@ -296,17 +397,16 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    const fn queue(&self, mode: SyncMode) -> &RecordQueue {
-        match mode {
-            SyncMode::Unsynced => &self.unsynced,
-            SyncMode::Synced => &self.synced,
+    const fn queue(&self, kind: QueueKind) -> &RecordQueue {
+        match kind {
+            QueueKind::Unsynced => &self.unsynced,
+            QueueKind::Synced => &self.synced,
+            QueueKind::Large => &self.large,
         }
     }
 
-    fn take_batch(&self, mode: SyncMode) -> Vec<QueuedRecord> {
-        let mut records = self.queue(mode).lock();
-        let count = records.len().min(BATCH_LIMIT_RECORDS);
-        records.drain(..count).collect()
+    fn take_batch(&self, kind: QueueKind) -> Vec<QueuedRecord> {
+        self.queue(kind).lock().take_batch()
     }
 
     /// Returns a client on the open connection; opens one if there is none.
@@ -412,10 +512,10 @@
     /// Puts settlements back into the queue that may not have reached the host. Without its settlement a
     /// reservation would count for as long as its program's account is retained.
     fn requeue(&self, settlements: Vec<LedgerRecord>) {
-        let mut records = self.unsynced.lock();
+        let mut waiting = self.unsynced.lock();
         for record in settlements.into_iter().rev() {
-            if records.len() < QUEUE_LIMIT_RECORDS {
-                records.push_front(QueuedRecord { record, reply: None });
+            if waiting.records.len() < QUEUE_LIMIT_RECORDS {
+                waiting.push_front(QueuedRecord { record, reply: None });
             }
         }
     }
@@ -445,28 +545,54 @@
         None
     }
 
+    /// Writes records on the connection of the link.
+    async fn write(
+        &self,
+        kind: QueueKind,
+        records: Vec<LedgerRecord>,
+    ) -> Option<PortResult<Vec<RecordReceipt>>> {
+        let is_synced = kind == QueueKind::Synced;
+        let write = |client: LedgerPortClient| {
+            let records = records.clone();
+            async move {
+                let context = context_with_timeout(kind.call_timeout());
+                client.write(context, records, is_synced).await
+            }
+        };
+        self.call(MAX_CALL_ATTEMPTS, write).await
+    }
+
+    /// Writes large records on a connection of their own once there is room for them.
+    async fn write_apart(&self, records: Vec<LedgerRecord>) -> Option<PortResult<Vec<RecordReceipt>>> {
+        let payload_bytes: usize = records.iter().map(LedgerRecord::payload_bytes).sum();
+        let room = u32::try_from(payload_bytes.min(LARGE_SENDS_BYTES)).unwrap_or(u32::MAX);
+        let _sending = self.large_sends.acquire_many(room).await.ok()?;
+        for _ in 0..MAX_CALL_ATTEMPTS {
+            let (stream, _) = timeout(CONNECT_TIMEOUT, self.open()).await.ok()?.ok()?;
+            let client = connect_host(stream);
+            let context = context_with_timeout(QueueKind::Large.call_timeout());
+            match client.write(context, records.clone(), true).await {
+                Ok(response) => return Some(response),
+                Err(failure) if is_broken_connection(&failure) => {}
+                Err(_late) => return None,
+            }
+        }
+        None
+    }
+
     /// Sends a batch and passes the response for each record to its caller. Returns whether the next batch
     /// may be sent without a delay.
-    async fn send_batch(&self, mode: SyncMode, batch: Vec<QueuedRecord>) -> bool {
+    async fn send_batch(&self, kind: QueueKind, batch: Vec<QueuedRecord>) -> bool {
         let settlements = settlements_of(&batch);
         let (records, replies): (Vec<_>, Vec<_>) = batch
             .into_iter()
             .map(|queued| (queued.record, queued.reply))
             .unzip();
-        let call_timeout = match mode {
-            SyncMode::Unsynced => UNSYNCED_CALL_TIMEOUT,
-            SyncMode::Synced => SYNCED_CALL_TIMEOUT,
-        };
-        let is_synced = mode == SyncMode::Synced;
-        let write = |client: LedgerPortClient| {
-            let records = records.clone();
-            async move {
-                client
-                    .write(context_with_timeout(call_timeout), records, is_synced)
-                    .await
-            }
+        let response = match kind {
+            QueueKind::Unsynced | QueueKind::Synced => self.write(kind, records).await,
+            QueueKind::Large => self.write_apart(records).await,
         };
-        let Some(response) = self.call(MAX_CALL_ATTEMPTS, write).await else {
+        let Some(response) = response else {
             self.requeue(settlements);
             return false;
         };
@@ -503,15 +629,15 @@
 
 /// Keeps the connection open and sends queued records, one batch at a time, until the host is removed from
 /// the list.
-pub(crate) async fn run_link(link: Weak<HostLink>, mode: SyncMode) {
+pub(crate) async fn run_link(link: Weak<HostLink>, kind: QueueKind) {
     while let Some(link) = link.upgrade() {
-        if mode == SyncMode::Unsynced && link.must_try_direct().await {
+        if kind == QueueKind::Unsynced && link.must_try_direct().await {
             let link = Arc::clone(&link);
             tokio::spawn(async move { link.try_direct().await });
         }
-        let batch = link.take_batch(mode);
+        let batch = link.take_batch(kind);
         if !batch.is_empty() {
-            if !link.send_batch(mode, batch).await {
+            if !link.send_batch(kind, batch).await {
                 sleep(RETRY_DELAY).await;
             }
             continue;
@@ -520,7 +646,7 @@
             sleep(RETRY_DELAY).await;
             continue;
         }
-        let _woken = timeout(BATCH_DELAY, link.queue(mode).wake.notified()).await;
+        let _woken = timeout(BATCH_DELAY, link.queue(kind).wake.notified()).await;
     }
 }
 
--- a/components/ledger/src/log.rs
+++ b/components/ledger/src/log.rs
@@ -14,6 +14,8 @@
 
 /// Size of a frame's header: length and checksum.
 const FRAME_HEADER_BYTES: usize = 8;
+/// Size of an encoded record beside its payload, with the frame's header; most have less.
+const RECORD_OVERHEAD_BYTES: usize = 96;
 /// Largest accepted size of an encoded record. The limits on callers' requests keep records far smaller.
 const MAX_RECORD_BYTES: usize = 64 * 1024 * 1024;
 /// Size at which the writer starts a new file. After a kill the last file has no index, so that the next
@@ -224,7 +226,8 @@
     }
 
     fn enqueue(&self, records: &[LedgerRecord], waiter: Option<SyncWaiter>) -> Result<(), LogError> {
-        let mut frames = Vec::new();
+        let payload_bytes: usize = records.iter().map(LedgerRecord::payload_bytes).sum();
+        let mut frames = Vec::with_capacity(payload_bytes + records.len() * RECORD_OVERHEAD_BYTES);
         let mut ends = Vec::with_capacity(records.len());
         for record in records {
             encode_frame(&mut frames, record)?;
@@ -243,7 +246,12 @@
             pending.entries.push(IndexedRecord::new(record, place));
             start = base + end;
         }
-        pending.frames.extend_from_slice(&frames);
+        if pending.frames.is_empty() {
+            // Spares a copy, which counts for large records.
+            pending.frames = frames;
+        } else {
+            pending.frames.extend_from_slice(&frames);
+        }
         let retention_ms = records.iter().map(LedgerRecord::retention_ms).max();
         pending.retention_ms = pending.retention_ms.max(retention_ms.unwrap_or_default());
         pending.waiters.extend(waiter);
--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -10,6 +10,9 @@
 /// Bits of a turn's key that depend on its id alone.
 const TURN_ID_BITS: u32 = 64;
 
+/// Size in bytes above which a payload or a message counts as large: it travels apart from the others.
+pub const LARGE_PAYLOAD_BYTES: usize = 256 * 1024;
+
 /// Identifies a program by the 128-bit XXH3 hash of the name that its caller chose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -78,6 +81,13 @@
     pub retention_ms: u64,
 }
 
+impl TurnRecord {
+    /// Returns the size of the input and the output in bytes.
+    pub const fn payload_bytes(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+}
+
 /// A record of the ledger. Records may be applied in any order and more than once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -179,6 +189,14 @@
         }
     }
 
+    /// Returns the size of the record's payload in bytes; other fields have few.
+    pub const fn payload_bytes(&self) -> usize {
+        match self {
+            Self::Turn(record) => record.payload_bytes(),
+            Self::Reserved { .. } | Self::Settled { .. } | Self::Begun { .. } | Self::Moved { .. } => 0,
+        }
+    }
+
     /// Returns the program that the record belongs to.
     pub const fn program(&self) -> ProgramKey {
         self.key().program
