Bound what a ledger host receives in large messages

What callers saw: nothing yet; ten connections to a ledger host of 100 MB that each announce a message of 60 MB and send a third took it to 204 MB, and many entries that send large turns at once do the same with messages that are sound.

Cause: a connection of a ledger host read any message of up to 64 MB as it came. No number was counted over the connections, and nothing asked a message that had stopped to give its memory back.

A connection follows the lengths of its messages (`GatedStream`). One over 256 KB is read on only when there is room for it among the large messages of all connections, an eighth of the host's memory, since the host holds a message up to three times: in the connection's buffer, decoded and encoded for the log. Meanwhile TCP slows its sender down. The room comes back when the next message begins or the connection ends; a message that has its room and pauses for 0.5 s or takes 2.5 s in all ends its connection, as its sender has given up by then. A message over the whole room is refused by its length. Small messages are read as before, without another system call.

Ruled out: a limit on connections, which bounds no bytes.

--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -10,6 +10,7 @@
 mod digest;
 mod fact;
 mod fact_client;
+mod gate;
 mod host;
 mod index;
 mod limit;
@@ -37,6 +38,7 @@
 };
 pub use digest::BucketDigests;
 pub use fact::{FactChange, FactPage, FactReport, KnownFacts, LimitPage};
+pub use gate::MessageGate;
 pub use host::{HostOptions, LedgerHost};
 pub use index::{IndexedRecord, RecordPlace};
 pub use limit::{LimitReport, LimitTable};
@@ -45,7 +47,7 @@
 pub use permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest, PermitTable};
 pub use port::{
     ChangePage, DigestPage, LedgerPort, LedgerPortClient, PortFault, PortResult, RecordReceipt, StreamBuild,
-    connect_host, serve_port, wall_clock_ms,
+    connect_host, serve_gated_port, serve_port, wall_clock_ms,
 };
 pub use quota::{PERMIT_VALIDITY_MS, PermitTerms, QuotaBounds, QuotaClass, QuotaRequest, QuotaShares};
 pub use quota_client::{HeldPermit, PermitMark, QuotaAnswer, QuotaDemand};
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -11,6 +11,7 @@
 use tarpc::context::{self, Context};
 use tarpc::server::{BaseChannel, Channel as _};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -18,6 +19,7 @@
 use crate::crash::{CrashDetails, CrashReport, NoticePage};
 use crate::digest::BucketDigests;
 use crate::fact::{FactPage, FactReport, KnownFacts};
+use crate::gate::{GatedStream, MessageGate};
 use crate::limit::LimitReport;
 use crate::notice::NoticeVersion;
 use crate::permit::{PermitAnswer, PermitAsk, PermitKey, PermitRequest};
@@ -171,15 +173,18 @@
     async fn crash_details() -> CrashDetails;
 }
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+fn framed<Connection: AsyncRead + AsyncWrite>(
+    stream: Connection,
+    max_bytes: usize,
+) -> Framed<Connection, LengthDelimitedCodec> {
     let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME_BYTES);
+    codec.set_max_frame_length(max_bytes);
     Framed::new(stream, codec)
 }
 
 /// Starts a client on an open connection.
 pub fn connect_host(stream: TcpStream) -> LedgerPortClient {
-    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    let transport = tarpc::serde_transport::new(framed(stream, MAX_FRAME_BYTES), Bincode::default());
     LedgerPortClient::new(tarpc::client::Config::default(), transport).spawn()
 }
 
@@ -210,12 +215,30 @@
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Serves the calls of one accepted connection until it is closed.
+/// Serves the calls of one accepted connection until it is closed, without a limit on what arrives on several.
 pub async fn serve_port<Port>(stream: TcpStream, port: Port)
 where
     Port: LedgerPort + Clone + Send + 'static,
 {
-    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    serve_framed(framed(stream, MAX_FRAME_BYTES), port).await;
+}
+
+/// Serves the calls of one accepted connection until it is closed. Large messages wait until there is room for them; the
+/// connection is closed when one is larger than the host accepts or does not arrive in time.
+pub async fn serve_gated_port<Port>(stream: TcpStream, port: Port, gate: MessageGate)
+where
+    Port: LedgerPort + Clone + Send + 'static,
+{
+    let max_bytes = gate.limit_bytes();
+    serve_framed(framed(GatedStream::new(stream, gate), max_bytes), port).await;
+}
+
+async fn serve_framed<Connection, Port>(framed: Framed<Connection, LengthDelimitedCodec>, port: Port)
+where
+    Connection: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    Port: LedgerPort + Clone + Send + 'static,
+{
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     channel
         .execute(port.serve())
--- a/components/ledger/tests/large.rs
+++ b/components/ledger/tests/large.rs
@@ -1,4 +1,4 @@
-//! Turns of megabytes: they are stored and fetched beside small ones.
+//! Turns of megabytes: they are stored and fetched beside small ones, and bounded at the hosts.
 
 mod support;
 
@@ -8,9 +8,14 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use googletest::prelude::*;
-use ledger::{LARGE_PAYLOAD_BYTES, LedgerClient, LedgerHosts, ProgramKey, TurnKey, TurnRecord};
-use support::{RunningHost, addresses, client_of, start_hosts};
-use tokio::net::TcpListener;
+use ledger::{
+    LARGE_PAYLOAD_BYTES, LedgerClient, LedgerHosts, LedgerPortClient, MessageGate, ProgramKey, TurnKey,
+    TurnRecord, connect_host, serve_gated_port,
+};
+use support::{RunningHost, addresses, client_of, open_host, start_hosts, turn_record};
+use tarpc::context;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 const PROGRAM: ProgramKey = ProgramKey(1);
@@ -115,3 +120,68 @@
         expect_that!(small.is_ok(), eq(true), "{}", case.name);
     }
 }
+
+/// Starts a host that has room for large messages of this many bytes, and returns its address.
+async fn start_gated(folder: &std::path::Path, gate: MessageGate) -> SocketAddr {
+    let host = open_host(folder, 1);
+    host.finish_copying();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_gated_port(stream, host.clone(), gate.clone()));
+        }
+    });
+    address
+}
+
+async fn connect(host: SocketAddr) -> LedgerPortClient {
+    connect_host(TcpStream::connect(host).await.expect("a host that listens"))
+}
+
+async fn write(client: &LedgerPortClient, turn: u128, size: usize) -> bool {
+    let mut context = context::current();
+    context.deadline = std::time::Instant::now() + STUCK_TIMEOUT;
+    let written = client.write(context, vec![turn_record(turn, size)], true).await;
+    written.is_ok_and(|written| written.is_ok())
+}
+
+#[gtest]
+#[tokio::test]
+async fn large_messages_wait_for_room_and_those_that_stop_short_give_it_back() {
+    const SIZE: usize = 700_000;
+    const WRITERS: u128 = 8;
+    let folder = tempfile::tempdir().expect("a folder");
+    let gate = MessageGate::of_memory(0);
+    let limit_bytes = gate.limit_bytes();
+    let host = start_gated(folder.path(), gate).await;
+    // Each of these takes the whole room and stops short.
+    let mut short = Vec::new();
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(host).await.expect("a host that listens");
+        let length = u32::try_from(limit_bytes).expect("a length").to_be_bytes();
+        stream.write_all(&length).await.expect("an open connection");
+        stream.write_all(&[0; 1_000]).await.expect("an open connection");
+        short.push(stream);
+    }
+    let writing = (0..WRITERS).map(async |number| {
+        let client = connect(host).await;
+        // A connection that has had a large message still takes others.
+        write(&client, number, SIZE).await && write(&client, WRITERS + number, 10).await
+    });
+    let written = timeout(STUCK_TIMEOUT, join_all(writing))
+        .await
+        .expect("not stuck");
+    expect_that!(written, each(eq(&true)));
+    for stream in &mut short {
+        let mut rest = [0; 1];
+        let closed = timeout(STUCK_TIMEOUT, stream.read(&mut rest))
+            .await
+            .expect("not stuck");
+        expect_that!(closed.unwrap_or(0), eq(0));
+    }
+    let client = connect(host).await;
+    expect_that!(write(&client, 100, limit_bytes + 1).await, eq(false));
+    let client = connect(host).await;
+    expect_that!(write(&client, 101, 10).await, eq(true));
+}
