Fetch long chains in parts, and count them before they are joined

What callers saw: one caller that continues its own turns of 4 MB, one after the other and inside the limits, took an entry of 88 MB to 325 MB and ledger hosts of 100 MB to 314 MB at the sixteenth turn.

Cause: `max_body_bytes` bounds a turn, and nothing bounds a chain. A ledger host read the whole chain from its disk, encoded it in one response of up to 64 MB and kept the buffer with the connection; the entry decoded it, joined it to a body, and held memory for that only afterwards. Entries that ask at the same time did all of it at the same time.

- A ledger host sends a chain in parts of 256 KB, or one turn that is larger, and reads such large parts one after the other.
The client asks on for what precedes a part, as it did for what a host lacked, so that earlier versions of either side go together.
- An entry holds memory for each part before it asks for the next, and for the joined body before it joins it, and gives the parts back then; 32 chains are fetched at a time.
A chain that exceeds the room is refused with 3029 (503, not run).
- A link replaces its connection after a large part, so that its buffers at both ends become small again.

components/ledger/tests/reclaim.rs called the port for a chain of 10 MB and expected one response; it now asks for the parts and compares the same turns.

--- a/components/gateway/src/chains.rs
+++ b/components/gateway/src/chains.rs
@@ -61,17 +61,18 @@
     }
 }
 
+/// Returns the size of the inputs and outputs of turns in bytes.
+pub(crate) fn chain_bytes(chain: &[TurnRecord]) -> usize {
+    chain.iter().map(TurnRecord::payload_bytes).sum()
+}
+
 /// Returns the body for the backend server: inputs and outputs of the chain, the oldest first, then the new
 /// input.
 pub(crate) fn chained_body(chain: &[TurnRecord], input: &Bytes) -> Bytes {
     if chain.is_empty() {
         return input.clone();
     }
-    let length: usize = chain
-        .iter()
-        .map(|turn| turn.input.len() + turn.output.len())
-        .sum();
-    let mut body = Vec::with_capacity(length + input.len());
+    let mut body = Vec::with_capacity(chain_bytes(chain) + input.len());
     for turn in chain.iter().rev() {
         body.extend_from_slice(&turn.input);
         body.extend_from_slice(&turn.output);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -22,10 +22,10 @@
 use crate::access::{caller_identity, identify};
 use crate::answer::{AnswerBody, error_answer};
 use crate::body::CallerBody;
-use crate::chains::chained_body;
+use crate::chains::{chain_bytes, chained_body};
 use crate::dialect::{RequestFacts, remove_connection_headers};
 use crate::dispatch::{Dispatcher, RequestPlan, SentAttempt, VersionBond, convicted_error};
-use crate::memory::{CallerConnection, RequestMemory};
+use crate::memory::{CallerConnection, MemoryLease, RequestMemory};
 use crate::models::TurnPrompt;
 use crate::quota::{QuotaTicket, max_quota_wait_ms};
 use crate::relay::{PendingTurn, StreamRelay, TurnReservation};
@@ -182,6 +182,14 @@
     }
 }
 
+/// Turns that a request continues, the newest first.
+#[derive(Debug, Default)]
+struct FetchedChain {
+    turns: Vec<TurnRecord>,
+    /// Memory of those that are not cached.
+    leases: Vec<MemoryLease>,
+}
+
 /// A request for which a route was found.
 struct RoutedRequest<'a> {
     entry: &'a Arc<EntryState>,
@@ -230,13 +238,14 @@
         arrived: Instant,
     ) -> Result<Response<AnswerBody>, CallError> {
         let patience = self.entry.wait_for_ledger().await;
-        let chain = self.chain(patience).await?;
+        let FetchedChain { turns, leases } = self.chain(patience).await?;
         let began_at = self.began_at(patience).await?;
         let mut plan = self.plan(head, input.clone(), began_at)?;
-        plan.body = chained_body(&chain, &input);
-        if !chain.is_empty() {
-            self.memory.claim(plan.body.len() as u64)?;
+        if !turns.is_empty() {
+            self.memory.claim((chain_bytes(&turns) + input.len()) as u64)?;
+            plan.body = chained_body(&turns, &input);
         }
+        drop((turns, leases));
         let mut dispatcher = Dispatcher::new(Arc::clone(self.entry), plan);
         let build = match self.route.run_policy {
             RunPolicy::Resumable => Some(dispatcher.choose_first()?),
@@ -397,44 +406,52 @@
 
     /// Returns the chain of turns that this turn continues, the newest first. Asks again for up to `patience` while
     /// too few ledger hosts answer.
-    async fn chain(&self, patience: Duration) -> Result<Vec<TurnRecord>, CallError> {
+    async fn chain(&self, patience: Duration) -> Result<FetchedChain, CallError> {
         let previous = self.facts.previous_turn.filter(|_| self.route.keeps_turns);
         let Some(previous) = previous else {
-            return Ok(Vec::new());
+            return Ok(FetchedChain::default());
         };
-        if let Some(chain) = self.entry.chains.chain(previous) {
-            return Ok(chain);
+        if let Some(turns) = self.entry.chains.chain(previous) {
+            return Ok(FetchedChain {
+                turns,
+                leases: Vec::new(),
+            });
         }
         let ask_until = Instant::now() + patience;
-        let fetching = async {
-            loop {
-                match self.entry.ledger.fetch_chain(previous, self.facts.program).await {
-                    Err(LedgerError::TooFewHosts { .. })
-                        if Instant::now() + LEDGER_RETRY_DELAY < ask_until =>
-                    {
-                        sleep(LEDGER_RETRY_DELAY).await;
-                    }
-                    fetched => return fetched,
-                }
-            }
-        };
+        let fetching = self.fetch_chain(previous, ask_until);
         let chain = timeout_at(self.deadline.into(), fetching).await;
-        let chain = match chain.map_err(|_elapsed| ledger_timeout())? {
-            Ok(chain) => chain,
-            Err(LedgerError::UnknownTurn) => return Err(self.unknown_turn_error(previous).await),
-            Err(failure @ LedgerError::TooFewHosts { .. }) => {
-                return Err(CallError::not_run(
-                    ResultCode::LedgerUnavailable,
-                    failure.to_string(),
-                ));
-            }
-        };
-        for record in &chain {
+        let chain = chain.map_err(|_elapsed| ledger_timeout())??;
+        for record in &chain.turns {
             self.entry.chains.insert(record.clone());
         }
         Ok(chain)
     }
 
+    /// Fetches a chain from ledger hosts, part by part. Memory is held for what has arrived before the next part is asked
+    /// for.
+    async fn fetch_chain(&self, newest: TurnKey, ask_until: Instant) -> Result<FetchedChain, CallError> {
+        let mut chain = FetchedChain::default();
+        let mut next = Some(newest);
+        while let Some(turn) = next {
+            let part = match self.entry.ledger.fetch_chain_part(turn, self.facts.program).await {
+                Ok(part) => part,
+                Err(LedgerError::TooFewHosts { .. }) if Instant::now() + LEDGER_RETRY_DELAY < ask_until => {
+                    sleep(LEDGER_RETRY_DELAY).await;
+                    continue;
+                }
+                Err(LedgerError::UnknownTurn) => return Err(self.unknown_turn_error(newest).await),
+                Err(failure @ LedgerError::TooFewHosts { .. }) => {
+                    let message = failure.to_string();
+                    return Err(CallError::not_run(ResultCode::LedgerUnavailable, message));
+                }
+            };
+            chain.leases.extend(self.memory.lease(chain_bytes(&part) as u64)?);
+            next = part.last().and_then(|oldest| oldest.previous);
+            chain.turns.extend(part);
+        }
+        Ok(chain)
+    }
+
     /// Returns the error for a turn that no ledger host knows in the caller's workspace.
     async fn unknown_turn_error(&self, turn: TurnKey) -> CallError {
         let is_foreign = self.table.workspaces().is_some() && self.entry.ledger.has_foreign_turn(turn).await;
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -415,13 +415,22 @@
     ///
     /// Fails when there is no room for it.
     pub(crate) fn claim(&mut self, bytes: u64) -> Result<(), CallError> {
-        if let Some(connection) = &self.connection
-            && bytes > 0
-        {
-            self.leases.push(connection.claim(bytes)?);
-        }
+        let lease = self.lease(bytes)?;
+        self.leases.extend(lease);
         Ok(())
     }
+
+    /// Holds memory for a step of the request's work until the lease is dropped; `None` if nothing is counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no room for it.
+    pub(crate) fn lease(&self, bytes: u64) -> Result<Option<MemoryLease>, CallError> {
+        match &self.connection {
+            Some(connection) if bytes > 0 => connection.claim(bytes).map(Some),
+            _ => Ok(None),
+        }
+    }
 }
 
 impl Drop for RequestMemory {
--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -23,12 +23,14 @@
 use crate::port::{HostAddress, RecordReceipt, StreamBuild};
 use crate::quota::QuotaBounds;
 use crate::quota_client::QuotaBook;
-use crate::record::{LedgerRecord, ProgramKey, TurnKey, TurnRecord};
+use crate::record::{LARGE_PAYLOAD_BYTES, LedgerRecord, ProgramKey, TurnKey, TurnRecord};
 use crate::snapshot::SnapshotPage;
 
 /// Delay after which the next hosts are asked for a chain of turns, although an earlier one has not answered yet.
 /// It is many times the duration of a call between failure domains.
 const NEXT_STAGE_DELAY: Duration = Duration::from_millis(40);
+/// Largest number of chains that are fetched at the same time; it bounds the parts that have not been counted yet.
+const MAX_CHAIN_FETCHES: usize = 32;
 
 /// Delay before a reservation is written again to hosts that did not respond with counts: a fraction of the time in
 /// which a host copies the records that it missed.
@@ -158,6 +160,8 @@
     connected: Arc<Notify>,
     /// Room for the large records that are sent to hosts.
     large_sends: Arc<Semaphore>,
+    /// Chains that are fetched at the same time.
+    chain_fetches: Semaphore,
     tolerated_failures: usize,
     /// What is tolerated beyond the quotas of workspaces.
     quota_bounds: QuotaBounds,
@@ -168,6 +172,12 @@
     log: Logger,
 }
 
+/// Returns whether a host may have more of a chain than the part that it has sent: the part has about the limited size.
+fn is_cut_short(part: &[TurnRecord]) -> bool {
+    let payload_bytes: usize = part.iter().map(TurnRecord::payload_bytes).sum();
+    payload_bytes > LARGE_PAYLOAD_BYTES / 2
+}
+
 /// Releases a reservation on drop: the budget did not cover it, too few hosts responded or the caller was
 /// cancelled. `reserve` forgets the guard when it succeeds. The release is sent immediately, since the next
 /// turn of the program may already be on its way.
@@ -229,6 +239,7 @@
                 relays: Arc::default(),
                 connected: Arc::default(),
                 large_sends: Arc::new(Semaphore::new(LARGE_SENDS_BYTES)),
+                chain_fetches: Semaphore::new(MAX_CHAIN_FETCHES),
                 tolerated_failures,
                 quota_bounds,
                 quota_book: Mutex::default(),
@@ -497,7 +508,7 @@
         // Each host may lack some turns of the chain, so the remaining part is requested from all hosts
         // again.
         while let Some(turn) = next {
-            let part = self.fetch_longest_part(turn, program).await?;
+            let part = self.fetch_chain_part(turn, program).await?;
             next = part.last().and_then(|oldest| oldest.previous);
             chain.extend(part);
         }
@@ -518,8 +529,24 @@
         false
     }
 
-    /// Fetches the longest part of a chain that one host holds. Returns a complete chain as soon as one
-    /// arrives.
+    /// Fetches the newest part of a chain that ends with a turn, the newest turn first. The part that is missing begins with
+    /// the turn that the last one continues; a host sends a part of limited size, and each may lack some turns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when too few hosts respond, and when all respond and none of them has the turn.
+    pub async fn fetch_chain_part(
+        &self,
+        turn: TurnKey,
+        program: Option<ProgramKey>,
+    ) -> Result<Vec<TurnRecord>, LedgerError> {
+        // Closed never.
+        let _fetching = self.shared.chain_fetches.acquire().await.ok();
+        self.fetch_longest_part(turn, program).await
+    }
+
+    /// Fetches the longest part of a chain that one host holds. Returns a complete chain, or one that the host has cut
+    /// short, as soon as one arrives.
     ///
     /// Load pattern: the callers of stored turns change between entries, and every host of a group holds the whole
     /// chain. Asking all hosts at once makes each of them send the chain, so that one host is asked first, then
@@ -550,7 +577,7 @@
                 let Some(response) = response else { break };
                 let Some(part) = response else { continue };
                 answered += 1;
-                if part.last().is_some_and(|oldest| oldest.previous.is_none()) {
+                if part.last().is_some_and(|oldest| oldest.previous.is_none()) || is_cut_short(&part) {
                     return Ok(part);
                 }
                 if part.len() > longest.len() {
--- a/components/ledger/src/host.rs
+++ b/components/ledger/src/host.rs
@@ -8,7 +8,7 @@
 use domain::{ContentKey, InstanceKey};
 use slog::{Logger, error, info};
 use tarpc::context::Context;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::crash::{CRASH_RETENTION_MS, CrashDetails, CrashReport, CrashTable, LossReport, NoticePage};
@@ -22,7 +22,7 @@
     ChangePage, DigestPage, LedgerPort, PortFault, PortResult, RecordReceipt, StreamBuild, wall_clock_ms,
 };
 use crate::reclaim::run_blocking;
-use crate::record::{LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
+use crate::record::{LARGE_PAYLOAD_BYTES, LedgerRecord, ProgramKey, RecordKey, TurnKey, TurnRecord};
 use crate::snapshot::{KindSnapshot, SnapshotPage, SnapshotSet};
 use crate::table::{FoundRecord, PrunedTurns, RecordTable};
 
@@ -79,6 +79,8 @@
     snapshots: Mutex<SnapshotSet>,
     /// Latest time at which the store had nothing newer than the snapshots.
     confirmed: Mutex<Option<Instant>>,
+    /// Lets one read of large payloads after the other.
+    large_reads: Semaphore,
     permits: Mutex<PermitTable>,
     /// Until when the host hands out permits of workspaces; `None` without an end.
     permit_lease: Mutex<Option<Instant>>,
@@ -113,6 +115,7 @@
                 readers: Mutex::default(),
                 snapshots: Mutex::new(SnapshotSet::open(&options.folder)),
                 confirmed: Mutex::default(),
+                large_reads: Semaphore::new(1),
                 permits: Mutex::default(),
                 permit_lease: Mutex::default(),
                 crashes: Mutex::default(),
@@ -492,10 +495,16 @@
     }
 
     async fn chain(self, _: Context, turn: TurnKey) -> PortResult<Vec<TurnRecord>> {
-        let found = self.table().chain(turn);
+        let found = self.table().chain_part(turn, LARGE_PAYLOAD_BYTES);
         if found.is_empty() && self.is_copying() {
             return Err(PortFault::Copying);
         }
+        let payload_bytes: usize = found.iter().map(FoundRecord::size).sum();
+        let _turn = if payload_bytes > LARGE_PAYLOAD_BYTES {
+            self.shared.large_reads.acquire().await.ok()
+        } else {
+            None
+        };
         let records = self.read_records(found).await?;
         let turns = records.into_iter().filter_map(|record| match record {
             LedgerRecord::Turn(turn) => Some(turn),
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -260,14 +260,20 @@
         }
     }
 
-    /// Fetches a chain of turns. Returns `None` if the host does not respond or may lack records.
-    pub(crate) async fn fetch_chain(&self, turn: TurnKey) -> Option<Vec<TurnRecord>> {
+    /// Fetches a chain of turns, or its newest part. Returns `None` if the host does not respond or may lack records.
+    pub(crate) async fn fetch_chain(self: &Arc<Self>, turn: TurnKey) -> Option<Vec<TurnRecord>> {
         let request = |client: LedgerPortClient| async move {
             client
                 .chain(context_with_timeout(UNSYNCED_CALL_TIMEOUT), turn)
                 .await
         };
-        self.call(MAX_CALL_ATTEMPTS, request).await?.ok()
+        let part: Vec<TurnRecord> = self.call(MAX_CALL_ATTEMPTS, request).await?.ok()?;
+        let payload_bytes: usize = part.iter().map(TurnRecord::payload_bytes).sum();
+        if payload_bytes > LARGE_PAYLOAD_BYTES {
+            let link = Arc::clone(self);
+            tokio::spawn(async move { link.renew_connection().await });
+        }
+        Some(part)
     }
 
     /// Fetches whether the host stores a turn with the same id that belongs to another workspace. Returns `None` if the host
@@ -463,6 +469,18 @@
         }
     }
 
+    /// Replaces the connection after a large message, so that the buffers at both ends become small again. Calls in progress
+    /// complete on the old one.
+    async fn renew_connection(&self) {
+        let Ok(Ok((stream, is_relayed))) = timeout(CONNECT_TIMEOUT, self.open()).await else {
+            return;
+        };
+        let mut connection = self.connection.lock().await;
+        if connection.is_some() {
+            *connection = Some(self.start_connection(stream, is_relayed));
+        }
+    }
+
     /// Opens a connection: directly or, if that takes longer than `RELAY_DELAY` or fails, through a relay.
     /// Returns the stream and whether it is relayed.
     async fn open(&self) -> io::Result<(TcpStream, bool)> {
--- a/components/ledger/src/port.rs
+++ b/components/ledger/src/port.rs
@@ -100,7 +100,8 @@
     /// Writes records. With `synced` the host responds once they are synced and survive a power loss.
     async fn write(records: Vec<LedgerRecord>, synced: bool) -> PortResult<Vec<RecordReceipt>>;
 
-    /// Returns a turn and its predecessors, the newest first, up to the first one that the host lacks.
+    /// Returns a turn and its predecessors, the newest first, up to the first one that the host lacks or to
+    /// that with which the response becomes large.
     async fn chain(turn: TurnKey) -> PortResult<Vec<TurnRecord>>;
 
     /// Returns the digests of all records.
--- a/components/ledger/src/table.rs
+++ b/components/ledger/src/table.rs
@@ -235,10 +235,21 @@
 
     /// Returns a turn and its predecessors, the newest first, up to the first one that is not stored here.
     pub fn chain(&self, turn: TurnKey) -> Vec<FoundRecord> {
+        self.chain_part(turn, usize::MAX)
+    }
+
+    /// Returns the newest part of a chain as [`Self::chain`] does, up to the turn with which it exceeds `limit_bytes`.
+    pub fn chain_part(&self, turn: TurnKey, limit_bytes: usize) -> Vec<FoundRecord> {
         let mut chain = Vec::new();
+        let mut bytes = 0;
         let mut next = Some(turn);
         while let Some(stored) = next.and_then(|turn| self.turns.get(&turn)) {
-            chain.push(found_record(stored));
+            let found = found_record(stored);
+            bytes += found.size();
+            chain.push(found);
+            if bytes > limit_bytes {
+                break;
+            }
             next = stored.record.previous;
         }
         chain
--- a/components/ledger/tests/reclaim.rs
+++ b/components/ledger/tests/reclaim.rs
@@ -57,9 +57,16 @@
 
 /// Returns the numbers of the turns of a chain with the sizes of their inputs, the newest first.
 async fn chain(host: &LedgerHost, turn: u128) -> Vec<(u128, usize)> {
-    let chain = host.clone().chain(context::current(), TurnKey(turn)).await;
-    let turns = chain.expect("a working disk").into_iter();
-    turns.map(|turn| (turn.turn.0, turn.input.len())).collect()
+    let mut turns = Vec::new();
+    let mut next = Some(TurnKey(turn));
+    while let Some(turn) = next {
+        // A host sends large chains in parts.
+        let part = host.clone().chain(context::current(), turn).await;
+        let part = part.expect("a working disk");
+        next = part.last().and_then(|oldest| oldest.previous);
+        turns.extend(part.iter().map(|turn| (turn.turn.0, turn.input.len())));
+    }
+    turns
 }
 
 /// Returns the tokens that the program has committed, of which a further reservation is told.
