Bound the bodies that an entry of our own daemon holds

What operators saw: 300 clients that each send a body of 1 MB but for its last byte took the daemon of an entry to 333 MB, where docs/CAPACITY.md sets 128 MB for a node; strangers without a key did so, too.

Cause: a body was read before the key was looked at; `body-bytes` bounds one body, `connections` their number, and nothing their product of a gigabyte. The HTTP library's buffer of a connection could grow to 400 KB besides: with strangers refused by their heads, the process was still at 194 MB.

- The key and the first part of the path are checked by the head; what a refused client sends is discarded, as it was for bodies over the limit.
The limit is `bodies-bytes` in [limits], 32 MB unless set, and never below `body-bytes`.
- The buffer of a connection is 32 KB.

--- a/components/config/src/rule.rs
+++ b/components/config/src/rule.rs
@@ -57,6 +57,8 @@
     STOP_GRACE_S = NumberRule::new("timing", "stop-grace-s", 1, 3_600).with_default(30);
     BODY_BYTES =
         NumberRule::new("limits", "body-bytes", 1_024, 64 * 1_024 * 1_024).with_default(1_024 * 1_024);
+    BODIES_BYTES =
+        NumberRule::new("limits", "bodies-bytes", 1_024, 1_024 * 1_024 * 1_024 * 1_024).with_default(32 * 1_024 * 1_024);
     CONNECTIONS = NumberRule::new("limits", "connections", 1, 65_536).with_default(1_024);
     HEADER_TIMEOUT_MS = NumberRule::new("limits", "header-timeout-ms", 100, 600_000).with_default(10_000);
 
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -139,6 +139,10 @@
     /// Largest request body in bytes.
     #[builder(default = default_of(rule::BODY_BYTES))]
     pub body_bytes: u64,
+    /// Memory for the bodies of all requests that are not answered yet, in bytes.
+    #[builder(default = default_of(rule::BODIES_BYTES))]
+    #[serde(default = "default_bodies_bytes")]
+    pub bodies_bytes: u64,
     /// Largest number of open connections at the HTTP port.
     #[builder(default = default_of(rule::CONNECTIONS))]
     pub connections: u64,
@@ -153,6 +157,10 @@
     }
 }
 
+fn default_bodies_bytes() -> u64 {
+    default_of(rule::BODIES_BYTES)
+}
+
 /// Destination of the metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/config/src/settings_text.rs
+++ b/components/config/src/settings_text.rs
@@ -259,12 +259,16 @@
     }
 
     fn limits(&mut self) -> Option<LimitSettings> {
-        let mut section = self.section("limits", &["body-bytes", "connections", "header-timeout-ms"]);
+        let keys = ["body-bytes", "bodies-bytes", "connections", "header-timeout-ms"];
+        let mut section = self.section("limits", &keys);
         let body_bytes = section.number(&rule::BODY_BYTES);
+        let bodies_bytes: Option<u64> = section.number(&rule::BODIES_BYTES);
         let connections = section.number(&rule::CONNECTIONS);
         let header_timeout_ms = section.number(&rule::HEADER_TIMEOUT_MS);
         Some(LimitSettings {
             body_bytes: body_bytes?,
+            // There is always room for the largest body.
+            bodies_bytes: bodies_bytes?.max(body_bytes?),
             connections: connections?,
             header_timeout_ms: header_timeout_ms?,
         })
--- a/components/daemon/src/roles.rs
+++ b/components/daemon/src/roles.rs
@@ -57,6 +57,7 @@
         .append_spacing(Duration::from_millis(timing.append_spacing_ms))
         .stop_grace(Duration::from_secs(timing.stop_grace_s))
         .body_bytes(usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX))
+        .bodies_bytes(usize::try_from(settings.limits.bodies_bytes).unwrap_or(usize::MAX))
         .connections(usize::try_from(settings.limits.connections).unwrap_or(usize::MAX))
         .header_timeout(Duration::from_millis(settings.limits.header_timeout_ms))
         .metrics(Arc::new(open_metrics(settings)?))
--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod programs;
 mod reply;
 mod request;
+mod room;
 mod route;
 mod server;
 mod service;
--- a/components/entry/src/http/request.rs
+++ b/components/entry/src/http/request.rs
@@ -1,17 +1,19 @@
 //! Requests of callers and operators, read completely within limits of size and time.
 
+use std::error::Error;
 use std::time::Duration;
 
 use bytes::Bytes;
 use domain::ProgramKey;
 use errors::{CallError, ResultCode};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::HeaderMap;
 use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request};
 use serde::de::DeserializeOwned;
 
 use crate::http::reply::malformed;
+use crate::http::room::{BodyRoom, RoomGuard};
 use crate::relay::StreamPosition;
 
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -26,6 +28,8 @@
     pub(crate) parts: Parts,
     /// Body.
     pub(crate) body: Bytes,
+    /// Room of the body.
+    _room: RoomGuard,
 }
 
 impl BufferedRequest {
@@ -33,10 +37,14 @@
     ///
     /// # Errors
     ///
-    /// Returns 1002 for a body over the limit, 1011 when it does not arrive within `BODY_TIMEOUT`, and 1001
-    /// when the connection fails before the body is complete.
-    pub(crate) async fn read(request: Request<Incoming>, limit: usize) -> Result<Self, CallError> {
-        let (parts, body) = request.into_parts();
+    /// Returns 1002 for a body over the limit, 1011 when it does not arrive within `BODY_TIMEOUT`, 3029 when there is no
+    /// room for it or others need the room of a late one, and 1001 when the connection fails before the body is complete.
+    pub(crate) async fn read(
+        parts: Parts,
+        body: Incoming,
+        limit: usize,
+        room: &BodyRoom,
+    ) -> Result<Self, CallError> {
         let too_large = || {
             CallError::not_run(
                 ResultCode::BodyTooLarge,
@@ -47,23 +55,29 @@
             discard_body(body).await;
             return Err(too_large());
         }
-        let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+        let room = room.enter();
+        let mut limited = Limited::new(body, limit);
+        let collected = tokio::select! {
+            collected = tokio::time::timeout(BODY_TIMEOUT, collect(&mut limited, &room)) => collected,
+            error = room.refused() => Ok(Err(ReadFault::NoRoom(error))),
+        };
         let collected = collected.map_err(|_elapsed| {
             CallError::not_run(
                 ResultCode::RequestTimeout,
                 "the body did not arrive before the timeout",
             )
         })?;
-        let body = collected.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                too_large()
-            } else {
-                malformed("the body is incomplete or malformed")
-            }
-        })?;
+        let body = match collected {
+            Ok(body) => body,
+            Err(ReadFault::NoRoom(error)) => return Err(error),
+            Err(ReadFault::Unreadable(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
+            Err(ReadFault::Unreadable(_)) => return Err(malformed("the body is incomplete or malformed")),
+        };
+        room.finish()?;
         Ok(Self {
             parts,
-            body: body.to_bytes(),
+            body,
+            _room: room,
         })
     }
 
@@ -151,9 +165,38 @@
     }
 }
 
+/// Why a body was not read to its end.
+enum ReadFault {
+    NoRoom(CallError),
+    Unreadable(Box<dyn Error + Send + Sync>),
+}
+
+/// Reads a body to its end. Room is held for its buffer before that is allocated.
+async fn collect(body: &mut Limited<Incoming>, room: &RoomGuard) -> Result<Bytes, ReadFault> {
+    let stated = body.size_hint().exact().unwrap_or_default();
+    let stated = usize::try_from(stated).unwrap_or(usize::MAX);
+    room.grow_to(stated).map_err(ReadFault::NoRoom)?;
+    let mut read: Vec<u8> = Vec::with_capacity(stated);
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.map_err(ReadFault::Unreadable)?.into_data() else {
+            continue;
+        };
+        let length = read.len() + part.len();
+        if length > read.capacity() {
+            let capacity = length.next_power_of_two();
+            room.grow_to(capacity).map_err(ReadFault::NoRoom)?;
+            read.reserve_exact(capacity - read.len());
+        }
+        read.extend_from_slice(&part);
+        room.record_received(read.len());
+    }
+    read.shrink_to_fit();
+    Ok(read.into())
+}
+
 /// Reads and discards a refused body, up to `DISCARD_TIMEOUT` and `MAX_DISCARDED_BYTES`. If the connection
 /// were closed while the client is still sending, the client would not receive the refusal.
-async fn discard_body(mut body: Incoming) {
+pub(crate) async fn discard_body(mut body: Incoming) {
     let discarding = async {
         let mut discarded = 0;
         while let Some(Ok(frame)) = body.frame().await {
--- a/components/entry/src/http/route.rs
+++ b/components/entry/src/http/route.rs
@@ -4,6 +4,7 @@
 
 use errors::{CallError, ResultCode};
 use hyper::Method;
+use hyper::http::request::Parts;
 
 use crate::context::EntryContext;
 use crate::http::auth::{authenticate_operator, authenticate_team};
@@ -11,6 +12,19 @@
 use crate::http::request::BufferedRequest;
 use crate::http::{admin, chat, programs, service};
 
+/// Checks the key of a request by its head.
+///
+/// # Errors
+///
+/// Returns 2001 without a valid key, 1003 for a path that is not part of the interface, and 3021 without a configuration.
+pub(crate) fn authenticate(context: &EntryContext, parts: &Parts) -> Result<(), CallError> {
+    match parts.uri.path().trim_matches('/').split('/').next() {
+        Some("v1") => authenticate_team(context, &parts.headers).map(drop),
+        Some("admin") => authenticate_operator(context, &parts.headers),
+        _ => Err(unknown_route()),
+    }
+}
+
 /// Authenticates a request, routes it to its handler and returns the reply.
 pub(crate) async fn answer_request(context: Arc<EntryContext>, request: BufferedRequest) -> HttpReply {
     let path = request.parts.uri.path().to_owned();
--- a/components/entry/src/http/server.rs
+++ b/components/entry/src/http/server.rs
@@ -16,12 +16,18 @@
 
 use crate::context::EntryContext;
 use crate::http::reply::{HttpReply, error_reply};
-use crate::http::request::BufferedRequest;
-use crate::http::route::answer_request;
+use crate::http::request::{BufferedRequest, discard_body};
+use crate::http::room::BodyRoom;
+use crate::http::route::{answer_request, authenticate};
+
+/// Largest head of a request, and largest part of a body that is read at once, in bytes. The buffer of a connection grows
+/// to this size when bytes arrive faster than they are used.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Serves until the token is cancelled, then waits for the requests in progress.
 pub(crate) async fn serve_http(context: Arc<EntryContext>, listener: TcpListener, stop: CancellationToken) {
     let permits = Arc::new(Semaphore::new(context.options.connections));
+    let room = BodyRoom::new(context.options.bodies_bytes);
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -43,11 +49,12 @@
         if let Err(error) = stream.set_nodelay(true) {
             debug!(context.options.log, "TCP_NODELAY not set"; "error" => %error);
         }
-        let serving = Arc::clone(&context);
-        let service = service_fn(move |request| answer(Arc::clone(&serving), request));
+        let (serving, room) = (Arc::clone(&context), room.clone());
+        let service = service_fn(move |request| answer(Arc::clone(&serving), room.clone(), request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(context.options.header_timeout)
+            .max_buf_size(READ_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
@@ -58,8 +65,18 @@
     graceful.shutdown().await;
 }
 
-async fn answer(context: Arc<EntryContext>, request: Request<Incoming>) -> Result<HttpReply, Infallible> {
-    let reply = match BufferedRequest::read(request, context.options.body_bytes).await {
+async fn answer(
+    context: Arc<EntryContext>,
+    room: BodyRoom,
+    request: Request<Incoming>,
+) -> Result<HttpReply, Infallible> {
+    let (parts, body) = request.into_parts();
+    // Nothing is held for clients without a valid key.
+    if let Err(error) = authenticate(&context, &parts) {
+        discard_body(body).await;
+        return Ok(error_reply(&error));
+    }
+    let reply = match BufferedRequest::read(parts, body, context.options.body_bytes, &room).await {
         Ok(request) => answer_request(context, request).await,
         Err(error) => error_reply(&error),
     };
--- a/components/entry/src/options.rs
+++ b/components/entry/src/options.rs
@@ -14,6 +14,9 @@
 /// Default of [`EntryOptions::archive_delay`].
 const DEFAULT_ARCHIVE_DELAY: Duration = Duration::from_hours(1);
 
+/// Default of [`EntryOptions::bodies_bytes`].
+const DEFAULT_BODIES_BYTES: usize = 32 * 1024 * 1024;
+
 /// Addresses, limits, intervals and clients with which an entry is started.
 #[derive(Debug, Clone, Builder)]
 pub struct EntryOptions {
@@ -48,6 +51,9 @@
     pub archive_delay: Duration,
     /// Limit of the size of a request body, in bytes.
     pub body_bytes: usize,
+    /// Limit of the memory for the bodies of all requests that are not answered yet, in bytes; 32 MiB by default.
+    #[builder(default = DEFAULT_BODIES_BYTES)]
+    pub bodies_bytes: usize,
     /// Limit of the number of open connections of callers and operators. Further ones are closed at once.
     pub connections: usize,
     /// Timeout for receiving the headers of a request.
--- a/components/standins/src/testbed.rs
+++ b/components/standins/src/testbed.rs
@@ -343,6 +343,11 @@
             .is_some_and(|process| process.child.is_some())
     }
 
+    /// Returns the id of a running process.
+    pub fn process_id(&self, name: &str) -> Option<u32> {
+        self.find_process(name)?.child.as_ref()?.id()
+    }
+
     fn signal(&mut self, name: &str, signal: Signal) -> anyhow::Result<()> {
         let child = self.process_mut(name)?.child.as_ref();
         child.context("the process is not running")?.signal(signal)
--- a/components/standins/src/testbed/process.rs
+++ b/components/standins/src/testbed/process.rs
@@ -65,6 +65,11 @@
         Ok(Self { plan, child })
     }
 
+    /// Returns the id of the process; `None` once it has ended.
+    pub(super) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal to this child only.
     pub(super) fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         let pid = self.child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
