Tell connections that yield to a claim that fails after all

`claim_body` refused late bodies to fit a new one into the part for arriving bodies, and could then fail for want of room in all. The keys of those that had yielded were lost with the error: their bytes counted as free, and nobody told their connections, which kept them until their deadlines.

The result of the claim now names who yielded in either case, and none yields when all of them together would not be enough (who_yields_to_a_claim_that_fails_is_told_so). Besides, the queue of large records of a link, which is empty nearly always, is looked at every 5 s in place of five times a second.

--- a/components/gateway/src/holders.rs
+++ b/components/gateway/src/holders.rs
@@ -87,12 +87,10 @@
 impl ReceivePace {
     /// Returns whether a body that has been arriving for some time is late.
     const fn is_late(self, received: u64, elapsed_ms: u64) -> bool {
-        let due_ms = received.saturating_mul(1_000)
-            / if self.bytes_per_s == 0 {
-                1
-            } else {
-                self.bytes_per_s
-            };
+        let due_ms = match received.saturating_mul(1_000).checked_div(self.bytes_per_s) {
+            Some(due_ms) => due_ms,
+            None => u64::MAX,
+        };
         elapsed_ms > self.grace_ms.saturating_add(due_ms)
     }
 }
@@ -251,6 +249,15 @@
     pub let_go: Vec<LetGo>,
 }
 
+/// What a claim for an arriving body has led to. Connections may have made room although it has failed.
+#[derive(Debug)]
+pub struct BodyClaim {
+    /// Connections that make room.
+    pub room: RoomMade,
+    /// Whether the bytes are held.
+    pub outcome: Result<(), NoRoom>,
+}
+
 impl RoomMade {
     fn append(&mut self, mut other: Self) {
         self.idle.append(&mut other.idle);
@@ -440,23 +447,47 @@
 
     /// Holds bytes for a body that has begun to arrive, before they are there. Beyond the part of the memory for such
     /// bodies, late ones make room for it.
-    ///
-    /// # Errors
-    ///
-    /// Fails without holding them when there is no room.
-    pub fn claim_body(&mut self, key: HolderKey, bytes: u64, now_ms: u64) -> Result<RoomMade, NoRoom> {
+    pub fn claim_body(&mut self, key: HolderKey, bytes: u64, now_ms: u64) -> BodyClaim {
         let mut room = RoomMade::default();
         let body_bytes = self.holder(key).map_or(0, |holder| holder.receiving) + bytes;
-        while body_bytes > SMALL_BODY_BYTES && self.receiving() + bytes > self.bounds.receiving_bytes() {
-            if !self.refuse_late_body(Some(key), now_ms, &mut room) {
-                return Err(self.no_room());
-            }
+        if body_bytes > SMALL_BODY_BYTES
+            && let Err(no_room) = self.make_receiving_room(key, bytes, now_ms, &mut room)
+        {
+            let outcome = Err(no_room);
+            return BodyClaim { room, outcome };
         }
-        room.append(self.claim(key, bytes, now_ms)?);
-        if let Some(holder) = self.holder(key) {
+        let outcome = self.claim(key, bytes, now_ms).map(|more| room.append(more));
+        if outcome.is_ok()
+            && let Some(holder) = self.holder(key)
+        {
             holder.receiving += bytes;
         }
-        Ok(room)
+        BodyClaim { room, outcome }
+    }
+
+    /// Refuses late bodies until these bytes fit into the part for arriving bodies. Refuses none if they would not fit.
+    fn make_receiving_room(
+        &mut self,
+        key: HolderKey,
+        bytes: u64,
+        now_ms: u64,
+        room: &mut RoomMade,
+    ) -> Result<(), NoRoom> {
+        let limit = self.bounds.receiving_bytes();
+        let pace = self.pace;
+        let late = self
+            .staying_holders(key)
+            .filter(|other| other.late_body_ms(pace, now_ms).is_some());
+        let most: u64 = late.map(|other| other.receiving).sum();
+        if (self.receiving() + bytes).saturating_sub(most) > limit {
+            return Err(self.no_room());
+        }
+        while self.receiving() + bytes > limit {
+            if !self.refuse_late_body(Some(key), now_ms, room) {
+                return Err(self.no_room());
+            }
+        }
+        Ok(())
     }
 
     /// Holds bytes for the work on a request that may still be refused. Connections that are late with their heads and
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -40,7 +40,7 @@
 };
 pub use front::{PageHandler, serve_callers, serve_pages};
 pub use holders::{
-    HeldUse, HolderKey, HolderTable, LateBody, LetGo, MemoryBounds, NoRoom, ReceivePace, RoomMade,
+    BodyClaim, HeldUse, HolderKey, HolderTable, LateBody, LetGo, MemoryBounds, NoRoom, ReceivePace, RoomMade,
 };
 pub use log::{LogGuard, open_log};
 pub use metrics::ProcessMetrics;
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -11,7 +11,9 @@
 use slog::{Logger, info};
 use tokio::sync::watch;
 
-use crate::holders::{HeldUse, HolderKey, HolderTable, MemoryBounds, NoRoom, ReceivePace, RoomMade};
+use crate::holders::{
+    BodyClaim, HeldUse, HolderKey, HolderTable, MemoryBounds, NoRoom, ReceivePace, RoomMade,
+};
 use crate::log::LineLimiter;
 use crate::metrics::ProcessMetrics;
 use crate::state::{lock, whole_millis};
@@ -226,7 +228,14 @@
     ///
     /// Fails when there is no room for it.
     fn claim(self: &Arc<Self>, bytes: u64) -> Result<MemoryLease, CallError> {
-        self.claim_with(bytes, HolderTable::claim)
+        self.with_state(|state| {
+            let (room, outcome) = match state.table.claim(self.key, bytes, self.budget.now_ms()) {
+                Ok(room) => (room, Ok(())),
+                Err(no_room) => (RoomMade::default(), Err(no_room)),
+            };
+            self.budget.make_room(state, &room);
+            self.lease_if(outcome, bytes)
+        })
     }
 
     /// Holds memory for a body that arrives, before its bytes are there.
@@ -235,28 +244,22 @@
     ///
     /// Fails when there is no room for it.
     pub(crate) fn claim_body(self: &Arc<Self>, bytes: u64) -> Result<MemoryLease, CallError> {
-        self.claim_with(bytes, HolderTable::claim_body)
+        self.with_state(|state| {
+            let BodyClaim { room, outcome } = state.table.claim_body(self.key, bytes, self.budget.now_ms());
+            self.budget.make_room(state, &room);
+            self.lease_if(outcome, bytes)
+        })
     }
 
-    fn claim_with(
-        self: &Arc<Self>,
-        bytes: u64,
-        claim: fn(&mut HolderTable, HolderKey, u64, u64) -> Result<RoomMade, NoRoom>,
-    ) -> Result<MemoryLease, CallError> {
-        self.with_state(|state| {
-            let room = claim(&mut state.table, self.key, bytes, self.budget.now_ms());
-            match room {
-                Ok(room) => {
-                    self.budget.make_room(state, &room);
-                    Ok(self.lease(bytes, HeldUse::Working))
-                }
-                Err(no_room) => {
-                    self.budget.count("refused");
-                    let message = format!("no room for {bytes} bytes of the request: {no_room}");
-                    Err(CallError::not_run(ResultCode::MemoryExhausted, message))
-                }
+    fn lease_if(self: &Arc<Self>, outcome: Result<(), NoRoom>, bytes: u64) -> Result<MemoryLease, CallError> {
+        match outcome {
+            Ok(()) => Ok(self.lease(bytes, HeldUse::Working)),
+            Err(no_room) => {
+                self.budget.count("refused");
+                let message = format!("no room for {bytes} bytes of the request: {no_room}");
+                Err(CallError::not_run(ResultCode::MemoryExhausted, message))
             }
-        })
+        }
     }
 
     /// Records that the body of a request begins to arrive.
--- a/components/gateway/tests/holders.rs
+++ b/components/gateway/tests/holders.rs
@@ -275,7 +275,7 @@
                 table.begin_request(key);
                 let is_admitted = table.claim(key, REQUEST_BYTES, 0).is_ok();
                 table.begin_body(key, 0);
-                is_admitted && table.claim_body(key, body_bytes, 0).is_ok()
+                is_admitted && table.claim_body(key, body_bytes, 0).outcome.is_ok()
             }
             Occupant::Waiter => {
                 table.begin_request(key);
@@ -347,7 +347,7 @@
         table.begin_request(key);
         table.claim(key, 64 * 1024, 0)?;
         table.begin_body(key, 0);
-        table.claim_body(key, 1_000, 0)
+        table.claim_body(key, 1_000, 0).outcome
     });
     let refused = small.filter(Result::is_err).count();
     expect_that!(refused, eq(0));
@@ -355,9 +355,9 @@
     let (key, _) = table.open(2_000).expect("room for the connection");
     table.begin_request(key);
     table.begin_body(key, 2_000);
-    let room = table
-        .claim_body(key, LARGE_BYTES, 2_000)
-        .expect("a late body yields");
+    let claim = table.claim_body(key, LARGE_BYTES, 2_000);
+    expect_that!(claim.outcome, ok(anything()));
+    let room = claim.room;
     expect_that!(room.late_bodies.len(), eq(1));
     let refused = room.late_bodies[0].key;
     expect_that!(
@@ -367,3 +367,33 @@
     );
     expect_that!(table.end_body(key), eq(true));
 }
+
+#[gtest]
+fn who_yields_to_a_claim_that_fails_is_told_so() {
+    const LARGE_BYTES: u64 = 4 * MEGABYTE;
+    let mut table = HolderTable::new(MemoryBounds::of_host(SMALLEST_HOST.0, SMALLEST_HOST.1));
+    let sender = Occupant::Sender {
+        body_bytes: LARGE_BYTES,
+        bytes_per_s: 0,
+    };
+    let senders = occupy(&mut table, sender);
+    occupy(&mut table, Occupant::Waiter);
+    let (key, room) = table.open(2_000).expect("a late body yields");
+    let mut named: Vec<HolderKey> = room.late_bodies.iter().map(|late| late.key).collect();
+    table.begin_request(key);
+    table.begin_body(key, 2_000);
+    // The late bodies together are smaller than this one: nobody yields in vain.
+    let claim = table.claim_body(key, 100 * LARGE_BYTES, 2_000);
+    expect_that!(claim.outcome, err(anything()));
+    expect_that!(claim.room.late_bodies, is_empty());
+    // At last, the requests at servers leave no room.
+    let mut is_refused = false;
+    while !is_refused {
+        let claim = table.claim_body(key, LARGE_BYTES, 2_000);
+        named.extend(claim.room.late_bodies.iter().map(|late| late.key));
+        is_refused = claim.outcome.is_err();
+    }
+    for sender in senders {
+        expect_that!(table.end_body(sender), eq(!named.contains(&sender)));
+    }
+}
--- a/components/ledger/src/link.rs
+++ b/components/ledger/src/link.rs
@@ -44,6 +44,8 @@
 /// Longest delay of a record without a waiting caller. It is sent with the next batch or after this delay,
 /// well within the second after which the platform expects a turn's tokens to be settled.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
+/// Interval at which the task of an empty queue of large records notices that its host is no longer listed.
+const LARGE_IDLE_DELAY: Duration = Duration::from_secs(5);
 /// Delay before a call to a failed host is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval at which the direct connection is tried again while a relay is in use. The relay is an entry,
@@ -110,6 +112,15 @@
         }
     }
 
+    /// Returns the longest time for which a queue that is empty is not looked at without a record that wakes it.
+    const fn idle_delay(self) -> Duration {
+        match self {
+            Self::Unsynced | Self::Synced => BATCH_DELAY,
+            // Each of these has a caller that waits, so that it wakes the queue.
+            Self::Large => LARGE_IDLE_DELAY,
+        }
+    }
+
     const fn call_timeout(self) -> Duration {
         match self {
             Self::Unsynced => UNSYNCED_CALL_TIMEOUT,
@@ -660,11 +671,11 @@
             }
             continue;
         }
-        if !link.is_up() && link.connect().await.is_none() {
+        if kind != QueueKind::Large && !link.is_up() && link.connect().await.is_none() {
             sleep(RETRY_DELAY).await;
             continue;
         }
-        let _woken = timeout(BATCH_DELAY, link.queue(kind).wake.notified()).await;
+        let _woken = timeout(kind.idle_delay(), link.queue(kind).wake.notified()).await;
     }
 }
 
