--- a/components/entry/src/http/server.rs
+++ b/components/entry/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
+use errors::ResultCode;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -78,7 +79,13 @@
     }
     let reply = match BufferedRequest::read(parts, body, context.options.body_bytes, &room).await {
         Ok(request) => answer_request(context, request).await,
-        Err(error) => error_reply(&error),
+        Err(error) => {
+            if error.code == ResultCode::MemoryExhausted {
+                context.metrics().record_refused_body();
+                debug!(context.options.log, "body refused"; "error" => &error.message, "limit" => context.options.bodies_bytes);
+            }
+            error_reply(&error)
+        }
     };
     Ok(reply)
 }
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -49,6 +49,11 @@
         );
     }
 
+    /// Counts a request that was refused because its body had no room.
+    pub(crate) fn record_refused_body(self) {
+        self.log_failure(self.client.count("bodies.refused", 1));
+    }
+
     /// Sets the number of programs that this entry holds in memory.
     pub(crate) fn record_programs(self, programs: usize) {
         self.log_failure(self.client.gauge("programs", programs as u64));
--- a/components/gateway/src/front.rs
+++ b/components/gateway/src/front.rs
@@ -183,9 +183,12 @@
     mut finished: oneshot::Receiver<TcpStream>,
     orders: Option<watch::Receiver<ConnectionOrder>>,
 ) {
-    let (Ok(stream), Ok(_permit)) = (finished.try_recv(), entry.lingering.try_acquire()) else {
-        return;
+    let Ok(stream) = finished.try_recv() else { return };
+    let count = |outcome| entry.metrics.memory.with_label_values(&[outcome]).inc();
+    let Ok(_permit) = entry.lingering.try_acquire() else {
+        return count("refusal-reset");
     };
+    count("refusal-lingering");
     let mut phase = entry.phase.subscribe();
     tokio::select! {
         () = linger(stream) => {}
--- a/components/ledger/src/gate.rs
+++ b/components/ledger/src/gate.rs
@@ -12,6 +12,7 @@
 
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
+use slog::{Logger, info};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -36,16 +37,19 @@
 pub struct MessageGate {
     room: Arc<Semaphore>,
     limit_bytes: usize,
+    log: Logger,
 }
 
 impl MessageGate {
     /// Creates the gate of a host with this memory in bytes.
-    pub fn of_memory(memory_bytes: usize) -> Self {
+    pub fn of_memory(memory_bytes: usize, log: Logger) -> Self {
         let most = u32::MAX as usize;
         let limit_bytes = (memory_bytes / MEMORY_DIVISOR).clamp(MIN_LIMIT_BYTES, most);
+        info!(log, "large messages bounded"; "bytes" => limit_bytes);
         Self {
             room: Arc::new(Semaphore::new(limit_bytes)),
             limit_bytes,
+            log,
         }
     }
 
@@ -165,6 +169,8 @@
         if let Some(due) = &mut self.due
             && due.pause.as_mut().poll(cx).is_ready()
         {
+            info!(self.gate.log, "connection closed, a large message is late"; "part" => ?self.part,
+                "free_bytes" => self.gate.room.available_permits(), "limit" => self.gate.limit_bytes);
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         Poll::Ready(Ok(()))
--- a/components/ledger/tests/large.rs
+++ b/components/ledger/tests/large.rs
@@ -12,7 +12,7 @@
     LARGE_PAYLOAD_BYTES, LedgerClient, LedgerHosts, LedgerPortClient, MessageGate, ProgramKey, TurnKey,
     TurnRecord, connect_host, serve_gated_port,
 };
-use support::{RunningHost, addresses, client_of, open_host, start_hosts, turn_record};
+use support::{RunningHost, addresses, client_of, open_host, silent_log, start_hosts, turn_record};
 use tarpc::context;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -152,7 +152,7 @@
     const SIZE: usize = 700_000;
     const WRITERS: u128 = 8;
     let folder = tempfile::tempdir().expect("a folder");
-    let gate = MessageGate::of_memory(0);
+    let gate = MessageGate::of_memory(0, silent_log());
     let limit_bytes = gate.limit_bytes();
     let host = start_gated(folder.path(), gate).await;
     // Each of these takes the whole room and stops short.
