--- a/components/ledger/src/client.rs
+++ b/components/ledger/src/client.rs
@@ -540,7 +540,7 @@
         turn: TurnKey,
         program: Option<ProgramKey>,
     ) -> Result<Vec<TurnRecord>, LedgerError> {
-        // Closed never.
+        // The semaphore is never closed.
         let _fetching = self.shared.chain_fetches.acquire().await.ok();
         self.fetch_longest_part(turn, program).await
     }
