--- a/components/gateway/src/holders.rs
+++ b/components/gateway/src/holders.rs
@@ -26,8 +26,8 @@
 /// Divisor of the memory of a host, and multiplier of the quotient, that give the limit. The rest is for the program
 /// itself, its cache of turns and the overhead of the allocator.
 const MEMORY_SHARE: (u64, u64) = (8, 3);
-/// Divisor of the limit that gives the part for bodies that have not arrived completely.
-const RECEIVING_DIVISOR: u64 = 2;
+/// Divisor of the limit, and multiplier of the quotient, that give the part for bodies that have not arrived completely.
+const RECEIVING_SHARE: (u64, u64) = (5, 3);
 /// Size up to which the body of a request may arrive beyond that part.
 const SMALL_BODY_BYTES: u64 = 64 * 1024;
 /// Time in milliseconds after which a connection without a whole head yields before idle connections do. Heads arrive
@@ -71,7 +71,8 @@
     }
 
     const fn receiving_bytes(self) -> u64 {
-        self.bytes / RECEIVING_DIVISOR
+        let (divisor, multiplier) = RECEIVING_SHARE;
+        self.bytes / divisor * multiplier
     }
 }
 
